Lay out the project: build, checks, result codes, contracts of the modules

Cause: nothing existed. What several people build at once needs the shared types, the platform's and the operator's protocol and the checks first. Before: no code. Conclusion: the modules can be built side by side.

--- /dev/null
+++ b/src/libsamphire/base/log.cc
@@ -0,0 +1,92 @@
+#include "base/log.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+struct log_settings {
+  std::mutex lock;
+  std::string instance = "\"\"";
+  std::atomic<log_level> lowest = log_level::kInfo;
+};
+
+log_settings& Settings() {
+  static log_settings settings;
+  return settings;
+}
+
+struct value_writer {
+  fmt::memory_buffer& out;
+
+  void operator()(std::string_view text) const {
+    fmt::format_to(std::back_inserter(out), "{}", JsonQuote(text));
+  }
+  template <typename T>
+  void operator()(T number) const {
+    fmt::format_to(std::back_inserter(out), "{}", number);
+  }
+};
+
+}  // namespace
+
+void ConfigureLog(std::string_view instance, log_level lowest) {
+  auto& settings = Settings();
+  std::lock_guard guard(settings.lock);
+  settings.instance = JsonQuote(instance);
+  settings.lowest = lowest;
+}
+
+bool LogEnabled(log_level level) {
+  return level >= Settings().lowest.load(std::memory_order_relaxed);
+}
+
+void Log(log_level level,
+         std::string_view event,
+         std::initializer_list<log_field> fields) {
+  if (!LogEnabled(level))
+    return;
+  auto& settings = Settings();
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  fmt::memory_buffer line;
+  std::lock_guard guard(settings.lock);
+  fmt::format_to(
+      std::back_inserter(line),
+      R"({{"time":"{:%FT%T}.{:03}Z","level":"{}","instance":{},"event":{})",
+      fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+      now.time_since_epoch().count() % 1000, NameOf(kLogLevelNames, level),
+      settings.instance, JsonQuote(event));
+  for (const auto& field : fields) {
+    fmt::format_to(std::back_inserter(line), ",{}:", JsonQuote(field.name));
+    std::visit(value_writer{line}, field.value);
+  }
+  line.push_back('}');
+  line.push_back('\n');
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+std::string JsonQuote(std::string_view text) {
+  std::string quoted = "\"";
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+      quoted += c;
+    } else if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) {
+      quoted += fmt::format("\\u{:04x}", static_cast<unsigned char>(c));
+    } else {
+      quoted += c;
+    }
+  }
+  return quoted + '"';
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/base/result.h
@@ -0,0 +1,32 @@
+#ifndef BASE_RESULT_H_
+#define BASE_RESULT_H_
+
+#include <boost/outcome/boost_result.hpp>
+#include <boost/outcome/try.hpp>
+#include <string>
+#include <utility>
+
+#include "base/error.h"
+
+namespace samphire {
+
+// A value or the reason why there is none. Reading the wrong one throws.
+template <typename T>
+using result = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
+    T,
+    error,
+    BOOST_OUTCOME_V2_NAMESPACE::policy::throw_bad_result_access<error, void>>;
+
+inline error MakeError(result_code code,
+                       std::string detail = {},
+                       std::string pointer = {}) {
+  return error{code, std::move(detail), std::move(pointer)};
+}
+
+inline auto Success() {
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+}  // namespace samphire
+
+#endif  // BASE_RESULT_H_
--- /dev/null
+++ b/src/libsamphire/base/result_code.h
@@ -0,0 +1,136 @@
+#ifndef BASE_RESULT_CODE_H_
+#define BASE_RESULT_CODE_H_
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace samphire {
+
+// Every outcome that a caller, an operator or another process is told.
+// Numbers are a contract: they are never given a new meaning.
+enum class result_code : int {
+  kOk = 0,
+
+  // 10xx: a file could not be read as JSON of the right shape.
+  kFileUnreadable = 1001,
+  kFileEmpty = 1002,
+  kFileTooLarge = 1003,
+  kNotUtf8 = 1004,
+  kJsonSyntax = 1005,
+  kJsonTooDeep = 1006,
+  kJsonDuplicateKey = 1007,
+  kSchemaViolation = 1008,
+  kUnknownField = 1009,
+
+  // 11xx: a declaration is of the right shape but means nothing sound.
+  kDuplicateName = 1101,
+  kUnknownRegion = 1102,
+  kUnknownFailureDomain = 1103,
+  kUnknownTarget = 1104,
+  kBadClientBlock = 1105,
+  kOverlappingClientBlocks = 1106,
+  kDrainInPast = 1107,
+  kDrainWithoutTime = 1108,
+  kMissingDeadline = 1109,
+  kValueOutOfRange = 1110,
+  kBadAddress = 1111,
+  kShiftCapToItself = 1112,
+  kAmbiguousClass = 1113,
+  kServiceWithoutTargets = 1114,
+
+  // 20xx: the request itself is wrong; it did not run.
+  kMalformedRequest = 2001,
+  kHeaderTooLarge = 2002,
+  kBodyTooLarge = 2003,
+  kUnknownService = 2004,
+  kUnknownPath = 2005,
+  kBadDeadline = 2006,
+  kIdempotencyKeyMissing = 2007,
+  kBadIdempotencyKey = 2008,
+  kRequestTooSlow = 2009,
+  kBadClientAddress = 2010,
+
+  // 21xx: refused under load or in a fault; it did not run, come back later.
+  kQueueFull = 2101,
+  kDeadlineUnreachable = 2102,
+  kShedByPriority = 2103,
+  kQueueExpired = 2104,
+  kShiftCapReached = 2105,
+  kNoTargetAvailable = 2106,
+  kTooManyConnections = 2107,
+  kEntryLeaving = 2108,
+  kQuarantined = 2109,
+  kRetryBudgetSpent = 2110,
+  kNoConfiguration = 2111,
+  kNoPeerInRegion = 2112,
+  kConfigurationTooOld = 2113,
+
+  // 22xx: the request was dispatched and no whole answer came of it.
+  kTargetUnreachable = 2201,
+  kTargetFailed = 2202,
+  kDeadlineExceeded = 2203,
+  kAnswerTruncated = 2204,
+  kCallerGone = 2205,
+  kPeerLost = 2206,
+  kTargetShedding = 2207,
+
+  // 23xx: requests that may run once at most.
+  kLedgerUnavailable = 2301,
+  kReservationInProgress = 2302,
+  kOutcomeUnknown = 2303,
+  kReplayed = 2304,
+  kKeyReused = 2305,
+  kLedgerFull = 2306,
+  kAnswerTooLargeToRecord = 2307,
+
+  // 30xx: the platform's object API.
+  kStoreUnreachable = 3001,
+  kStoreOutcomeUnknown = 3002,
+  kStoreConflict = 3003,
+  kStoreNotFound = 3004,
+  kStoreRefused = 3005,
+  kStoreValueTooLarge = 3006,
+  kStoreCorrupt = 3007,
+
+  // 40xx: messages between the system's own processes.
+  kPeerBadDigest = 4001,
+  kPeerReplayed = 4002,
+  kPeerMalformed = 4003,
+  kPeerUnreachable = 4004,
+  kPeerTimeout = 4005,
+
+  // 50xx: operator calls.
+  kVersionConflict = 5001,
+  kApplyOutcomeUnknown = 5002,
+  kWitnessNeeded = 5003,
+  kWitnessIsProposer = 5004,
+  kUnauthorized = 5005,
+  kUnknownDrain = 5006,
+  kUnknownProposal = 5007,
+  kUnknownLedgerKey = 5008,
+  kLedgerKeySettled = 5009,
+  kEntryUnreachable = 5010,
+  kNotInForceYet = 5011,
+  kUsage = 5012,
+};
+
+// What the table says of a code.
+struct result_code_info {
+  result_code code;
+  std::string_view name;
+  // The status that a caller over HTTP sees.
+  int http_status;
+  // Whether the same request may succeed later, so that Retry-After is sent.
+  bool come_back;
+  std::string_view meaning;
+};
+
+std::span<const result_code_info> ResultCodeTable();
+const result_code_info& InfoOf(result_code code);
+std::string_view NameOf(result_code code);
+std::optional<result_code> ResultCodeOf(int number);
+
+}  // namespace samphire
+
+#endif  // BASE_RESULT_CODE_H_
--- /dev/null
+++ b/src/libsamphire/config/region_latency.h
@@ -0,0 +1,19 @@
+#ifndef CONFIG_REGION_LATENCY_H_
+#define CONFIG_REGION_LATENCY_H_
+
+#include <string>
+
+#include "base/clock_source.h"
+
+namespace samphire {
+
+// The one-way latency between two regions, the same both ways.
+struct region_latency {
+  std::string from;
+  std::string to;
+  microseconds one_way{0};
+};
+
+}  // namespace samphire
+
+#endif  // CONFIG_REGION_LATENCY_H_
--- /dev/null
+++ b/src/libsamphire/config/service.h
@@ -0,0 +1,20 @@
+#ifndef CONFIG_SERVICE_H_
+#define CONFIG_SERVICE_H_
+
+#include <string>
+#include <vector>
+
+#include "config/request_class.h"
+#include "config/target.h"
+
+namespace samphire {
+
+struct service {
+  std::string name;
+  std::vector<request_class> classes;
+  std::vector<target> targets;
+};
+
+}  // namespace samphire
+
+#endif  // CONFIG_SERVICE_H_
--- /dev/null
+++ b/src/libsamphire/config/shift_cap.h
@@ -0,0 +1,22 @@
+#ifndef CONFIG_SHIFT_CAP_H_
+#define CONFIG_SHIFT_CAP_H_
+
+#include <cstdint>
+#include <string>
+
+namespace samphire {
+
+// The most work that callers of region `from` may have running in region `to`
+// at once. It starts at `initial` and grows by `ramp_per_s` while the shift
+// lasts, since the caches it lands on are cold.
+struct shift_cap {
+  std::string from;
+  std::string to;
+  std::uint32_t max_in_flight = 0;
+  std::uint32_t initial = 0;
+  double ramp_per_s = 0;
+};
+
+}  // namespace samphire
+
+#endif  // CONFIG_SHIFT_CAP_H_
