Add the open-loop load with its scenario, history and report

Cause: claims about latency and about what callers are told need callers that keep coming whether or not they are answered. Ruled out: latency counted from the sending (a stalled system would slow its callers and hide it); the session's own time-outs (Poco uses them only for connections that it makes itself, so abandoned requests never were). Before: no load. After: samphire-load sends a scenario's requests at their times, repeats and abandons them, judges each answer byte by byte and writes history, percentiles and a plot.

--- a/src/libsamphire/history/answer_body.h
+++ b/src/libsamphire/history/answer_body.h
@@ -9,10 +9,9 @@
 enum class answer_body {
   // The target's whole answer.
   kWhole,
-  // Fewer bytes than the answer announces, with or without a broken
-  // connection.
+  // Bytes are missing, and the caller's HTTP library can tell.
   kTruncated,
-  // Bytes that the target did not write.
+  // Looks whole, but bytes are missing or are not those of the target.
   kCorrupt,
   // A refusal, which holds no answer of a target.
   kRefusal,
@@ -20,15 +19,18 @@
   kLost,
   // No connection could be made.
   kUnconnected,
+  // The caller waited no longer.
+  kAbandoned,
 };
 
-inline constexpr enum_names<answer_body, 6> kAnswerBodyNames{{
+inline constexpr enum_names<answer_body, 7> kAnswerBodyNames{{
     {answer_body::kWhole, "whole"},
     {answer_body::kTruncated, "truncated"},
     {answer_body::kCorrupt, "corrupt"},
     {answer_body::kRefusal, "refusal"},
     {answer_body::kLost, "lost"},
     {answer_body::kUnconnected, "unconnected"},
+    {answer_body::kAbandoned, "abandoned"},
 }};
 
 }  // namespace samphire
--- a/src/libsamphire/history/history_codec.cc
+++ b/src/libsamphire/history/history_codec.cc
@@ -18,7 +18,7 @@
 constexpr const enum_names<run_claim, 4>& NamesFor(run_claim) {
   return kRunClaimNames;
 }
-constexpr const enum_names<answer_body, 6>& NamesFor(answer_body) {
+constexpr const enum_names<answer_body, 7>& NamesFor(answer_body) {
   return kAnswerBodyNames;
 }
 
--- /dev/null
+++ b/src/load/caller.cc
@@ -0,0 +1,151 @@
+#include "caller.h"
+
+#include <Poco/String.h>
+#include <fmt/format.h>
+
+#include <thread>
+#include <utility>
+
+#include "exchange.h"
+#include "experiment/repeat_decision.h"
+
+namespace samphire {
+
+namespace {
+
+// What a caller waits beyond its deadline before it hangs up: the answer that
+// says "too late" has to arrive as well.
+constexpr milliseconds kPatienceBeyond{500};
+
+std::int64_t CountMs(duration time) {
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+request_answered NoEntryKnown() {
+  request_answered answer;
+  answer.body = answer_body::kUnconnected;
+  return answer;
+}
+
+}  // namespace
+
+caller::caller(const scenario& plan,
+               std::string direct,
+               connection_pool& pool,
+               lookup_cache& lookups,
+               history_writer& history)
+    : plan_(plan),
+      direct_(std::move(direct)),
+      pool_(pool),
+      lookups_(lookups),
+      history_(history),
+      run_tag_(fmt::format("{:x}", HistoryNow())) {}
+
+request_outcome caller::Carry(const arrival& arrival, time_point start) {
+  const auto& stream = plan_.streams[arrival.stream];
+  const auto& source = plan_.callers[arrival.group].sources[arrival.source];
+  const auto intended = start + arrival.at;
+  request_outcome outcome{.stream = arrival.stream,
+                          .at = arrival.at,
+                          .deadline = stream.deadline,
+                          .attempts = 0};
+  // An abandoned sending comes on top: the repeat is what is measured.
+  const auto max_attempts = stream.max_attempts + (arrival.abandons ? 1 : 0);
+  while (true) {
+    const bool abandons = arrival.abandons && outcome.attempts == 0;
+    const auto now = std::chrono::steady_clock::now();
+    const duration left =
+        std::max<duration>(intended + stream.deadline - now, milliseconds(1));
+    sending next{
+        .id =
+            fmt::format("{}-{}-{}", run_tag_, arrival.number, outcome.attempts),
+        .key = stream.keyed ? fmt::format("{}-{}", run_tag_, arrival.number)
+                            : std::string(),
+        .destination = Destination(stream, source, outcome.attempts),
+        .left = left,
+        .patience =
+            abandons ? duration(stream.abandon_after) : left + kPatienceBeyond};
+    const auto answer =
+        next.destination.empty() ? NoEntryKnown() : Send(stream, arrival, next);
+    ++outcome.attempts;
+    const auto done = std::chrono::steady_clock::now();
+    outcome.latency = done - intended;
+    outcome.status = answer.status;
+    outcome.result = answer.result;
+    outcome.body = answer.body;
+    if (abandons && answer.body == answer_body::kAbandoned)
+      continue;
+    const auto wait =
+        DecideRepeat({.answer = answer,
+                      .keyed = stream.keyed,
+                      .more_attempts = outcome.attempts < max_attempts,
+                      .left = intended + stream.deadline - done,
+                      .longest_wait = plan_.longest_wait});
+    if (!wait)
+      return outcome;
+    std::this_thread::sleep_for(*wait);
+  }
+}
+
+std::string caller::Destination(const request_stream& stream,
+                                const std::string& source,
+                                std::uint32_t attempt) {
+  if (!direct_.empty())
+    return direct_;
+  const auto entries = lookups_.EntriesFor(source, stream.service);
+  return entries.empty() ? std::string() : entries[attempt % entries.size()];
+}
+
+Poco::Net::HTTPRequest caller::MakeRequest(const request_stream& stream,
+                                           const arrival& arrival,
+                                           const sending& sending) const {
+  const auto path = Poco::replace(stream.path, std::string("{n}"),
+                                  std::to_string(arrival.number));
+  Poco::Net::HTTPRequest request(
+      stream.method,
+      direct_.empty() ? "/v1/services/" + stream.service + path : path,
+      "HTTP/1.1");
+  request.setHost(sending.destination);
+  request.setKeepAlive(true);
+  request.set("Request-Id", sending.id);
+  request.set("Samphirewinch-Deadline-Ms",
+              std::to_string(std::max<std::int64_t>(1, CountMs(sending.left))));
+  if (!sending.key.empty())
+    request.set("Idempotency-Key", sending.key);
+  if (stream.answer_bytes > 0)
+    request.set("Target-Bytes", std::to_string(stream.answer_bytes));
+  for (const auto& [name, value] : stream.headers)
+    request.set(name, value);
+  if (stream.method != "GET" && stream.method != "HEAD")
+    request.setContentLength(0);
+  return request;
+}
+
+request_answered caller::Send(const request_stream& stream,
+                              const arrival& arrival,
+                              const sending& sending) {
+  history_.Write(request_sent{.time_us = HistoryNow(),
+                              .id = sending.id,
+                              .service = stream.service,
+                              .request_class = stream.request_class,
+                              .key = sending.key,
+                              .home = plan_.callers[arrival.group].region,
+                              .entry = sending.destination,
+                              .deadline_ms = CountMs(sending.left)});
+  exchange_order order{
+      .source = plan_.callers[arrival.group].sources[arrival.source],
+      .destination = sending.destination,
+      .request = MakeRequest(stream, arrival, sending),
+      .patience = sending.patience};
+  const auto sent = std::chrono::steady_clock::now();
+  auto answer = Exchange(pool_, order);
+  answer.latency_us = std::chrono::duration_cast<microseconds>(
+                          std::chrono::steady_clock::now() - sent)
+                          .count();
+  answer.time_us = HistoryNow();
+  answer.id = sending.id;
+  history_.Write(answer);
+  return answer;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/load/main.cc
@@ -0,0 +1,111 @@
+#include <Poco/StringTokenizer.h>
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+#include "base/log.h"
+#include "caller.h"
+#include "experiment/load_report.h"
+#include "experiment/scenario_reader.h"
+#include "experiment/schedule.h"
+#include "load_run.h"
+
+ABSL_FLAG(std::string, scenario, "", "scenario file (JSON)");
+ABSL_FLAG(std::string, entries, "", "IP:PORT,... instead of the scenario's");
+ABSL_FLAG(std::string, direct, "", "IP:PORT of a target: pass by the system");
+ABSL_FLAG(std::string, history, "", "append the history to this file");
+ABSL_FLAG(std::string, report_json, "", "write the report as JSON here");
+ABSL_FLAG(std::string, report_svg, "", "write the plot here");
+ABSL_FLAG(std::uint32_t, threads, 256, "most requests in flight");
+ABSL_FLAG(std::uint32_t, seed, 0, "instead of the scenario's, unless 0");
+
+namespace samphire {
+namespace {
+
+constexpr int kFailedExitCode = 1;
+constexpr int kUsageExitCode = 2;
+
+result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file)
+    return MakeError(result_code::kFileUnreadable, path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+result<scenario> LoadScenario() {
+  BOOST_OUTCOME_TRY(text, ReadFile(absl::GetFlag(FLAGS_scenario)));
+  BOOST_OUTCOME_TRY(plan, ReadScenario(text));
+  const Poco::StringTokenizer entries(absl::GetFlag(FLAGS_entries), ",",
+                                      Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  if (entries.count() > 0)
+    plan.entries.assign(entries.begin(), entries.end());
+  if (absl::GetFlag(FLAGS_seed) != 0)
+    plan.seed = absl::GetFlag(FLAGS_seed);
+  if (plan.entries.empty() && absl::GetFlag(FLAGS_direct).empty())
+    return MakeError(result_code::kUsage, "no entries", "/entries");
+  return std::move(plan);
+}
+
+result<std::unique_ptr<history_writer>> OpenHistory() {
+  const auto path = absl::GetFlag(FLAGS_history);
+  if (path.empty())
+    return std::make_unique<history_writer>();
+  return history_writer::Open(path);
+}
+
+bool WriteFile(const std::string& path, const std::string& text) {
+  if (path.empty())
+    return true;
+  std::ofstream file(path);
+  file << text;
+  return static_cast<bool>(file.flush());
+}
+
+int Refuse(const error& why) {
+  Log(log_level::kError, "cannot-start",
+      {{"code", NameOf(why.code)},
+       {"detail", why.detail},
+       {"pointer", why.pointer}});
+  return kUsageExitCode;
+}
+
+int Run() {
+  const auto plan = LoadScenario();
+  if (!plan)
+    return Refuse(plan.error());
+  const auto history = OpenHistory();
+  if (!history)
+    return Refuse(history.error());
+  connection_pool pool;
+  lookup_cache lookups(plan.value().entries, pool, *history.value());
+  caller callers(plan.value(), absl::GetFlag(FLAGS_direct), pool, lookups,
+                 *history.value());
+  const auto outcomes = RunLoad(callers, PlanArrivals(plan.value()),
+                                absl::GetFlag(FLAGS_threads));
+  const auto report = MakeReport(plan.value(), outcomes);
+  fmt::print("{}look-ups: {}, failed: {}\n", ReportAsText(report),
+             lookups.calls(), lookups.failures());
+  const bool written =
+      WriteFile(absl::GetFlag(FLAGS_report_json), ReportAsJson(report)) &&
+      WriteFile(absl::GetFlag(FLAGS_report_svg), ReportAsSvg(report));
+  return written ? 0 : kFailedExitCode;
+}
+
+}  // namespace
+}  // namespace samphire
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("Open-loop load from a scenario file.");
+  absl::ParseCommandLine(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  samphire::ConfigureLog("samphire-load", samphire::log_level::kInfo);
+  return samphire::Run();
+}
