--- a/src/libsamphire/experiment/repeat_decision.h
+++ b/src/libsamphire/experiment/repeat_decision.h
@@ -10,7 +10,7 @@
 
 // What a caller knows when it decides whether to send a request once more.
 struct repeat_view {
-  request_answered answer;
+  request_answered answer{};
   // The request carries an idempotency key, so that a repeat is safe.
   bool keyed = false;
   bool more_attempts = false;
--- a/src/libsamphire/history/cap_declared.h
+++ b/src/libsamphire/history/cap_declared.h
@@ -13,8 +13,8 @@
 struct cap_declared {
   static constexpr std::string_view kName = "cap-declared";
   history_time time_us = 0;
-  std::string from;
-  std::string to;
+  std::string from{};
+  std::string to{};
   std::int64_t max_in_flight = 0;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/config_seen.h
+++ b/src/libsamphire/history/config_seen.h
@@ -14,7 +14,7 @@
   static constexpr std::string_view kName = "config-seen";
   history_time time_us = 0;
   history_time asked_us = 0;
-  std::string entry;
+  std::string entry{};
   std::int64_t version = 0;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/planned_stop.h
+++ b/src/libsamphire/history/planned_stop.h
@@ -12,7 +12,7 @@
 struct planned_stop {
   static constexpr std::string_view kName = "planned-stop";
   history_time time_us = 0;
-  std::string subject;
+  std::string subject{};
   bool over = false;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/request_answered.h
+++ b/src/libsamphire/history/request_answered.h
@@ -15,7 +15,7 @@
 struct request_answered {
   static constexpr std::string_view kName = "request-answered";
   history_time time_us = 0;
-  std::string id;
+  std::string id{};
   std::int64_t status = 0;
   // The number of the result code; -1 without a header.
   std::int64_t result = -1;
@@ -24,7 +24,7 @@
   std::int64_t retry_after_s = -1;
   answer_body body = answer_body::kLost;
   // What the answer says of itself: whose it is and which run made it.
-  std::string echo_id;
+  std::string echo_id{};
   std::int64_t target_run = 0;
   history_time measured_us = 0;
   std::int64_t age_s = -1;
--- a/src/libsamphire/history/request_sent.h
+++ b/src/libsamphire/history/request_sent.h
@@ -14,12 +14,12 @@
 struct request_sent {
   static constexpr std::string_view kName = "request-sent";
   history_time time_us = 0;
-  std::string id;
-  std::string service;
-  std::string request_class;
-  std::string key;
-  std::string home;
-  std::string entry;
+  std::string id{};
+  std::string service{};
+  std::string request_class{};
+  std::string key{};
+  std::string home{};
+  std::string entry{};
   std::int64_t deadline_ms = 0;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/run_ended.h
+++ b/src/libsamphire/history/run_ended.h
@@ -13,7 +13,7 @@
 struct run_ended {
   static constexpr std::string_view kName = "run-ended";
   history_time time_us = 0;
-  std::string target;
+  std::string target{};
   std::int64_t run = 0;
   run_outcome outcome = run_outcome::kFinished;
   // When the reading in the answer was taken.
--- a/src/libsamphire/history/run_shed.h
+++ b/src/libsamphire/history/run_shed.h
@@ -13,8 +13,8 @@
 struct run_shed {
   static constexpr std::string_view kName = "run-shed";
   history_time time_us = 0;
-  std::string target;
-  std::string request_id;
+  std::string target{};
+  std::string request_id{};
   std::int64_t in_flight = 0;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/run_started.h
+++ b/src/libsamphire/history/run_started.h
@@ -13,10 +13,10 @@
 struct run_started {
   static constexpr std::string_view kName = "run-started";
   history_time time_us = 0;
-  std::string target;
+  std::string target{};
   std::int64_t run = 0;
-  std::string request_id;
-  std::string key;
+  std::string request_id{};
+  std::string key{};
 
   static void Fields(auto& self, auto&& field) {
     field("time_us", self.time_us);
--- a/src/libsamphire/history/target_declared.h
+++ b/src/libsamphire/history/target_declared.h
@@ -14,8 +14,8 @@
   static constexpr std::string_view kName = "target-declared";
   history_time time_us = 0;
   // "SERVICE/NAME".
-  std::string target;
-  std::string region;
+  std::string target{};
+  std::string region{};
   std::int64_t slots = 0;
 
   static void Fields(auto& self, auto&& field) {
--- a/src/libsamphire/history/target_leaving.h
+++ b/src/libsamphire/history/target_leaving.h
@@ -12,7 +12,7 @@
 struct target_leaving {
   static constexpr std::string_view kName = "target-leaving";
   history_time time_us = 0;
-  std::string target;
+  std::string target{};
   bool leaving = true;
 
   static void Fields(auto& self, auto&& field) {
