Decide admission, queueing and placing of one service at one entry

Cause: the entry needs its decisions apart from input and output. Ruled out so far: nothing measured yet; this is the first working shape. Before: no decision code. After: service_dispatcher with queues by kind and priority, bounds by deadline, two random choices, ejection, ramps, shift caps.

--- /dev/null
+++ b/src/libsamphire/decision/lent_slot.h
@@ -0,0 +1,15 @@
+#ifndef DECISION_LENT_SLOT_H_
+#define DECISION_LENT_SLOT_H_
+
+#include <string>
+
+namespace samphire {
+
+// One slot taken out of this entry's share, to be lent.
+struct lent_slot {
+  std::string target;
+};
+
+}  // namespace samphire
+
+#endif  // DECISION_LENT_SLOT_H_
--- /dev/null
+++ b/src/libsamphire/decision/load_shedder.h
@@ -0,0 +1,38 @@
+#ifndef DECISION_LOAD_SHEDDER_H_
+#define DECISION_LOAD_SHEDDER_H_
+
+#include "base/clock_source.h"
+#include "config/priority.h"
+
+namespace samphire {
+
+// Refuses lower priorities when the measured queue delay shows that the load
+// leaves room for higher ones only.
+class load_shedder {
+ public:
+  // A request of this priority has come, whatever becomes of it.
+  void OnArrival(priority rank, time_point now);
+  // Whether one of this priority may wait. `draw` in [0, 1) decides when part
+  // of its priority is shed.
+  bool Admits(priority rank, double draw, time_point now);
+  // How long a request had waited when it got its slot.
+  void OnStart(duration waited, time_point now);
+
+  double level() const { return level_; }
+  duration delay() const { return last_delay_; }
+
+ private:
+  void CloseInterval(time_point now);
+  bool SeenAbove(priority rank, time_point now) const;
+
+  time_point interval_end_;
+  duration least_delay_ = duration::max();
+  duration last_delay_{0};
+  double level_ = 0;
+  time_point last_normal_;
+  time_point last_high_;
+};
+
+}  // namespace samphire
+
+#endif  // DECISION_LOAD_SHEDDER_H_
--- /dev/null
+++ b/src/libsamphire/decision/service_dispatcher.cc
@@ -0,0 +1,214 @@
+#include "decision/service_dispatcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+constexpr duration kPriorService = std::chrono::milliseconds(20);
+
+std::size_t IndexOf(request_kind kind) {
+  return static_cast<std::size_t>(kind);
+}
+
+}  // namespace
+
+service_dispatcher::service_dispatcher(const service& declared,
+                                       const limits& bounds,
+                                       std::string own_region,
+                                       std::uint64_t seed,
+                                       queue_order order)
+    : bounds_(bounds),
+      random_(seed),
+      pool_(declared, bounds.cold_start_ramp, random_()),
+      shifts_(std::move(own_region)),
+      bulk_(bounds.bulk_percent),
+      queue_(order),
+      kind_service_{service_time(kPriorService), service_time(kPriorService)} {
+  for (const auto& rules : declared.classes)
+    LoadOf(rules);
+}
+
+service_dispatcher::~service_dispatcher() = default;
+
+std::vector<wakeup> service_dispatcher::SetService(const service& declared,
+                                                   const limits& bounds,
+                                                   time_point now) {
+  bounds_ = bounds;
+  bulk_.SetPercent(bounds.bulk_percent);
+  pool_.SetTargets(declared, now);
+  for (const auto& rules : declared.classes) {
+    auto& load = LoadOf(rules);
+    // The lists of the queue go by kind and priority, so these change only
+    // once nobody of the class waits.
+    if (load.queued == 0)
+      load.rules = rules;
+    load.rules.queue_limit = rules.queue_limit;
+  }
+  return Serve(now);
+}
+
+std::vector<wakeup> service_dispatcher::SetOwnedSlots(
+    const std::vector<owned_slots>& owned,
+    time_point now) {
+  pool_.SetOwned(owned);
+  return Serve(now);
+}
+
+std::vector<wakeup> service_dispatcher::SetClosedTargets(
+    const std::set<std::string>& closed,
+    time_point now) {
+  pool_.SetClosed(closed);
+  return Serve(now);
+}
+
+void service_dispatcher::SetShiftCaps(const std::vector<shift_cap>& caps,
+                                      const shift_share& share) {
+  shifts_.SetCaps(caps, share);
+}
+
+void service_dispatcher::SetLoadHint(std::string_view target, double load) {
+  pool_.SetHint(target, load);
+}
+
+admission_decision service_dispatcher::Submit(const admission_request& request,
+                                              time_point now) {
+  auto& load = LoadOf(*request.request_class);
+  const auto kind = load.rules.kind;
+  const auto rank = load.rules.priority;
+  shedder_.OnArrival(rank, now);
+  if (const auto refused = RefuseAtOnce(request, load, now))
+    return *refused;
+  if (const auto refused = shifts_.Admit(request.home_region, now))
+    return Refuse(refused->reason, refused->retry_after);
+  // Whoever waits goes first; a free slot beside waiters is one that they may
+  // not use (they avoid its failure domain).
+  const bool first =
+      queue_.ahead(kind, rank) == 0 || !request.avoid_failure_domains.empty();
+  if (first && !LeavesSlotToPeer(request.arrived)) {
+    if (auto grant = TryStart(request, load, now)) {
+      if (kind == request_kind::kInteractive)
+        shedder_.OnStart(duration::zero(), now);
+      return std::move(*grant);
+    }
+  }
+  if (const auto refused = RefuseToQueue(request, load, now)) {
+    shifts_.Release(request.home_region, now);
+    return *refused;
+  }
+  return Enqueue(request, load, now);
+}
+
+class_load& service_dispatcher::LoadOf(const request_class& rules) {
+  auto& load = loads_[rules.name];
+  if (load == nullptr)
+    load = std::make_unique<class_load>(rules, kPriorService);
+  return *load;
+}
+
+std::optional<slot_grant> service_dispatcher::TryStart(
+    const admission_request& request,
+    class_load& load,
+    time_point now) {
+  const bool bulk = load.rules.kind == request_kind::kBulk;
+  if (bulk && !BulkMayStart(now) && !(BulkIsStarved(now) && bulk_running_ == 0))
+    return std::nullopt;
+  placing_wish wish;
+  wish.avoid_failure_domains = &request.avoid_failure_domains;
+  wish.may_probe = load.rules.repeatable && !request.isolate;
+  wish.isolate = request.isolate;
+  wish.may_borrow = !bulk;
+  wish.longest = request.deadline - now;
+  const auto place = pool_.Place(wish, now);
+  if (!place)
+    return std::nullopt;
+  return Start(request, load, *place, now);
+}
+
+slot_grant service_dispatcher::Start(const admission_request& request,
+                                     class_load& load,
+                                     const placement& place,
+                                     time_point now) {
+  const auto& target = pool_.at(place.target_index);
+  slot_grant grant;
+  grant.grant_id = next_grant_++;
+  grant.request_id = request.id;
+  grant.target = target.name;
+  grant.address = target.address;
+  grant.failure_domain = target.failure_domain;
+  grant.probe = place.probe;
+  grant.loan_id = place.loan_id;
+  running_.emplace(grant.grant_id,
+                   running_work{place, &load, request.home_region, now});
+  if (load.rules.kind == request_kind::kBulk)
+    ++bulk_running_;
+  else
+    ++interactive_running_;
+  NoteInteractiveLoad(now);
+  return grant;
+}
+
+admission_decision service_dispatcher::Enqueue(const admission_request& request,
+                                               class_load& load,
+                                               time_point now) {
+  const auto whole = request.deadline - request.arrived;
+  boost::intrusive_ptr<waiter> entry(new waiter);
+  entry->request = request;
+  entry->request.request_class = nullptr;
+  entry->load = &load;
+  entry->latest_start = request.deadline - NeededTime(load, whole);
+  const auto ahead = queue_.ahead(load.rules.kind, load.rules.priority);
+  queue_.Add(std::move(entry));
+  NoteInteractiveLoad(now);
+  return queued{ahead, ExpectedWait(load.rules.kind, ahead, now)};
+}
+
+std::vector<wakeup> service_dispatcher::Finish(const slot_grant& grant,
+                                               attempt_outcome outcome,
+                                               duration latency,
+                                               time_point now) {
+  const auto found = running_.find(grant.grant_id);
+  if (found == running_.end())
+    return {};
+  const running_work work = found->second;
+  running_.erase(found);
+  const auto kind = work.load->rules.kind;
+  --(kind == request_kind::kBulk ? bulk_running_ : interactive_running_);
+  shifts_.Release(work.home_region, now);
+  double slowness = 0;
+  // An attempt that timed out took at least as long; one that failed at once
+  // tells nothing of speed.
+  const bool timed =
+      outcome == attempt_outcome::kOk || outcome == attempt_outcome::kTimedOut;
+  if (timed && work.load->service.measured()) {
+    slowness = std::chrono::duration<double>(latency) /
+               std::max<duration>(work.load->service.mean(),
+                                  std::chrono::microseconds(100));
+  }
+  if (outcome == attempt_outcome::kOk) {
+    work.load->service.Add(latency);
+    kind_service_[IndexOf(kind)].Add(latency);
+  }
+  pool_.Release(work.place, outcome, slowness, now);
+  NoteInteractiveLoad(now);
+  return Serve(now);
+}
+
+cancel_result service_dispatcher::Cancel(std::uint64_t request_id,
+                                         time_point now) {
+  const auto entry = queue_.Remove(request_id);
+  if (entry == nullptr)
+    return {};
+  shifts_.Release(entry->request.home_region, now);
+  NoteInteractiveLoad(now);
+  return {true, Serve(now)};
+}
+
+std::vector<wakeup> service_dispatcher::Tick(time_point now) {
+  return Serve(now);
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/decision/service_dispatcher_loans.cc
@@ -0,0 +1,89 @@
+// The loans of the dispatcher and what it shows of itself.
+
+#include <algorithm>
+
+#include "decision/service_dispatcher.h"
+
+namespace samphire {
+
+std::optional<loan_wish> service_dispatcher::WantsLoan(time_point now) const {
+  const auto waiting = queue_.size(request_kind::kInteractive);
+  if (waiting == 0)
+    return std::nullopt;
+  loan_wish wish;
+  wish.count = waiting;
+  wish.oldest_wait =
+      now - queue_.oldest(request_kind::kInteractive)->request.arrived;
+  for (const auto& [name, load] : loads_) {
+    if (load->rules.kind == request_kind::kInteractive)
+      wish.longest_work =
+          std::max<duration>(wish.longest_work, load->rules.max_deadline);
+  }
+  return wish;
+}
+
+std::vector<wakeup> service_dispatcher::AddLoan(const held_loan& loan,
+                                                time_point now) {
+  pool_.loans().Add(loan);
+  return Serve(now);
+}
+
+void service_dispatcher::RenewLoan(std::uint64_t loan_id,
+                                   time_point usable_until) {
+  pool_.loans().Renew(loan_id, usable_until);
+}
+
+bool service_dispatcher::HoldsLoan(std::uint64_t loan_id) const {
+  return pool_.loans().Contains(loan_id);
+}
+
+std::vector<std::uint64_t> service_dispatcher::TakeIdleLoans(time_point now) {
+  const bool unused = queue_.size(request_kind::kInteractive) == 0;
+  return pool_.loans().TakeIdle(now, [&](const held_loan& loan) {
+    return unused || !pool_.IsOpen(loan.target);
+  });
+}
+
+std::optional<lent_slot> service_dispatcher::Lend(time_point now) {
+  return pool_.Lend(now);
+}
+
+std::vector<wakeup> service_dispatcher::LoanReturned(const std::string& target,
+                                                     time_point now) {
+  pool_.Restore(target);
+  return Serve(now);
+}
+
+std::vector<wakeup> service_dispatcher::SetOldestAsk(
+    std::optional<time_point> oldest,
+    time_point now) {
+  oldest_ask_ = oldest;
+  return Serve(now);
+}
+
+dispatcher_status service_dispatcher::status(time_point now) const {
+  dispatcher_status shown;
+  for (const auto& each : pool_.all()) {
+    shown.owned += each.owned;
+    shown.lent += each.lent;
+    if (!each.open() || each.health.ejected())
+      shown.unusable += each.owned;
+    if (each.health.ejected())
+      shown.ejected.push_back(each.name);
+  }
+  shown.borrowed = static_cast<std::uint32_t>(pool_.loans().size());
+  shown.free = pool_.FreeSlots(now);
+  shown.in_flight = interactive_running_ + bulk_running_;
+  shown.bulk_in_flight = bulk_running_;
+  const auto usable = pool_.UsableSlots(now);
+  shown.headroom = usable == 0 ? 0 : static_cast<double>(shown.free) / usable;
+  shown.queue_delay = shedder_.delay();
+  shown.shed_level = shedder_.level();
+  for (const auto& [name, load] : loads_)
+    shown.classes.push_back({name, load->queued, load->service.mean()});
+  for (const auto& [reason, count] : refusals_)
+    shown.refusals.push_back({reason, count});
+  return shown;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/decision/service_time.h
@@ -0,0 +1,31 @@
+#ifndef DECISION_SERVICE_TIME_H_
+#define DECISION_SERVICE_TIME_H_
+
+#include <cstdint>
+
+#include "base/clock_source.h"
+
+namespace samphire {
+
+// Running estimate of how long a stream of work takes.
+class service_time {
+ public:
+  // `prior` stands until the first sample.
+  explicit service_time(duration prior) : mean_(prior), tail_(prior) {}
+
+  void Add(duration sample);
+
+  duration mean() const { return mean_; }
+  // About the longest of the last few hundred samples.
+  duration tail() const { return tail_; }
+  bool measured() const { return samples_ > 0; }
+
+ private:
+  duration mean_;
+  duration tail_;
+  std::uint64_t samples_ = 0;
+};
+
+}  // namespace samphire
+
+#endif  // DECISION_SERVICE_TIME_H_
--- /dev/null
+++ b/src/libsamphire/decision/target_pool_slots.cc
@@ -0,0 +1,92 @@
+// The slot counts of the pool: what is free, usable, lent.
+
+#include <algorithm>
+
+#include "decision/target_pool.h"
+
+namespace samphire {
+
+namespace {
+
+// How often ramps are looked at again while requests wait.
+constexpr duration kRampStep = std::chrono::milliseconds(50);
+
+}  // namespace
+
+std::optional<lent_slot> target_pool::Lend(time_point now) {
+  target_state* best = nullptr;
+  for (auto& each : targets_) {
+    // A target that ramps or is ejected here would be worked hard by a
+    // borrower that has not noticed.
+    if (!each.open() || !each.health.serving() || !each.ramp.complete(now) ||
+        each.OwnFree(now) == 0)
+      continue;
+    if (best == nullptr || each.OwnFree(now) > best->OwnFree(now))
+      best = &each;
+  }
+  if (best == nullptr)
+    return std::nullopt;
+  ++best->lent;
+  return lent_slot{best->name};
+}
+
+void target_pool::Restore(std::string_view target) {
+  auto* known = FindTarget(target);
+  if (known != nullptr && known->lent > 0)
+    --known->lent;
+}
+
+bool target_pool::IsOpen(std::string_view target) const {
+  return std::any_of(
+      targets_.begin(), targets_.end(), [&](const target_state& each) {
+        return each.name == target && each.open() && each.health.serving();
+      });
+}
+
+std::uint32_t target_pool::FreeSlots(time_point now) const {
+  return FreeOwnSlots(now) + loans_.idle(now);
+}
+
+std::uint32_t target_pool::FreeOwnSlots(time_point now) const {
+  std::uint32_t count = 0;
+  for (const auto& each : targets_) {
+    if (each.open() && each.health.serving())
+      count += each.OwnFree(now);
+  }
+  return count;
+}
+
+std::uint32_t target_pool::UsableSlots(time_point now) const {
+  auto count = static_cast<std::uint32_t>(loans_.size());
+  for (const auto& each : targets_) {
+    if (!each.open() || !each.health.serving())
+      continue;
+    const auto own = each.owned > each.lent ? each.owned - each.lent : 0;
+    count += each.ramp.usable(own, now);
+  }
+  return count;
+}
+
+bool target_pool::AnyOpen() const {
+  return std::any_of(targets_.begin(), targets_.end(),
+                     [](const target_state& each) { return each.open(); });
+}
+
+std::optional<time_point> target_pool::NextChange(time_point now) const {
+  std::optional<time_point> next = loans_.next_expiry();
+  const auto consider = [&](time_point when) {
+    if (!next || when < *next)
+      next = when;
+  };
+  for (const auto& each : targets_) {
+    if (!each.open() || each.owned == 0)
+      continue;
+    if (each.health.serving() && !each.ramp.complete(now))
+      consider(now + kRampStep);
+    if (each.health.ejected() && !each.health.probing())
+      consider(std::max(each.health.ejected_until(), now + kRampStep));
+  }
+  return next;
+}
+
+}  // namespace samphire
