Lend slots between the entries of a region

Cause: a share per entry stands idle at one entry while requests wait at another. Ruled out so far: nothing measured yet. Before: static shares.

--- /dev/null
+++ b/src/libsamphire/allowance/loan_outbox.h
@@ -0,0 +1,21 @@
+#ifndef ALLOWANCE_LOAN_OUTBOX_H_
+#define ALLOWANCE_LOAN_OUTBOX_H_
+
+#include <string>
+#include <vector>
+
+#include "allowance/loan_messages.h"
+
+namespace samphire {
+
+// A loan message to be carried to a peer.
+struct outgoing_loan_message {
+  std::string to;
+  loan_message message;
+};
+
+using loan_outbox = std::vector<outgoing_loan_message>;
+
+}  // namespace samphire
+
+#endif  // ALLOWANCE_LOAN_OUTBOX_H_
--- a/src/libsamphire/decision/loan_wish.h
+++ b/src/libsamphire/decision/loan_wish.h
@@ -1,20 +1,17 @@
 #ifndef DECISION_LOAN_WISH_H_
 #define DECISION_LOAN_WISH_H_
 
-#include <cstddef>
+#include <vector>
 
 #include "base/clock_source.h"
-#include "config/request_kind.h"
 
 namespace samphire {
 
-// How many slots this entry could use at once beyond those it holds.
+// What an entry's waiters could use beyond the slots that it holds.
 struct loan_wish {
-  request_kind kind = request_kind::kInteractive;
-  std::size_t count = 0;
-  // How long the first of them has waited already.
-  duration oldest_wait{0};
-  // The longest that work on the borrowed slot may run.
+  // How long each of the first of them has waited already, longest first.
+  std::vector<duration> waits;
+  // The longest that work on a borrowed slot may run.
   duration longest_work{0};
 };
 
--- a/src/libsamphire/decision/service_dispatcher_loans.cc
+++ b/src/libsamphire/decision/service_dispatcher_loans.cc
@@ -6,14 +6,23 @@
 
 namespace samphire {
 
+namespace {
+
+// Slots asked for at a time. A round trip is short against the work, so the
+// next ones are asked for as these come; more would hold peers' slots for
+// waiters that own slots serve first.
+constexpr std::size_t kMostWished = 8;
+
+}  // namespace
+
 std::optional<loan_wish> service_dispatcher::WantsLoan(time_point now) const {
-  const auto waiting = queue_.size(request_kind::kInteractive);
-  if (waiting == 0)
+  if (queue_.size(request_kind::kInteractive) == 0)
     return std::nullopt;
   loan_wish wish;
-  wish.count = waiting;
-  wish.oldest_wait =
-      now - queue_.oldest(request_kind::kInteractive)->request.arrived;
+  queue_.ForFirst(request_kind::kInteractive, kMostWished,
+                  [&](const waiter& entry) {
+                    wish.waits.push_back(now - entry.request.arrived);
+                  });
   for (const auto& [name, load] : loads_) {
     if (load->rules.kind == request_kind::kInteractive)
       wish.longest_work =
--- a/src/libsamphire/decision/wait_queue.cc
+++ b/src/libsamphire/decision/wait_queue.cc
@@ -79,6 +79,20 @@
   return nullptr;
 }
 
+void wait_queue::ForFirst(
+    request_kind kind,
+    std::size_t most,
+    const std::function<void(const waiter&)>& visit) const {
+  const auto& ranks = lists_[static_cast<std::size_t>(kind)];
+  for (auto rank = ranks.rbegin(); rank != ranks.rend(); ++rank) {
+    for (const auto& entry : *rank) {
+      if (most-- == 0)
+        return;
+      visit(entry);
+    }
+  }
+}
+
 std::size_t wait_queue::size(request_kind kind) const {
   return ahead(kind, priority::kLow);
 }
--- a/src/libsamphire/decision/wait_queue.h
+++ b/src/libsamphire/decision/wait_queue.h
@@ -36,6 +36,11 @@
   // returns that waiter. At most kScanLimit of each list are tried.
   waiter* Find(request_kind kind, const std::function<bool(waiter&)>& visit);
 
+  // Visits the first waiters in the order of service, at most `most`.
+  void ForFirst(request_kind kind,
+                std::size_t most,
+                const std::function<void(const waiter&)>& visit) const;
+
   bool empty() const { return by_id_.empty(); }
   std::size_t size(request_kind kind) const;
   // How many are served before a newcomer of this priority.
