Bound what a loan message may ask for; leave only slots that can be lent

Cause: a hostile or faulty length overflowed or was cut down behind the borrower's back, and a slot of a warming target could stand idle for an ask. Before: clamped. After: refused; slots that can't be lent serve own waiters.

--- a/src/libsamphire/allowance/loan_lender.cc
+++ b/src/libsamphire/allowance/loan_lender.cc
@@ -20,11 +20,24 @@
 constexpr duration kLongestTtl = std::chrono::seconds(10);
 constexpr duration kLongestWork = std::chrono::minutes(30);
 
-duration Bounded(std::int64_t length_us, duration most) {
-  const auto length = std::chrono::microseconds(std::clamp<std::int64_t>(
-      length_us, 0,
-      std::chrono::duration_cast<std::chrono::microseconds>(most).count()));
-  return length;
+// What is over the bounds is refused, not cut down: the borrower would go on
+// believing in the times that it asked for. Compared as plain counts, since a
+// hostile number would overflow a finer unit.
+bool IsLength(std::int64_t length_us, duration most) {
+  return length_us >= 0 &&
+         length_us <=
+             std::chrono::duration_cast<std::chrono::microseconds>(most)
+                 .count();
+}
+
+template <typename Message>
+bool IsSound(const Message& message) {
+  return message.ttl_us > 0 && IsLength(message.ttl_us, kLongestTtl) &&
+         IsLength(message.longest_work_us, kLongestWork);
+}
+
+duration Length(std::int64_t length_us) {
+  return std::chrono::microseconds(length_us);
 }
 
 }  // namespace
@@ -32,7 +45,6 @@
 void loan_lender::OnAsk(const std::string& from,
                         const loan_ask& ask,
                         time_point now) {
-  service_ = ask.service;
   // A doubled ask must not take a second slot.
   for (const auto& [id, each] : loans_) {
     if (each.borrower == from && each.ask_id == ask.ask_id &&
@@ -50,17 +62,13 @@
         each.ask.borrower_incarnation == ask.borrower_incarnation)
       return;
   }
-  const auto ttl = Bounded(ask.ttl_us, kLongestTtl);
-  const bool unsound = ttl <= duration::zero() ||
-                       Bounded(ask.longest_work_us, kLongestWork) !=
-                           std::chrono::microseconds(ask.longest_work_us);
-  if (unsound || of_borrower >= kMaxWaitingOfBorrower ||
-      asks_.size() >= kMaxWaiting) {
+  if (!IsSound(ask) || !IsLength(ask.waited_us, kLongestWork) ||
+      of_borrower >= kMaxWaitingOfBorrower || asks_.size() >= kMaxWaiting) {
     Refuse(from, ask.service, ask.borrower_incarnation, ask.ask_id);
     return;
   }
-  waiting_ask waiting{from, ask, now - Bounded(ask.waited_us, kLongestTtl),
-                      now + ttl / kWaitPart};
+  waiting_ask waiting{from, ask, now - Length(ask.waited_us),
+                      now + Length(ask.ttl_us) / kWaitPart};
   const auto place =
       std::upper_bound(asks_.begin(), asks_.end(), waiting,
                        [](const waiting_ask& a, const waiting_ask& b) {
@@ -105,7 +113,7 @@
   // A borrower that is never without waiters would otherwise keep the slot for
   // ever, while those who own it wait.
   const bool needed_here = slots_.WantsLoan(now).has_value() || !asks_.empty();
-  if (!known || needed_here) {
+  if (!known || needed_here || !IsSound(message)) {
     Refuse(from, message.service, message.borrower_incarnation, message.ask_id);
     return;
   }
@@ -150,8 +158,7 @@
 time_point loan_lender::ReclaimAt(std::int64_t ttl_us,
                                   std::int64_t longest_work_us,
                                   time_point now) const {
-  return now + Bounded(ttl_us, kLongestTtl) + terms_.drift +
-         Bounded(longest_work_us, kLongestWork);
+  return now + Length(ttl_us) + terms_.drift + Length(longest_work_us);
 }
 
 void loan_lender::RefuseDue(time_point now) {
--- a/src/libsamphire/allowance/loan_lender.h
+++ b/src/libsamphire/allowance/loan_lender.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "allowance/loan_counts.h"
@@ -20,9 +21,13 @@
 class loan_lender {
  public:
   loan_lender(service_dispatcher& slots,
+              std::string service,
               const loan_terms& terms,
               std::uint64_t incarnation)
-      : slots_(slots), terms_(terms), incarnation_(incarnation) {}
+      : slots_(slots),
+        service_(std::move(service)),
+        terms_(terms),
+        incarnation_(incarnation) {}
 
   void OnAsk(const std::string& from, const loan_ask& ask, time_point now);
   void OnReturn(const std::string& from,
@@ -72,9 +77,9 @@
   void Wake(std::vector<wakeup> wakeups);
 
   service_dispatcher& slots_;
+  std::string service_;
   loan_terms terms_;
   std::uint64_t incarnation_;
-  std::string service_;
   std::uint64_t next_loan_ = 1;
   std::map<std::uint64_t, loan> loans_;
   // Longest waiting first.
--- a/src/libsamphire/decision/service_dispatcher.cc
+++ b/src/libsamphire/decision/service_dispatcher.cc
@@ -88,7 +88,7 @@
   // not use (they avoid its failure domain).
   const bool first =
       queue_.ahead(kind, rank) == 0 || !request.avoid_failure_domains.empty();
-  if (first && !LeavesSlotToPeer(request.arrived)) {
+  if (first && !LeavesSlotToPeer(request.arrived, now)) {
     if (auto grant = TryStart(request, load, now)) {
       if (kind == request_kind::kInteractive)
         shedder_.OnStart(duration::zero(), now);
--- a/src/libsamphire/decision/service_dispatcher.h
+++ b/src/libsamphire/decision/service_dispatcher.h
@@ -128,7 +128,7 @@
                 std::vector<wakeup>& wakeups);
   bool BulkIsStarved(time_point now) const;
   bool BulkMayStart(time_point now) const;
-  bool LeavesSlotToPeer(time_point arrived) const;
+  bool LeavesSlotToPeer(time_point arrived, time_point now) const;
 
   duration ExpectedWait(request_kind kind,
                         std::size_t ahead,
--- a/src/libsamphire/decision/service_dispatcher_queue.cc
+++ b/src/libsamphire/decision/service_dispatcher_queue.cc
@@ -113,8 +113,13 @@
          bulk_.patience(pool_.UsableSlots(now), whole);
 }
 
-bool service_dispatcher::LeavesSlotToPeer(time_point arrived) const {
-  return oldest_ask_ && *oldest_ask_ + kMoveMargin < arrived;
+// Callers are promised the same wait at each entry of the region, so the next
+// slot goes to whoever has waited longest, here or at a peer. Only a slot that
+// can be lent is left: one of a target that is warming up stays here.
+bool service_dispatcher::LeavesSlotToPeer(time_point arrived,
+                                          time_point now) const {
+  return oldest_ask_ && *oldest_ask_ + kMoveMargin < arrived &&
+         pool_.CanLend(now);
 }
 
 std::vector<wakeup> service_dispatcher::Serve(time_point now) {
@@ -145,7 +150,7 @@
   std::optional<slot_grant> grant;
   const auto* served = queue_.Find(kind, [&](waiter& entry) {
     if (kind == request_kind::kInteractive &&
-        LeavesSlotToPeer(entry.request.arrived))
+        LeavesSlotToPeer(entry.request.arrived, now))
       return false;
     grant = TryStart(entry.request, *entry.load, now);
     return grant.has_value();
--- a/src/libsamphire/decision/target_pool.h
+++ b/src/libsamphire/decision/target_pool.h
@@ -43,6 +43,7 @@
 
   // Takes one free own slot out of use, best where most are free.
   std::optional<lent_slot> Lend(time_point now);
+  bool CanLend(time_point now) const;
   void Restore(std::string_view target);
 
   loan_set& loans() { return loans_; }
@@ -67,6 +68,7 @@
   bool CanStart(const target_state& target,
                 const placing_wish& wish,
                 time_point now) const;
+  static bool IsLendable(const target_state& target, time_point now);
   bool HasRoomElsewhere(const std::vector<std::string>& avoided) const;
   std::size_t PickOfTwo(const std::vector<std::size_t>& candidates,
                         bool isolate);
--- a/src/libsamphire/decision/target_pool_slots.cc
+++ b/src/libsamphire/decision/target_pool_slots.cc
@@ -16,10 +16,7 @@
 std::optional<lent_slot> target_pool::Lend(time_point now) {
   target_state* best = nullptr;
   for (auto& each : targets_) {
-    // A target that ramps or is ejected here would be worked hard by a
-    // borrower that has not noticed.
-    if (!each.open() || !each.health.serving() || !each.ramp.complete(now) ||
-        each.OwnFree(now) == 0)
+    if (!IsLendable(each, now))
       continue;
     if (best == nullptr || each.OwnFree(now) > best->OwnFree(now))
       best = &each;
@@ -30,6 +27,19 @@
   return lent_slot{best->name};
 }
 
+bool target_pool::CanLend(time_point now) const {
+  return std::any_of(
+      targets_.begin(), targets_.end(),
+      [&](const target_state& each) { return IsLendable(each, now); });
+}
+
+// A target that ramps or is ejected here would be worked hard by a borrower
+// that has not noticed; one with a crash suspect is to be left alone.
+bool target_pool::IsLendable(const target_state& target, time_point now) {
+  return target.open() && target.health.serving() && !target.isolating &&
+         target.ramp.complete(now) && target.OwnFree(now) > 0;
+}
+
 void target_pool::Restore(std::string_view target) {
   auto* known = FindTarget(target);
   if (known != nullptr && known->lent > 0)
