Run what may not be repeated at most once, by a ledger in the platform

Cause: a gate acknowledgement or a claim must run at most once, whichever entry it or its repeat arrives at, while entries die, pause and the platform loses answers.

What was ruled out: leases on keys with a time-out (a paused holder runs after another took over), one platform object a request (calls grow with requests), and spreading keys by the declared number of shards (a change in the declaration reaches entries at different times).

Before: no ledger. After: reservations in shard objects, group commit under the version check, nonce read-back, settlements kept and retried in an outage, in-doubt reservations settled by operators.

--- /dev/null
+++ b/src/libsamphire/ledger/ledger.cc
@@ -0,0 +1,277 @@
+#include "ledger/ledger.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <random>
+#include <utility>
+
+#include "base/log.h"
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_layout.h"
+
+namespace samphire {
+
+namespace {
+
+// How long a thread that has an answer for its caller waits for the platform
+// to record it, before the answer is given and the record is left to retries.
+constexpr milliseconds kSettleTimeout{1000};
+constexpr milliseconds kResolveTimeout{5000};
+
+struct outcome_name {
+  const char* operator()(const reserved&) const { return "reserved"; }
+  const char* operator()(const replay&) const { return "replay"; }
+  const char* operator()(const in_progress&) const { return "in-progress"; }
+  const char* operator()(const in_doubt&) const { return "in-doubt"; }
+  const char* operator()(const refused&) const { return "refused"; }
+};
+
+struct to_reservation_outcome {
+  reservation_outcome operator()(settle_effect) const {
+    return refused{result_code::kLedgerUnavailable, "not a reservation"};
+  }
+  template <typename T>
+  reservation_outcome operator()(T outcome) const {
+    return outcome;
+  }
+};
+
+std::uint64_t RandomNumber() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+bool IsSound(const reservation_request& request) {
+  return !request.key.empty() && request.key.size() <= kMaxIdempotencyKey &&
+         request.service.size() <= kMaxServiceName &&
+         request.request_digest.size() <= kMaxRequestDigest;
+}
+
+}  // namespace
+
+ledger::ledger(object_store& store,
+               const shard_router& router,
+               const clock_source& clock,
+               metrics& registry,
+               ledger_options options)
+    : store_(store),
+      router_(router),
+      clock_(clock),
+      metrics_(registry),
+      options_(std::move(options)),
+      process_number_(RandomNumber()),
+      pending_(process_number_) {}
+
+reservation_outcome ledger::Reserve(const reservation_request& request) {
+  auto outcome = Ask(request);
+  CountOutcome(outcome);
+  return outcome;
+}
+
+reservation_outcome ledger::Ask(const reservation_request& request) {
+  if (!IsSound(request))
+    return refused{result_code::kBadIdempotencyKey, {}};
+  if (clock_.now() >= request.deadline)
+    return refused{result_code::kDeadlineUnreachable, {}};
+  // Each settlement that only this process knows of is lost into doubt if the
+  // process dies. The bound keeps what operators would have to settle small.
+  if (pending_.size() >= options_.max_pending)
+    return refused{result_code::kLedgerUnavailable, "too much unrecorded"};
+  const auto prepared = Prepare();
+  if (!prepared) {
+    const auto code = prepared.error().code == result_code::kStoreCorrupt
+                          ? result_code::kStoreCorrupt
+                          : result_code::kLedgerUnavailable;
+    return refused{code, prepared.error().detail};
+  }
+  auto outcomes =
+      CommitterOf(request.service, request.key)
+          .Commit({reserve_operation{TicketFor(request)}}, request.deadline);
+  return std::visit(to_reservation_outcome{}, std::move(outcomes.front()));
+}
+
+reservation_ticket ledger::TicketFor(const reservation_request& request) {
+  reservation_ticket ticket;
+  ticket.service = request.service;
+  ticket.key = request.key;
+  ticket.request_digest = request.request_digest;
+  ticket.nonce = {process_number_, ++reservations_};
+  ticket.holder = options_.self;
+  ticket.dispatch_before = request.deadline;
+  ticket.doubt_after = clock_.wall_now() + (request.deadline - clock_.now()) +
+                       options_.doubt_margin;
+  return ticket;
+}
+
+settle_effect ledger::Complete(const reservation_ticket& ticket,
+                               recorded_answer answer) {
+  return Settle(ticket, complete_operation{ticket, Bound(std::move(answer))});
+}
+
+settle_effect ledger::Release(const reservation_ticket& ticket) {
+  return Settle(ticket, release_operation{ticket, std::nullopt});
+}
+
+settle_effect ledger::MarkUnknown(const reservation_ticket& ticket) {
+  return Settle(ticket, mark_unknown_operation{ticket});
+}
+
+// The platform may be down when the answer comes. The caller has waited for
+// it and gets it; the settlement is kept and tried again. Until then a repeat
+// is told "in progress" or "in doubt", so nothing runs twice; if this process
+// dies first, an operator finds the reservation in doubt.
+settle_effect ledger::Settle(const reservation_ticket& ticket,
+                             ledger_operation operation) {
+  auto& committer = CommitterOf(ticket.service, ticket.key);
+  const auto outcomes =
+      committer.Commit({operation}, clock_.now() + kSettleTimeout);
+  const auto* effect = std::get_if<settle_effect>(&outcomes.front());
+  if (effect == nullptr) {
+    pending_.Add(ShardOf(ticket.service, ticket.key, shard_count_),
+                 std::move(operation));
+    metrics_.Count("ledger_settlements_total", "effect=\"pending\"");
+    return settle_effect::kPending;
+  }
+  metrics_.Count(
+      "ledger_settlements_total",
+      fmt::format("effect=\"{}\"", NameOf(kSettleEffectNames, *effect)));
+  if (*effect == settle_effect::kSuperseded) {
+    Log(log_level::kError, "ledger-run-after-release",
+        {{"service", ticket.service}, {"key", ticket.key}});
+  }
+  return *effect;
+}
+
+result<ledger_record> ledger::Show(const std::string& service,
+                                   const std::string& key) {
+  BOOST_OUTCOME_TRY(Prepare());
+  const auto shard = ShardOf(service, key, shard_count_);
+  shard_store view(store_, ShardKey(shard), metrics_);
+  BOOST_OUTCOME_TRY(view.Load());
+  const auto* entry = view.known()->shard.Find(service, key);
+  if (entry == nullptr)
+    return MakeError(result_code::kUnknownLedgerKey, key);
+  return ledger_record{*entry, shard, IsInDoubt(*entry, Context())};
+}
+
+result<unresolved_report> ledger::Unresolved() {
+  BOOST_OUTCOME_TRY(objects, store_.List(kLedgerPrefix));
+  metrics_.Count("ledger_store_calls_total", "call=\"list\"");
+  unresolved_report report;
+  const auto context = Context();
+  for (const auto& object : objects) {
+    if (!IsShardKey(object.key))
+      continue;
+    const auto shard = DecodeShard(object.value);
+    if (!shard) {
+      report.corrupt_shards.push_back(object.key);
+      continue;
+    }
+    for (const auto& [key, entry] : shard.value().entries()) {
+      if (IsInDoubt(entry, context))
+        report.entries.push_back(entry);
+    }
+  }
+  metrics_.Set("ledger_unresolved", {},
+               static_cast<double>(report.entries.size()));
+  return report;
+}
+
+result<void> ledger::Resolve(const std::string& service,
+                             const std::string& key,
+                             resolution as,
+                             const std::string& operator_name,
+                             const std::string& reason) {
+  if (operator_name.empty() || operator_name.size() > kMaxOperatorName ||
+      reason.empty() || reason.size() > kMaxReason) {
+    return MakeError(result_code::kValueOutOfRange,
+                     "operator and reason are required and bounded");
+  }
+  BOOST_OUTCOME_TRY(Prepare());
+  const auto outcomes =
+      CommitterOf(service, key)
+          .Commit({resolve_operation{service, key, as, operator_name, reason}},
+                  clock_.now() + kResolveTimeout);
+  if (const auto* refusal = std::get_if<refused>(&outcomes.front()))
+    return MakeError(refusal->code, refusal->detail);
+  Log(log_level::kWarning, "ledger-resolved",
+      {{"service", service},
+       {"key", key},
+       {"as", NameOf(kResolutionNames, as)},
+       {"operator", operator_name},
+       {"reason", reason}});
+  return Success();
+}
+
+void ledger::RetryPending() {
+  std::map<std::uint32_t, std::vector<pending_settlements::item>> by_shard;
+  for (auto& item : pending_.TakeDue(clock_.now()))
+    by_shard[item.shard].push_back(std::move(item));
+  for (auto& [shard, items] : by_shard)
+    RetryShard(shard, std::move(items));
+  metrics_.Set("ledger_pending", {}, static_cast<double>(pending_.size()));
+}
+
+void ledger::RetryShard(std::uint32_t shard,
+                        std::vector<pending_settlements::item> items) {
+  std::vector<ledger_operation> operations;
+  operations.reserve(items.size());
+  for (const auto& item : items)
+    operations.push_back(item.operation);
+  const auto outcomes = committers_[shard]->Commit(
+      std::move(operations), clock_.now() + kSettleTimeout);
+  std::size_t settled = 0;
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (std::holds_alternative<settle_effect>(outcomes[i])) {
+      ++settled;
+      continue;
+    }
+    metrics_.CountRetry(result_code::kLedgerUnavailable);
+    pending_.PutBack(std::move(items[i]), clock_.now());
+  }
+  pending_.Forget(settled);
+}
+
+result<void> ledger::Prepare() {
+  if (shard_count_ != 0)
+    return Success();
+  std::lock_guard guard(prepare_lock_);
+  if (shard_count_ != 0)
+    return Success();
+  metrics_.Count("ledger_store_calls_total", "call=\"layout\"");
+  BOOST_OUTCOME_TRY(agreed, AgreeOnShards(store_, options_.shards));
+  const std::uint32_t count = agreed;
+  if (count != options_.shards) {
+    Log(log_level::kWarning, "ledger-shards-differ",
+        {{"declared", options_.shards}, {"in_use", count}});
+  }
+  for (std::uint32_t shard = 0; shard < count; ++shard) {
+    committers_.push_back(std::make_unique<shard_committer>(
+        shard_store(store_, ShardKey(shard), metrics_), options_, clock_,
+        [this, shard] { return router_.Leads(shard); },
+        [this, shard](release_operation orphan) {
+          pending_.Add(shard, std::move(orphan));
+        }));
+  }
+  shard_count_ = count;
+  return Success();
+}
+
+shard_committer& ledger::CommitterOf(const std::string& service,
+                                     const std::string& key) {
+  return *committers_[ShardOf(service, key, shard_count_)];
+}
+
+judge_context ledger::Context() const {
+  return {clock_.wall_now(), options_.retention, options_.self,
+          options_.holder_gone};
+}
+
+void ledger::CountOutcome(const reservation_outcome& outcome) {
+  metrics_.Count(
+      "ledger_outcomes_total",
+      fmt::format("outcome=\"{}\"", std::visit(outcome_name{}, outcome)));
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/ledger/local_shard_router.h
@@ -0,0 +1,16 @@
+#ifndef LEDGER_LOCAL_SHARD_ROUTER_H_
+#define LEDGER_LOCAL_SHARD_ROUTER_H_
+
+#include "ledger/shard_router.h"
+
+namespace samphire {
+
+// Every entry commits for every shard itself.
+class local_shard_router final : public shard_router {
+ public:
+  bool Leads(std::uint32_t) const override { return true; }
+};
+
+}  // namespace samphire
+
+#endif  // LEDGER_LOCAL_SHARD_ROUTER_H_
--- /dev/null
+++ b/src/libsamphire/ledger/reservation_ticket.h
@@ -0,0 +1,28 @@
+#ifndef LEDGER_RESERVATION_TICKET_H_
+#define LEDGER_RESERVATION_TICKET_H_
+
+#include <string>
+
+#include "base/clock_source.h"
+#include "ledger/reservation_holder.h"
+#include "ledger/reservation_nonce.h"
+
+namespace samphire {
+
+// The right to dispatch a reserved request, before `dispatch_before` only.
+struct reservation_ticket {
+  std::string service;
+  std::string key;
+  std::string request_digest;
+  reservation_nonce nonce;
+  reservation_holder holder;
+  wall_time doubt_after;
+  // On the holder's monotonic clock.
+  time_point dispatch_before;
+
+  bool MayDispatch(time_point now) const { return now < dispatch_before; }
+};
+
+}  // namespace samphire
+
+#endif  // LEDGER_RESERVATION_TICKET_H_
--- /dev/null
+++ b/src/libsamphire/ledger/shard_router.h
@@ -0,0 +1,19 @@
+#ifndef LEDGER_SHARD_ROUTER_H_
+#define LEDGER_SHARD_ROUTER_H_
+
+#include <cstdint>
+
+namespace samphire {
+
+// Which entry commits for a shard while all goes well. Only a hint for low
+// contention: the version check of the platform is the fence.
+class shard_router {
+ public:
+  virtual ~shard_router() = default;
+  // Whether this entry is the one that commits for `shard`.
+  virtual bool Leads(std::uint32_t shard) const = 0;
+};
+
+}  // namespace samphire
+
+#endif  // LEDGER_SHARD_ROUTER_H_
--- /dev/null
+++ b/src/libsamphire/ledger/unresolved_report.h
@@ -0,0 +1,19 @@
+#ifndef LEDGER_UNRESOLVED_REPORT_H_
+#define LEDGER_UNRESOLVED_REPORT_H_
+
+#include <string>
+#include <vector>
+
+#include "ledger/ledger_entry.h"
+
+namespace samphire {
+
+// What an operator has to settle, and shards that can't be read.
+struct unresolved_report {
+  std::vector<ledger_entry> entries;
+  std::vector<std::string> corrupt_shards;
+};
+
+}  // namespace samphire
+
+#endif  // LEDGER_UNRESOLVED_REPORT_H_
