Add the platform's HTTP client and its stand-in

Cause: nothing could reach the platform, and tests had nothing to reach. What was ruled out: letting the HTTP library reconnect and send again by itself, since it hides whether a write was sent; taking every failure for "not run", since a lost answer and a lost request look alike. Before: no program samphire-platform, no implementation of object_store.

--- /dev/null
+++ b/src/libsamphire/store/stand_in_objects.cc
@@ -0,0 +1,124 @@
+#include "store/stand_in_objects.h"
+
+namespace samphire {
+
+stand_in_objects::stand_in_objects(const clock_source& clock,
+                                   std::size_t kept_events)
+    : clock_(clock), kept_events_(kept_events) {}
+
+result<store_object> stand_in_objects::Get(const std::string& key) {
+  std::lock_guard guard(lock_);
+  const auto found = objects_.find(key);
+  if (found == objects_.end())
+    return MakeError(result_code::kStoreNotFound, key);
+  return found->second;
+}
+
+result<std::uint64_t> stand_in_objects::Put(const std::string& key,
+                                            const std::string& value,
+                                            std::uint64_t expected) {
+  if (value.size() > kMaxValueBytes)
+    return MakeError(result_code::kStoreValueTooLarge, key);
+  std::lock_guard guard(lock_);
+  const auto found = objects_.find(key);
+  const std::uint64_t present =
+      found == objects_.end() ? 0 : found->second.version;
+  if (present != expected)
+    return MakeError(result_code::kStoreConflict, key);
+  const std::uint64_t version = revision_ + 1;
+  objects_[key] = store_object{key, version, value};
+  Record(key, version);
+  return version;
+}
+
+result<void> stand_in_objects::Delete(const std::string& key,
+                                      std::uint64_t expected) {
+  std::lock_guard guard(lock_);
+  const auto found = objects_.find(key);
+  if (found == objects_.end())
+    return MakeError(result_code::kStoreNotFound, key);
+  if (found->second.version != expected)
+    return MakeError(result_code::kStoreConflict, key);
+  objects_.erase(found);
+  Record(key, 0);
+  return Success();
+}
+
+result<std::vector<store_object>> stand_in_objects::List(
+    const std::string& prefix) {
+  std::lock_guard guard(lock_);
+  std::vector<store_object> found;
+  for (auto it = objects_.lower_bound(prefix);
+       it != objects_.end() && it->first.starts_with(prefix); ++it) {
+    found.push_back(it->second);
+  }
+  return found;
+}
+
+result<watch_batch> stand_in_objects::Watch(const std::string& prefix,
+                                            std::uint64_t cursor,
+                                            milliseconds wait) {
+  std::unique_lock guard(lock_);
+  watch_batch batch;
+  batch.cursor = cursor;
+  if (cursor == 0) {
+    batch.cursor = revision_;
+    return batch;
+  }
+  changed_.wait_for(guard, wait,
+                    [&] { return watches_cut_ || Collect(prefix, batch); });
+  batch.cursor = revision_;
+  return batch;
+}
+
+result<std::vector<instance_info>> stand_in_objects::Instances() {
+  std::lock_guard guard(lock_);
+  return instances_.VisibleAt(clock_.now());
+}
+
+void stand_in_objects::SetInstance(const instance_info& instance) {
+  std::lock_guard guard(lock_);
+  instances_.Set(instance, clock_.now());
+}
+
+void stand_in_objects::RemoveInstance(const std::string& name) {
+  std::lock_guard guard(lock_);
+  instances_.Remove(name, clock_.now());
+}
+
+void stand_in_objects::SetInstanceLag(milliseconds lag) {
+  std::lock_guard guard(lock_);
+  instances_.set_lag(lag);
+}
+
+void stand_in_objects::SetWatchesCut(bool cut) {
+  std::lock_guard guard(lock_);
+  watches_cut_ = cut;
+  changed_.notify_all();
+}
+
+void stand_in_objects::Record(const std::string& key, std::uint64_t version) {
+  ++revision_;
+  log_.push_back({revision_, {key, version}});
+  if (log_.size() > kept_events_) {
+    forgotten_ = log_.front().cursor;
+    log_.pop_front();
+  }
+  changed_.notify_all();
+}
+
+bool stand_in_objects::Collect(const std::string& prefix,
+                               watch_batch& batch) const {
+  // A cursor from the future comes from before a restart that lost the log.
+  batch.reset = batch.cursor < forgotten_ || batch.cursor > revision_;
+  batch.events.clear();
+  if (batch.reset)
+    return true;
+  for (const auto& entry : log_) {
+    if (entry.cursor > batch.cursor && entry.event.key.starts_with(prefix))
+      batch.events.push_back(entry.event);
+  }
+  return !batch.events.empty();
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/store/stand_in_objects.h
@@ -0,0 +1,71 @@
+#ifndef STORE_STAND_IN_OBJECTS_H_
+#define STORE_STAND_IN_OBJECTS_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "store/object_store.h"
+#include "store/stand_in_instances.h"
+
+namespace samphire {
+
+// The stand-in platform's objects, watches and instance list in memory. Never
+// fails by itself; the faults are the server's.
+class stand_in_objects final : public object_store {
+ public:
+  static constexpr std::size_t kMaxValueBytes = 1 << 20;
+
+  // A watch that asks for more than the last `kept_events` gets a reset.
+  explicit stand_in_objects(const clock_source& clock,
+                            std::size_t kept_events = 10'000);
+
+  result<store_object> Get(const std::string& key) override;
+  result<std::uint64_t> Put(const std::string& key,
+                            const std::string& value,
+                            std::uint64_t expected) override;
+  result<void> Delete(const std::string& key, std::uint64_t expected) override;
+  result<std::vector<store_object>> List(const std::string& prefix) override;
+  result<watch_batch> Watch(const std::string& prefix,
+                            std::uint64_t cursor,
+                            milliseconds wait) override;
+  result<std::vector<instance_info>> Instances() override;
+
+  void SetInstance(const instance_info& instance);
+  void RemoveInstance(const std::string& name);
+  void SetInstanceLag(milliseconds lag);
+
+  // While set, no watch waits, as in an outage.
+  void SetWatchesCut(bool cut);
+
+ private:
+  struct logged_event {
+    std::uint64_t cursor = 0;
+    store_event event;
+  };
+
+  void Record(const std::string& key, std::uint64_t version);
+  bool Collect(const std::string& prefix, watch_batch& batch) const;
+
+  const clock_source& clock_;
+  const std::size_t kept_events_;
+  std::mutex lock_;
+  std::condition_variable changed_;
+  std::map<std::string, store_object> objects_;
+  std::deque<logged_event> log_;
+  stand_in_instances instances_;
+  // Starts at 1, since cursor 0 asks for the present one.
+  std::uint64_t revision_ = 1;
+  // The cursor up to which events were dropped from `log_`.
+  std::uint64_t forgotten_ = 1;
+  bool watches_cut_ = false;
+};
+
+}  // namespace samphire
+
+#endif  // STORE_STAND_IN_OBJECTS_H_
--- /dev/null
+++ b/src/libsamphire/store/store_json.h
@@ -0,0 +1,38 @@
+#ifndef STORE_STORE_JSON_H_
+#define STORE_STORE_JSON_H_
+
+#include <Poco/JSON/Object.h>
+
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "store/instance_info.h"
+#include "store/store_object.h"
+#include "store/watch_batch.h"
+
+namespace samphire {
+
+// The JSON of the platform's protocol, for both its ends. Text that can't be
+// read is kStoreCorrupt.
+
+// The object that `text` holds; null if it holds none.
+Poco::JSON::Object::Ptr ParseObject(const std::string& text);
+
+std::string WriteObjects(const std::vector<store_object>& objects);
+result<std::vector<store_object>> ReadObjects(const std::string& text);
+
+std::string WriteBatch(const watch_batch& batch);
+result<watch_batch> ReadBatch(const std::string& text);
+
+std::string WriteInstances(const std::vector<instance_info>& instances);
+result<std::vector<instance_info>> ReadInstances(const std::string& text);
+result<instance_info> ReadInstance(const std::string& text);
+std::string WriteInstance(const instance_info& instance);
+
+// The version in the answer to a write.
+result<std::uint64_t> ReadVersion(const std::string& text);
+
+}  // namespace samphire
+
+#endif  // STORE_STORE_JSON_H_
