Read, check and write declarations and entry settings

Cause: nothing turned the operators' files into typed data, so no other module could be told what to serve. Ruled out: the parser of POCO alone, since it keeps the last of two equal keys, takes "127.1" for an address and times without a zone; its refusal of NUL bytes, since it then reads the whole text first and the place of an error is lost; arrays at the root, since Dynamic::Var swallows errors in a result; refusing passed drains on every reading, since an entry that starts after a drain's deadline could not read what is in force. Before: structs only. The structs gain an equality operator for the round trip.

--- a/src/libsamphire/config/client_block.h
+++ b/src/libsamphire/config/client_block.h
@@ -14,6 +14,8 @@
   // Counted in the 128-bit form: an IPv4 /8 is 104.
   std::uint8_t prefix_length = 0;
   std::string region;
+
+  bool operator==(const client_block&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/declaration.h
+++ b/src/libsamphire/config/declaration.h
@@ -26,6 +26,8 @@
   std::vector<shift_cap> shift_caps;
   std::vector<drain> drains;
   samphire::limits limits;
+
+  bool operator==(const declaration&) const = default;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/config/declaration_names.h
@@ -0,0 +1,23 @@
+#ifndef CONFIG_DECLARATION_NAMES_H_
+#define CONFIG_DECLARATION_NAMES_H_
+
+#include <set>
+#include <string>
+
+#include "config/declaration.h"
+
+namespace samphire {
+
+// What a declaration declares by name, for checks of what it refers to.
+struct declaration_names {
+  std::set<std::string> regions;
+  std::set<std::string> failure_domains;
+  // "SERVICE/TARGET".
+  std::set<std::string> targets;
+
+  explicit declaration_names(const declaration& declared);
+};
+
+}  // namespace samphire
+
+#endif  // CONFIG_DECLARATION_NAMES_H_
--- /dev/null
+++ b/src/libsamphire/config/declaration_reader.cc
@@ -0,0 +1,69 @@
+#include "config/declaration_reader.h"
+
+#include "config/declaration_checker.h"
+#include "config/declaration_parts_reader.h"
+#include "config/declaration_schema.h"
+#include "config/json_fields.h"
+#include "config/json_text.h"
+#include "config/schema_validator.h"
+
+namespace samphire {
+
+namespace {
+
+using Poco::JSON::Object;
+
+result<declaration> ReadWhole(const Object& json) {
+  declaration read;
+  read.name = FieldOf<std::string>(json, "name");
+  read.default_region = FieldOf<std::string>(json, "default_region");
+  BOOST_OUTCOME_TRYV(ReadList(json, "regions", "", ReadRegion, read.regions));
+  BOOST_OUTCOME_TRYV(
+      ReadList(json, "latencies", "", ReadRegionLatency, read.latencies));
+  BOOST_OUTCOME_TRYV(
+      ReadList(json, "client_blocks", "", ReadClientBlock, read.client_blocks));
+  BOOST_OUTCOME_TRYV(
+      ReadList(json, "services", "", ReadService, read.services));
+  BOOST_OUTCOME_TRYV(
+      ReadList(json, "shift_caps", "", ReadShiftCap, read.shift_caps));
+  BOOST_OUTCOME_TRYV(
+      ReadList(json, "drains", "", ReadDrainObject, read.drains));
+  if (const auto bounds = json.getObject("limits"))
+    read.limits = ReadLimits(*bounds);
+  return read;
+}
+
+result<declaration> ReadShape(std::string_view text) {
+  BOOST_OUTCOME_TRY(value, ReadJsonText(text));
+  BOOST_OUTCOME_TRYV(ValidateBySchema(value, kDeclarationSchema));
+  return ReadWhole(*value);
+}
+
+}  // namespace
+
+result<declaration> ReadDeclaration(std::string_view text,
+                                    wall_time now,
+                                    const declaration* in_force) {
+  BOOST_OUTCOME_TRY(read, ReadShape(text));
+  BOOST_OUTCOME_TRYV(CheckDeclaration(read));
+  BOOST_OUTCOME_TRYV(CheckNewDrains(read, now, in_force));
+  return read;
+}
+
+// Were a passed drain refused here as well, a declaration in force would stop
+// being readable at the drain's deadline: an entry replaced a minute later
+// could not start.
+result<declaration> ReadAcceptedDeclaration(std::string_view text) {
+  BOOST_OUTCOME_TRY(read, ReadShape(text));
+  BOOST_OUTCOME_TRYV(CheckDeclaration(read));
+  return read;
+}
+
+result<drain> ReadDrain(std::string_view text) {
+  BOOST_OUTCOME_TRY(value, ReadJsonText(text));
+  BOOST_OUTCOME_TRYV(
+      ValidateBySchema(value, kDeclarationSchema, "/definitions/drain"));
+  return ReadDrainObject(*value, "");
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/config/declaration_schema.h
@@ -0,0 +1,13 @@
+#ifndef CONFIG_DECLARATION_SCHEMA_H_
+#define CONFIG_DECLARATION_SCHEMA_H_
+
+#include <string_view>
+
+namespace samphire {
+
+// The text of docs/declaration.schema.json.
+extern const std::string_view kDeclarationSchema;
+
+}  // namespace samphire
+
+#endif  // CONFIG_DECLARATION_SCHEMA_H_
--- a/src/libsamphire/config/drain.h
+++ b/src/libsamphire/config/drain.h
@@ -17,6 +17,8 @@
   std::string subject;
   wall_time starts_at;
   wall_time deadline;
+
+  bool operator==(const drain&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/entry_settings.h
+++ b/src/libsamphire/config/entry_settings.h
@@ -28,6 +28,8 @@
   std::uint32_t max_connections = 400;
   milliseconds header_timeout{5000};
   milliseconds idle_timeout{30'000};
+
+  bool operator==(const entry_settings&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/limits.h
+++ b/src/libsamphire/config/limits.h
@@ -30,6 +30,8 @@
   // After this time without contact to platform or peers an entry refuses
   // requests that may not be repeated.
   milliseconds max_configuration_age{30'000};
+
+  bool operator==(const limits&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/region.h
+++ b/src/libsamphire/config/region.h
@@ -13,6 +13,8 @@
   std::vector<std::string> failure_domains;
   // Into how many seats the region's capacity is divided among its entries.
   std::uint32_t seats = 0;
+
+  bool operator==(const region&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/region_latency.h
+++ b/src/libsamphire/config/region_latency.h
@@ -12,6 +12,8 @@
   std::string from;
   std::string to;
   microseconds one_way{0};
+
+  bool operator==(const region_latency&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/request_class.h
+++ b/src/libsamphire/config/request_class.h
@@ -30,6 +30,8 @@
   milliseconds max_deadline{0};
   // The most requests that wait for a slot at one entry.
   std::uint32_t queue_limit = 0;
+
+  bool operator==(const request_class&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/service.h
+++ b/src/libsamphire/config/service.h
@@ -13,6 +13,8 @@
   std::string name;
   std::vector<request_class> classes;
   std::vector<target> targets;
+
+  bool operator==(const service&) const = default;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/config/service_checks.h
@@ -0,0 +1,16 @@
+#ifndef CONFIG_SERVICE_CHECKS_H_
+#define CONFIG_SERVICE_CHECKS_H_
+
+#include "base/result.h"
+#include "config/declaration.h"
+#include "config/declaration_names.h"
+
+namespace samphire {
+
+// Checks of services, their classes and their targets.
+result<void> CheckServices(const declaration& declared,
+                           const declaration_names& names);
+
+}  // namespace samphire
+
+#endif  // CONFIG_SERVICE_CHECKS_H_
--- /dev/null
+++ b/src/libsamphire/config/settings_schema.h
@@ -0,0 +1,13 @@
+#ifndef CONFIG_SETTINGS_SCHEMA_H_
+#define CONFIG_SETTINGS_SCHEMA_H_
+
+#include <string_view>
+
+namespace samphire {
+
+// The text of docs/settings.schema.json.
+extern const std::string_view kSettingsSchema;
+
+}  // namespace samphire
+
+#endif  // CONFIG_SETTINGS_SCHEMA_H_
--- a/src/libsamphire/config/shift_cap.h
+++ b/src/libsamphire/config/shift_cap.h
@@ -15,6 +15,8 @@
   std::uint32_t max_in_flight = 0;
   std::uint32_t initial = 0;
   double ramp_per_s = 0;
+
+  bool operator==(const shift_cap&) const = default;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/config/target.h
+++ b/src/libsamphire/config/target.h
@@ -16,6 +16,8 @@
   std::uint32_t slots = 0;
   // How many connections it accepts.
   std::uint32_t connections = 0;
+
+  bool operator==(const target&) const = default;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/tests/config/config_properties_test.cc
@@ -0,0 +1,127 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "config/config_test_support.h"
+#include "config/declaration_writer.h"
+#include "config/entry_settings_reader.h"
+
+using namespace samphire;
+
+namespace {
+
+std::string GeneratedName(const char* kind, std::size_t number) {
+  return std::string(kind) + std::to_string(number);
+}
+
+// Changes every field of an example within its bounds.
+declaration GeneratedDeclaration() {
+  auto made =
+      Example(*rc::gen::element<std::string>("nivel-claro", "consortium"));
+  const auto count = *rc::gen::inRange<std::size_t>(0, 5);
+  for (std::size_t i = 0; i < count; ++i) {
+    client_block block;
+    block.address[0] = 0x20;
+    block.address[1] = static_cast<std::uint8_t>(i);
+    block.prefix_length = static_cast<std::uint8_t>(*rc::gen::inRange(16, 129));
+    block.region = made.default_region;
+    made.client_blocks.push_back(block);
+    const auto start = kTestNow + milliseconds(*rc::gen::inRange(1, 100'000));
+    made.drains.push_back({GeneratedName("drain", i), drain_scope::kRegion,
+                           made.regions[i % 3].name, start,
+                           start + milliseconds(*rc::gen::inRange(1, 9999))});
+  }
+  for (auto& cap : made.shift_caps) {
+    cap.max_in_flight = *rc::gen::inRange(0U, 1'000'000U);
+    cap.initial = *rc::gen::inRange(0U, cap.max_in_flight + 1);
+    cap.ramp_per_s = *rc::gen::inRange(0, 1'000'000) / 997.0;
+  }
+  for (auto& one : made.services.front().classes) {
+    one.repeatable = *rc::gen::arbitrary<bool>();
+    one.witnessed = *rc::gen::arbitrary<bool>();
+    one.priority = *rc::gen::element(priority::kLow, priority::kHigh);
+    one.kind =
+        *rc::gen::element(request_kind::kBulk, request_kind::kInteractive);
+    one.deadline = milliseconds(*rc::gen::inRange(1, 1'000'000));
+    one.max_deadline = one.deadline + milliseconds(*rc::gen::inRange(0, 1000));
+  }
+  made.limits.max_body_bytes = *rc::gen::inRange(0, 1 << 26);
+  made.limits.ledger_retention =
+      milliseconds(*rc::gen::inRange(1000, 604'800'000));
+  return made;
+}
+
+std::string Mutated(std::string text) {
+  static const std::vector<std::string> pieces{
+      "{",    "}",     "[",  "]",  "\"",   ",",       ":", "null", "1e999",
+      "\xff", "\\u00", "-1", "\n", "true", "\"\":{}", "/", "*",    "0.5"};
+  const auto count = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < count && !text.empty(); ++i) {
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    const auto length = *rc::gen::inRange<std::size_t>(0, 40);
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        text.erase(at, length);
+        break;
+      case 1:
+        text.insert(at, *rc::gen::elementOf(pieces));
+        break;
+      case 2:
+        text.insert(at, text.substr(at / 2, length));
+        break;
+      default:
+        text[at] = *rc::gen::arbitrary<char>();
+    }
+  }
+  return text;
+}
+
+template <typename T>
+void CheckIsReadOrNumbered(const result<T>& read) {
+  if (read.has_value())
+    return;
+  const auto number = static_cast<int>(read.error().code);
+  RC_ASSERT(number > 1000 && number < 1200);
+  RC_ASSERT(ResultCodeOf(number).has_value());
+  RC_ASSERT(!read.error().detail.empty() || !read.error().pointer.empty());
+}
+
+}  // namespace
+
+TEST_CASE("what is written reads back equal and is written the same again") {
+  CHECK(rc::check([] {
+    const auto declared = GeneratedDeclaration();
+    const auto text = WriteDeclaration(declared);
+    const auto read = ReadDeclaration(text, kTestNow);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read.value() == declared);
+    RC_ASSERT(WriteDeclaration(read.value()) == text);
+  }));
+}
+
+// Files are cut short by a full disk, joined by a bad merge, or come from
+// someone who means harm. Reading must end in an answer with a number.
+TEST_CASE("damaged files give a declaration or a numbered refusal") {
+  CHECK(rc::check([] {
+    const auto text = Mutated(ExampleText(
+        *rc::gen::element<std::string>("nivel-claro", "consortium")));
+    CheckIsReadOrNumbered(ReadDeclaration(text, kTestNow));
+  }));
+}
+
+TEST_CASE("damaged settings and drains are read or refused by number") {
+  const std::string settings =
+      R"({"instance":"e","region":"r","failure_domain":"f",
+"caller_address":"127.0.0.1:1","operator_address":"127.0.0.1:2",
+"peer_address":"127.0.0.1:3","platform_addresses":["127.0.0.1:4"],
+"peer_key_file":"k","operator_token_file":"t"})";
+  REQUIRE(ReadEntrySettings(settings).has_value());
+  const auto drain_text = WriteDrain(
+      {"d", drain_scope::kRegion, "r", kTestNow, kTestNow + milliseconds(1)});
+  CHECK(rc::check([&] {
+    CheckIsReadOrNumbered(ReadEntrySettings(Mutated(settings)));
+    CheckIsReadOrNumbered(ReadDrain(Mutated(drain_text)));
+  }));
+}
