Read declarations in the stand-in and the checker by the project's reader

Cause: both had a reader of their own from before the shared one existed. Before: two partial readers. After: ReadAcceptedDeclaration in both.

--- a/src/check/declared_caps.cc
+++ b/src/check/declared_caps.cc
@@ -1,31 +1,23 @@
 #include "declared_caps.h"
 
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
-
-#include <fstream>
+#include "config/declaration_reader.h"
+#include "config/file_text.h"
 
 namespace samphire {
 
+namespace {
+
+constexpr std::size_t kMaxFileBytes = 16 << 20;
+
+}  // namespace
+
 result<std::vector<history_event>> ReadDeclaredCaps(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
-    return MakeError(result_code::kFileUnreadable, path);
+  BOOST_OUTCOME_TRY(text, ReadFileText(path, kMaxFileBytes));
+  BOOST_OUTCOME_TRY(declared, ReadAcceptedDeclaration(text));
   std::vector<history_event> caps;
-  try {
-    Poco::JSON::Parser parser;
-    const auto root = parser.parse(file).extract<Poco::JSON::Object::Ptr>();
-    const auto list = root->getArray("shift_caps");
-    for (unsigned i = 0; !list.isNull() && i < list->size(); ++i) {
-      const auto cap = list->getObject(i);
-      caps.emplace_back(cap_declared{
-          .from = cap->getValue<std::string>("from"),
-          .to = cap->getValue<std::string>("to"),
-          .max_in_flight = cap->getValue<std::int64_t>("max_in_flight")});
-    }
-  } catch (const Poco::Exception& e) {
-    return MakeError(result_code::kSchemaViolation, e.displayText());
+  for (const auto& cap : declared.shift_caps) {
+    caps.emplace_back(cap_declared{
+        .from = cap.from, .to = cap.to, .max_in_flight = cap.max_in_flight});
   }
   return caps;
 }
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -7,10 +7,10 @@
 #include <csignal>
 #include <fstream>
 #include <memory>
-#include <sstream>
 
 #include "base/log.h"
 #include "caller.h"
+#include "config/file_text.h"
 #include "experiment/load_report.h"
 #include "experiment/scenario_reader.h"
 #include "experiment/schedule.h"
@@ -28,20 +28,13 @@
 namespace samphire {
 namespace {
 
+constexpr std::size_t kMaxFileBytes = 1 << 20;
 constexpr int kFailedExitCode = 1;
 constexpr int kUsageExitCode = 2;
 
-result<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
-    return MakeError(result_code::kFileUnreadable, path);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 result<scenario> LoadScenario() {
-  BOOST_OUTCOME_TRY(text, ReadFile(absl::GetFlag(FLAGS_scenario)));
+  BOOST_OUTCOME_TRY(text,
+                    ReadFileText(absl::GetFlag(FLAGS_scenario), kMaxFileBytes));
   BOOST_OUTCOME_TRY(plan, ReadScenario(text));
   const Poco::StringTokenizer entries(absl::GetFlag(FLAGS_entries), ",",
                                       Poco::StringTokenizer::TOK_IGNORE_EMPTY);
--- a/src/target/target_list.h
+++ b/src/target/target_list.h
@@ -15,8 +15,7 @@
   std::string service;
 };
 
-// The chosen targets of a declaration file. Only the fields that a worker
-// needs are read: judging the declaration is the entry's work.
+// The chosen targets of a declaration file.
 result<std::vector<worker_identity>> ReadTargets(const std::string& path,
                                                  const target_choice& choice);
 
--- a/src/target/target_program.cc
+++ b/src/target/target_program.cc
@@ -41,9 +41,10 @@
   for (const auto& worker : workers) {
     const auto& identity = worker.state->identity();
     list += fmt::format(
-        R"({}{{"name":"{}","service":"{}","region":"{}","address":"{}"}})",
+        R"({}{{"name":"{}","service":"{}","region":"{}","failure_domain":"{}",)"
+        R"("address":"{}"}})",
         list.empty() ? "" : ",", identity.name, identity.service,
-        identity.region, worker.server->address());
+        identity.region, identity.failure_domain, worker.server->address());
   }
   fmt::print("{{\"targets\":[{}]}}\n", list);
   std::fflush(stdout);
