--- /dev/null
+++ b/scripts/demo-lib/processes.sh
@@ -0,0 +1,57 @@
+# Starts programs and stops them by their pids. Sourced by scripts/demo and the
+# benches: needs $work (a folder of their own) and $bin (the built programs).
+pids=()
+
+# start NAME PROGRAM ARGUMENT... : its output goes to $work/NAME.out and .log.
+start() {
+  local name=$1 program=$2
+  shift 2
+  "$bin/$program" "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  pids+=($!)
+  last_pid=$!
+}
+
+# Ends everything that start() started, the last one first. Entries stop before
+# the platform and the targets, as planned stops need both.
+stop_all() {
+  local i pid
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[i]}" 2>/dev/null || true
+  done
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    pid=${pids[i]}
+    for _ in $(seq 150); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+}
+
+# http METHOD IP:PORT PATH [BODY] : prints the answer with its headers. A bare
+# machine has no HTTP client, so the shell speaks it.
+http() {
+  local host=${2%:*} port=${2##*:} body=${4:-}
+  exec 9<>"/dev/tcp/$host/$port" || return 1
+  printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
+    "$1" "$3" "$2" "${#body}" "$body" >&9
+  cat <&9
+  exec 9>&-
+}
+
+# until_ok SECONDS COMMAND... : repeats a command until it succeeds.
+until_ok() {
+  local end=$(($(date +%s) + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$(date +%s)" -lt "$end" ] || { echo "gave up waiting: $*" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+answers_200() { http GET "$1" "$2" 2>/dev/null | head -n 1 | grep -q ' 200 '; }
+
+# The time that history events carry.
+now_us() { echo $(($(date +%s%N) / 1000)); }
--- /dev/null
+++ b/tests/process/child_process.cc
@@ -0,0 +1,89 @@
+#include "child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace samphire {
+
+child_process::child_process(const std::string& program,
+                             const std::vector<std::string>& arguments,
+                             const std::string& log_path) {
+  const auto path = std::string(SAMPHIRE_BIN_DIR) + "/" + program;
+  std::vector<char*> argv{const_cast<char*>(path.c_str())};
+  for (const auto& argument : arguments)
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  argv.push_back(nullptr);
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0)
+    throw std::runtime_error("pipe");
+  const int log =
+      open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ == 0) {
+    // A test program that dies must not leave its children behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent)
+      _exit(127);
+    dup2(ends[1], STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(path.c_str(), argv.data());
+    _exit(127);
+  }
+  close(ends[1]);
+  close(log);
+  output_ = ends[0];
+  if (pid_ < 0)
+    throw std::runtime_error("fork");
+}
+
+child_process::~child_process() {
+  Kill();
+  close(output_);
+}
+
+std::string child_process::ReadLine() {
+  std::string line;
+  char c = 0;
+  while (read(output_, &c, 1) == 1 && c != '\n')
+    line += c;
+  return line;
+}
+
+void child_process::Signal(int signal) const {
+  if (!exit_)
+    kill(pid_, signal);
+}
+
+int child_process::Wait() {
+  // Reads on, so that a full pipe does not hold the program up.
+  char buffer[4096];
+  while (read(output_, buffer, sizeof(buffer)) > 0) {
+  }
+  Reap(0);
+  return exit_.value_or(-1);
+}
+
+bool child_process::running() {
+  Reap(WNOHANG);
+  return !exit_;
+}
+
+void child_process::Kill() {
+  Signal(SIGKILL);
+  Reap(0);
+}
+
+void child_process::Reap(int options) {
+  int status = 0;
+  if (exit_ || waitpid(pid_, &status, options) != pid_)
+    return;
+  exit_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+}  // namespace samphire
