--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -104,6 +104,8 @@
      "No live entry is known in the region that would serve this."},
     {kConfigurationTooOld, "configuration-too-old", 503, true,
      "The entry has been cut off for longer than this class allows."},
+    {kSuspectRunning, "suspect-running", 503, true,
+     "A request like this lost a target and is being tried alone."},
 
     {kTargetUnreachable, "target-unreachable", 503, true,
      "No connection to a target could be made."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -65,6 +65,7 @@
   kNoConfiguration = 2111,
   kNoPeerInRegion = 2112,
   kConfigurationTooOld = 2113,
+  kSuspectRunning = 2114,
 
   // 22xx: the request was dispatched and no whole answer came of it.
   kTargetUnreachable = 2201,
--- a/src/libsamphire/front/answer_note.h
+++ b/src/libsamphire/front/answer_note.h
@@ -6,7 +6,7 @@
 
 #include "base/clock_source.h"
 #include "base/result_code.h"
-#include "front/run_state.h"
+#include "decision/run_state.h"
 
 namespace samphire {
 
--- /dev/null
+++ b/src/libsamphire/gateway/deployment.cc
@@ -0,0 +1,95 @@
+#include "gateway/deployment.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+const std::string kNoRegion;
+
+bool Covers(const drain& each,
+            const service& whole,
+            const target& one,
+            const std::string& region) {
+  switch (each.scope) {
+    case drain_scope::kTarget:
+      return each.subject == whole.name + "/" + one.name;
+    case drain_scope::kFailureDomain:
+      return each.subject == one.failure_domain;
+    case drain_scope::kRegion:
+      return each.subject == region;
+  }
+  return false;
+}
+
+}  // namespace
+
+deployment::deployment(samphire::declaration declared, std::uint64_t version)
+    : declared_(std::move(declared)),
+      version_(version),
+      lookups_(declared_, version) {
+  for (const auto& region : declared_.regions) {
+    for (const auto& domain : region.failure_domains)
+      region_of_domain_[domain] = region.name;
+  }
+}
+
+const service* deployment::FindService(std::string_view name) const {
+  const auto found =
+      std::find_if(declared_.services.begin(), declared_.services.end(),
+                   [name](const auto& each) { return each.name == name; });
+  return found == declared_.services.end() ? nullptr : &*found;
+}
+
+const std::string& deployment::RegionOfDomain(const std::string& domain) const {
+  const auto found = region_of_domain_.find(domain);
+  return found == region_of_domain_.end() ? kNoRegion : found->second;
+}
+
+service deployment::PartOf(const service& whole,
+                           std::string_view region) const {
+  service part = whole;
+  std::erase_if(part.targets, [&](const auto& each) {
+    return RegionOfDomain(each.failure_domain) != region;
+  });
+  return part;
+}
+
+std::vector<std::string> deployment::RegionsOf(const service& whole,
+                                               std::string_view home) const {
+  std::vector<std::string> regions = lookups_.order().From(home);
+  std::erase_if(regions, [&](const auto& region) {
+    return std::none_of(whole.targets.begin(), whole.targets.end(),
+                        [&](const auto& each) {
+                          return RegionOfDomain(each.failure_domain) == region;
+                        });
+  });
+  return regions;
+}
+
+std::set<std::string> deployment::DrainedTargets(const service& whole,
+                                                 wall_time now) const {
+  std::set<std::string> drained;
+  for (const auto& each : whole.targets) {
+    if (IsDrained(whole, each, now))
+      drained.insert(each.name);
+  }
+  return drained;
+}
+
+// A drain has no end of its own: after its deadline the place is being worked
+// on, and work sent there would be cut. It ends when it is taken out.
+bool deployment::IsDrained(const service& whole,
+                           const target& each,
+                           wall_time now) const {
+  const auto& region = RegionOfDomain(each.failure_domain);
+  return std::any_of(declared_.drains.begin(), declared_.drains.end(),
+                     [&](const auto& planned) {
+                       return planned.starts_at <= now &&
+                              Covers(planned, whole, each, region);
+                     });
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/guarded_quarantine.cc
@@ -0,0 +1,50 @@
+#include "gateway/guarded_quarantine.h"
+
+#include <optional>
+#include <utility>
+
+namespace samphire {
+
+guarded_quarantine::guarded_quarantine(const clock_source& clock,
+                                       notice_sink sink)
+    : clock_(clock), sink_(std::move(sink)) {}
+
+crash_verdict guarded_quarantine::Judge(request_fingerprint fingerprint) {
+  std::lock_guard guard(lock_);
+  return quarantine_.Judge(fingerprint, clock_.now());
+}
+
+void guarded_quarantine::Started(request_fingerprint fingerprint,
+                                 const std::string& target) {
+  std::lock_guard guard(lock_);
+  quarantine_.Started(fingerprint, target);
+}
+
+void guarded_quarantine::Finished(request_fingerprint fingerprint,
+                                  const std::string& target,
+                                  attempt_outcome outcome) {
+  std::optional<crash_notice> notice;
+  {
+    std::lock_guard guard(lock_);
+    notice = quarantine_.Finished(fingerprint, target, outcome, clock_.now());
+  }
+  if (notice)
+    sink_(*notice);
+}
+
+void guarded_quarantine::OnNotice(const crash_notice& notice) {
+  std::lock_guard guard(lock_);
+  quarantine_.OnNotice(notice, clock_.now());
+}
+
+std::size_t guarded_quarantine::quarantined() const {
+  std::lock_guard guard(lock_);
+  return quarantine_.quarantined();
+}
+
+std::uint64_t guarded_quarantine::targets_lost() const {
+  std::lock_guard guard(lock_);
+  return quarantine_.targets_lost();
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/header_copy.cc
@@ -0,0 +1,57 @@
+#include "gateway/header_copy.h"
+
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <sstream>
+
+namespace samphire {
+
+namespace {
+
+constexpr std::array kHopByHop = {"connection",
+                                  "keep-alive",
+                                  "proxy-connection",
+                                  "proxy-authenticate",
+                                  "proxy-authorization",
+                                  "te",
+                                  "trailer",
+                                  "transfer-encoding",
+                                  "upgrade",
+                                  "content-length",
+                                  "expect",
+                                  "host"};
+
+const std::string kOwnPrefix = "samphirewinch-";
+
+// Names that the Connection header declares to be of this connection only.
+std::set<std::string> NamedByConnection(
+    const Poco::Net::NameValueCollection& from) {
+  std::set<std::string> names;
+  std::istringstream list(from.get("Connection", ""));
+  for (std::string name; std::getline(list, name, ',');)
+    names.insert(Poco::toLower(Poco::trim(name)));
+  return names;
+}
+
+}  // namespace
+
+void CopyEndToEndHeaders(const Poco::Net::NameValueCollection& from,
+                         Poco::Net::NameValueCollection& to) {
+  const auto named = NamedByConnection(from);
+  std::set<std::string> replaced;
+  for (const auto& [name, value] : from) {
+    const auto lower = Poco::toLower(name);
+    if (lower.starts_with(kOwnPrefix) || named.contains(lower) ||
+        std::find(kHopByHop.begin(), kHopByHop.end(), lower) != kHopByHop.end())
+      continue;
+    // The first replaces a default such as Date; repeated ones are all kept.
+    if (replaced.insert(lower).second)
+      to.erase(name);
+    to.add(name, value);
+  }
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/header_copy.h
@@ -0,0 +1,17 @@
+#ifndef GATEWAY_HEADER_COPY_H_
+#define GATEWAY_HEADER_COPY_H_
+
+#include <Poco/Net/NameValueCollection.h>
+
+#include <string>
+
+namespace samphire {
+
+// Copies the headers that belong to the message, not to one connection, and
+// none of the entry's own, which a caller or target could forge.
+void CopyEndToEndHeaders(const Poco::Net::NameValueCollection& from,
+                         Poco::Net::NameValueCollection& to);
+
+}  // namespace samphire
+
+#endif  // GATEWAY_HEADER_COPY_H_
--- /dev/null
+++ b/src/libsamphire/gateway/request_reader.cc
@@ -0,0 +1,146 @@
+#include "gateway/request_reader.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "config/class_matcher.h"
+#include "config/ip_address.h"
+#include "front/header_names.h"
+
+namespace samphire {
+
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::size_t kMaxKeyLength = 255;
+constexpr std::size_t kMaxRequestIdLength = 128;
+
+bool IsPrintable(const std::string& text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+std::string NewRequestId() {
+  static const std::uint64_t process = std::random_device{}();
+  static std::atomic<std::uint64_t> count{0};
+  return fmt::format("{:08x}-{}", process, ++count);
+}
+
+// The caller's own id is kept, so that its logs and ours can be laid side by
+// side; one that could break a log line or a header is replaced.
+std::string RequestIdOf(const Poco::Net::HTTPServerRequest& request) {
+  const auto id = request.get(kHeaderRequestId, "");
+  const bool usable =
+      !id.empty() && id.size() <= kMaxRequestIdLength && IsPrintable(id);
+  return usable ? id : NewRequestId();
+}
+
+// A caller may ask for less time than the class gives, or for more up to the
+// class's bound. Nonsense is refused rather than replaced: a caller that
+// believes in ten seconds must not be served with one.
+result<milliseconds> DeadlineOf(const Poco::Net::HTTPServerRequest& request,
+                                const request_class& rules) {
+  if (!request.has(kHeaderDeadline))
+    return rules.deadline;
+  Poco::UInt64 asked = 0;
+  if (!Poco::NumberParser::tryParseUnsigned64(request.get(kHeaderDeadline),
+                                              asked) ||
+      asked == 0) {
+    return MakeError(result_code::kBadDeadline, "not a number above 0");
+  }
+  const auto longest = static_cast<Poco::UInt64>(
+      std::max(rules.max_deadline, rules.deadline).count());
+  return milliseconds(std::min(asked, longest));
+}
+
+result<std::string> KeyOf(const Poco::Net::HTTPServerRequest& request,
+                          const request_class& rules) {
+  const auto key = request.get(kHeaderIdempotencyKey, "");
+  if (rules.repeatable)
+    return key;
+  if (!request.has(kHeaderIdempotencyKey))
+    return MakeError(result_code::kIdempotencyKeyMissing);
+  if (key.empty() || key.size() > kMaxKeyLength || !IsPrintable(key))
+    return MakeError(result_code::kBadIdempotencyKey);
+  return key;
+}
+
+}  // namespace
+
+result<caller_request> ReadRequestHead(
+    const Poco::Net::HTTPServerRequest& request,
+    deployment_ptr present,
+    const std::string& home_region,
+    time_point now) {
+  const std::string& uri = request.getURI();
+  if (!uri.starts_with(kServicesPrefix))
+    return MakeError(result_code::kUnknownPath, uri.substr(0, 64));
+  const auto rest = uri.substr(kServicesPrefix.size());
+  const auto slash = std::min(rest.find('/'), rest.size());
+
+  caller_request read;
+  read.service = present->FindService(rest.substr(0, slash));
+  if (read.service == nullptr)
+    return MakeError(result_code::kUnknownService, rest.substr(0, slash));
+  read.method = request.getMethod();
+  read.path = slash < rest.size() ? rest.substr(slash) : "/";
+  read.request_class = MatchClass(*read.service, read.method, read.path);
+  if (read.request_class == nullptr)
+    return MakeError(result_code::kUnknownPath);
+  BOOST_OUTCOME_TRY(time, DeadlineOf(request, *read.request_class));
+  BOOST_OUTCOME_TRY(key, KeyOf(request, *read.request_class));
+
+  read.id = RequestIdOf(request);
+  read.headers = request;
+  read.idempotency_key = key;
+  read.arrived = now;
+  read.deadline = now + time;
+  read.passed = !home_region.empty();
+  read.home_region = home_region;
+  if (!read.passed) {
+    const auto address =
+        ParseIpAddress(request.clientAddress().host().toString());
+    read.home_region =
+        present->lookups().RegionOf(address.value_or(ip_address{}));
+  }
+  read.deployment = std::move(present);
+  return read;
+}
+
+// Both lengths at once, or a coding that is not understood, is how one request
+// is smuggled in as the tail of another; the caller of the other would get its
+// answer.
+result<void> CheckBodyHeaders(const Poco::Net::HTTPServerRequest& request,
+                              const limits& bounds) {
+  const bool has_coding =
+      request.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+  if (has_coding && !request.getChunkedTransferEncoding())
+    return MakeError(result_code::kMalformedRequest, "unknown coding");
+  if (!request.has(Poco::Net::HTTPMessage::CONTENT_LENGTH))
+    return Success();
+  if (has_coding)
+    return MakeError(result_code::kMalformedRequest, "length and coding");
+  Poco::UInt64 length = 0;
+  if (!Poco::NumberParser::tryParseUnsigned64(
+          request.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), length))
+    return MakeError(result_code::kMalformedRequest, "nonsense length");
+  if (length > bounds.max_body_bytes)
+    return MakeError(result_code::kBodyTooLarge);
+  return Success();
+}
+
+void SetBody(caller_request& request, std::string body) {
+  request.body = std::move(body);
+  request.fingerprint =
+      FingerprintOf(request.service->name, request.request_class->name,
+                    request.method, request.path, DigestOfBody(request.body));
+}
+
+}  // namespace samphire
