--- /dev/null
+++ b/bench/lookup_snapshot.cc
@@ -0,0 +1,231 @@
+// Look-ups a second on one core, bytes a block and build time of the table
+// from client blocks to sites, at four sizes, with straight-line fits; then
+// whole answers a second. Fails when a block takes 24 bytes or more, or when
+// the table is not faster than a plain binary search in the same run.
+//   bench_lookup_snapshot --blocks=1900000 --sites=4100
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstring>
+#include <random>
+#include <vector>
+
+#include "base/clock_source.h"
+#include "config/declaration.h"
+#include "steering/lookup_composer.h"
+#include "steering/prefix_table.h"
+
+ABSL_FLAG(std::uint32_t,
+          blocks,
+          1'900'000,
+          "client blocks at the largest size");
+ABSL_FLAG(std::uint32_t, sites, 4100, "destinations");
+ABSL_FLAG(std::uint32_t, lookups, 4'000'000, "look-ups a size");
+ABSL_FLAG(std::uint32_t, ipv6_percent, 30, "share of IPv6 blocks");
+ABSL_FLAG(std::uint64_t, seed, 20261202, "seed of the blocks and callers");
+
+namespace samphire {
+
+namespace {
+
+using engine = std::mt19937_64;
+
+struct measurement {
+  double blocks = 0;
+  double bytes = 0;
+  double build_seconds = 0;
+  double lookups_per_second = 0;
+  double plain_per_second = 0;
+  // Keeps the look-ups from being optimised away.
+  std::uint64_t checksum = 0;
+};
+
+constexpr double kMaxBytesPerBlock = 24;
+// Measured ratios lie well above; below this the levels would be no use.
+constexpr double kMinRatioToPlain = 1.2;
+
+struct line_fit {
+  double intercept = 0;
+  double slope = 0;
+};
+
+// Prefix lengths as they are met: mostly /24 and /48, some far shorter, so
+// that blocks nest.
+prefix_route RandomRoute(engine& random) {
+  constexpr std::array<int, 8> kIpv4Lengths{24, 24, 24, 24, 22, 20, 16, 28};
+  constexpr std::array<int, 8> kIpv6Lengths{48, 48, 48, 56, 64, 40, 32, 48};
+  prefix_route route;
+  const auto number = random();
+  const bool ipv6 = random() % 100 < absl::GetFlag(FLAGS_ipv6_percent);
+  if (ipv6) {
+    for (std::size_t i = 0; i < 8; ++i)
+      route.address[i] = static_cast<std::uint8_t>(number >> (8 * i));
+    route.address[0] = 0x20;
+    route.address[1] &= 0x0f;
+  } else {
+    route.address[10] = route.address[11] = 0xff;
+    for (std::size_t i = 0; i < 4; ++i)
+      route.address[12 + i] = static_cast<std::uint8_t>(number >> (8 * i));
+  }
+  const auto pick = random() % kIpv4Lengths.size();
+  route.prefix_length = static_cast<std::uint8_t>(
+      ipv6 ? kIpv6Lengths[pick] : kMappedPrefixBits + kIpv4Lengths[pick]);
+  route.to = static_cast<destination>(random() % absl::GetFlag(FLAGS_sites));
+  return route;
+}
+
+// Three of four callers come from a declared block, as in life.
+std::vector<ip_address> RandomCallers(const std::vector<prefix_route>& routes,
+                                      engine& random) {
+  constexpr std::size_t kCallers = 1 << 20;
+  std::vector<ip_address> callers;
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    auto caller = random() % 4 == 0 ? RandomRoute(random).address
+                                    : routes[random() % routes.size()].address;
+    caller[15] = static_cast<std::uint8_t>(random());
+    callers.push_back(caller);
+  }
+  return callers;
+}
+
+double SecondsSince(time_point start) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+      .count();
+}
+
+// The baseline: std::upper_bound over as many sorted keys as there are blocks.
+double PlainSearchesPerSecond(const std::vector<prefix_route>& routes,
+                              const std::vector<ip_address>& callers) {
+  const auto key_of = [](const ip_address& address) {
+    std::uint64_t key = 0;
+    std::memcpy(&key, &address[8], sizeof(key));
+    std::uint64_t upper = 0;
+    std::memcpy(&upper, address.data(), sizeof(upper));
+    return key ^ upper;
+  };
+  std::vector<std::uint64_t> keys;
+  keys.reserve(routes.size());
+  for (const auto& route : routes)
+    keys.push_back(key_of(route.address));
+  std::sort(keys.begin(), keys.end());
+  const auto searches = absl::GetFlag(FLAGS_lookups) / 4;
+  std::ptrdiff_t checksum = 0;
+  const auto start = std::chrono::steady_clock::now();
+  for (std::uint32_t i = 0; i < searches; ++i) {
+    checksum += std::upper_bound(keys.begin(), keys.end(),
+                                 key_of(callers[i % callers.size()])) -
+                keys.begin();
+  }
+  const double rate = searches / SecondsSince(start);
+  return checksum == 0 ? 0 : rate;
+}
+
+// The fleet of two years from now: 2,800 entries in 24 regions.
+void MeasureAnswers() {
+  constexpr int kRegions = 24;
+  constexpr int kEntries = 2800;
+  constexpr int kAnswers = 100'000;
+  declaration declared;
+  std::vector<live_entry> entries;
+  entries.reserve(kEntries);
+  for (int i = 0; i < kRegions; ++i)
+    declared.regions.push_back({fmt::format("region-{}", i), {}, 4});
+  declared.default_region = "region-0";
+  for (int i = 0; i < kEntries; ++i) {
+    entries.push_back({fmt::format("entry-{}", i), "127.0.0.1:8000",
+                       fmt::format("region-{}", i % kRegions), false, 0.5});
+  }
+  const lookup_snapshot snapshot(declared, 1);
+  const entry_directory directory(entries);
+  engine random(absl::GetFlag(FLAGS_seed));
+  std::size_t bytes = 0;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < kAnswers; ++i) {
+    bytes += WriteLookupAnswer(ComposeLookupAnswer(snapshot, directory,
+                                                   RandomRoute(random).address))
+                 .size();
+  }
+  const double rate = kAnswers / SecondsSince(start);
+  fmt::print("answers/s {:.0f} with {} entries, {} bytes each\n", rate,
+             kEntries, bytes / kAnswers);
+}
+
+measurement Measure(std::uint32_t blocks) {
+  engine random(absl::GetFlag(FLAGS_seed));
+  std::vector<prefix_route> routes;
+  for (std::uint32_t i = 0; i < blocks; ++i)
+    routes.push_back(RandomRoute(random));
+  const auto callers = RandomCallers(routes, random);
+
+  measurement taken;
+  taken.blocks = blocks;
+  const auto build_start = std::chrono::steady_clock::now();
+  const prefix_table table(routes);
+  taken.build_seconds = SecondsSince(build_start);
+  taken.bytes = static_cast<double>(table.bytes());
+
+  const auto lookups = absl::GetFlag(FLAGS_lookups);
+  const auto start = std::chrono::steady_clock::now();
+  for (std::uint32_t i = 0; i < lookups; ++i)
+    taken.checksum += table.Find(callers[i % callers.size()]);
+  taken.lookups_per_second = lookups / SecondsSince(start);
+  taken.plain_per_second = PlainSearchesPerSecond(routes, callers);
+  return taken;
+}
+
+line_fit FitLine(const std::vector<measurement>& all,
+                 double measurement::*value) {
+  double x = 0;
+  double y = 0;
+  double xx = 0;
+  double xy = 0;
+  for (const auto& one : all) {
+    x += one.blocks;
+    y += one.*value;
+    xx += one.blocks * one.blocks;
+    xy += one.blocks * one.*value;
+  }
+  const auto n = static_cast<double>(all.size());
+  const double slope = (n * xy - x * y) / (n * xx - x * x);
+  return {(y - slope * x) / n, slope};
+}
+
+bool Run() {
+  std::vector<measurement> all;
+  for (const std::uint32_t divisor : {8, 4, 2, 1}) {
+    all.push_back(Measure(absl::GetFlag(FLAGS_blocks) / divisor));
+    const auto& one = all.back();
+    fmt::print(
+        "blocks {:>8.0f}  look-ups/s {:>9.0f}  plain {:>9.0f}  bytes/block "
+        "{:>5.2f}  build {:.3f} s  checksum {}\n",
+        one.blocks, one.lookups_per_second, one.plain_per_second,
+        one.bytes / one.blocks, one.build_seconds, one.checksum);
+  }
+  const auto bytes = FitLine(all, &measurement::bytes);
+  const auto build = FitLine(all, &measurement::build_seconds);
+  fmt::print("fit: bytes = {:.0f} + {:.2f} a block\n", bytes.intercept,
+             bytes.slope);
+  fmt::print("fit: build = {:.3f} s + {:.0f} ns a block\n", build.intercept,
+             build.slope * 1e9);
+  MeasureAnswers();
+  return all.back().bytes < kMaxBytesPerBlock * all.back().blocks &&
+         all.back().lookups_per_second >
+             kMinRatioToPlain * all.back().plain_per_second;
+}
+
+}  // namespace
+
+}  // namespace samphire
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("Measures the look-up table.");
+  absl::ParseCommandLine(argc, argv);
+  return samphire::Run() ? 0 : 1;
+}
