Let entries speak to each other by signed datagrams and signed requests

Cause: membership, loans and configuration hints need messages between entries that a stranger can neither forge nor repeat.

What was ruled out: TLS between entries (certificates on instances that keep nothing), a sequence number without time (a process that has just started remembers nothing, so everything ever captured could be played to it).

Before: no transport.

--- /dev/null
+++ b/src/libsamphire/peer/message_kind.h
@@ -0,0 +1,42 @@
+#ifndef PEER_MESSAGE_KIND_H_
+#define PEER_MESSAGE_KIND_H_
+
+#include <cstdint>
+
+#include "base/enum_names.h"
+
+namespace samphire {
+
+// What a peer message is about. Numbers go over the wire: new ones are added
+// at the end.
+enum class message_kind : std::uint8_t {
+  kProbe,
+  kProbeAck,
+  kProbeRequest,
+  kGossip,
+  kRegionDigest,
+  kLoanAsk,
+  kLoanAnswer,
+  kLoanReturn,
+  kQuarantine,
+  kConfigHint,
+};
+
+inline constexpr enum_names<message_kind, 10> kMessageKindNames{{
+    {message_kind::kProbe, "probe"},
+    {message_kind::kProbeAck, "probe_ack"},
+    {message_kind::kProbeRequest, "probe_request"},
+    {message_kind::kGossip, "gossip"},
+    {message_kind::kRegionDigest, "region_digest"},
+    {message_kind::kLoanAsk, "loan_ask"},
+    {message_kind::kLoanAnswer, "loan_answer"},
+    {message_kind::kLoanReturn, "loan_return"},
+    {message_kind::kQuarantine, "quarantine"},
+    {message_kind::kConfigHint, "config_hint"},
+}};
+
+inline constexpr auto kLastMessageKind = message_kind::kConfigHint;
+
+}  // namespace samphire
+
+#endif  // PEER_MESSAGE_KIND_H_
--- /dev/null
+++ b/src/libsamphire/peer/peer_identity.h
@@ -0,0 +1,17 @@
+#ifndef PEER_PEER_IDENTITY_H_
+#define PEER_PEER_IDENTITY_H_
+
+#include <cstdint>
+#include <string>
+
+namespace samphire {
+
+// The process that a peer request comes from.
+struct peer_identity {
+  std::string instance;
+  std::uint64_t incarnation = 0;
+};
+
+}  // namespace samphire
+
+#endif  // PEER_PEER_IDENTITY_H_
--- /dev/null
+++ b/src/libsamphire/peer/udp_peer_transport.cc
@@ -0,0 +1,132 @@
+#include "peer/udp_peer_transport.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "peer/envelope_codec.h"
+
+namespace samphire {
+
+namespace {
+
+// How long a stop may take at most.
+constexpr int kPollMicroseconds = 100'000;
+// A burst of a few hundred datagrams must not be lost while the receiving
+// thread is held up by the scheduler.
+constexpr int kReceiveBuffer = 1 << 20;
+
+Poco::Net::SocketAddress Parse(const std::string& address) {
+  return Poco::Net::SocketAddress(address);
+}
+
+}  // namespace
+
+udp_peer_transport::udp_peer_transport(const std::string& address,
+                                       std::string sender,
+                                       std::uint64_t incarnation,
+                                       peer_keys keys,
+                                       const clock_source& clock,
+                                       metrics& registry)
+    : socket_(Parse(address), false),
+      address_(socket_.address().toString()),
+      sender_(std::move(sender)),
+      incarnation_(incarnation),
+      keys_(std::move(keys)),
+      clock_(clock),
+      metrics_(registry) {
+  socket_.setReceiveBufferSize(kReceiveBuffer);
+}
+
+udp_peer_transport::~udp_peer_transport() = default;
+
+result<void> udp_peer_transport::Send(const std::string& address,
+                                      message_kind kind,
+                                      const std::string& payload) {
+  peer_envelope envelope;
+  envelope.sender = sender_;
+  envelope.incarnation = incarnation_;
+  envelope.sequence = ++sequence_;
+  envelope.sent_at = std::chrono::duration_cast<microseconds>(
+                         clock_.wall_now().time_since_epoch())
+                         .count();
+  envelope.kind = kind;
+  envelope.payload = payload;
+  BOOST_OUTCOME_TRY(datagram, Seal(envelope, address, keys_));
+  try {
+    socket_.sendTo(datagram.data(), static_cast<int>(datagram.size()),
+                   Parse(address));
+  } catch (const Poco::Exception& failure) {
+    metrics_.Count("peer_send_failures_total");
+    return MakeError(result_code::kPeerUnreachable, failure.displayText());
+  }
+  const auto label =
+      fmt::format("kind=\"{}\"", NameOf(kMessageKindNames, kind));
+  metrics_.Count("peer_sent_total", label);
+  metrics_.Count("peer_sent_bytes_total", {},
+                 static_cast<std::int64_t>(datagram.size()));
+  return Success();
+}
+
+void udp_peer_transport::OnMessage(message_kind kind, handler receive) {
+  handlers_[static_cast<std::size_t>(kind)] = std::move(receive);
+}
+
+void udp_peer_transport::Start() {
+  receiver_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+}
+
+void udp_peer_transport::Run(const std::stop_token& stop) {
+  const Poco::Timespan timeout(kPollMicroseconds);
+  while (!stop.stop_requested()) {
+    // An ICMP refusal of a datagram sent to a dead peer surfaces here as an
+    // error of the socket; it must not end the thread that hears all others.
+    try {
+      if (socket_.poll(timeout, Poco::Net::Socket::SELECT_READ))
+        ReceiveOne();
+    } catch (const Poco::Exception&) {
+      metrics_.Count("peer_receive_failures_total");
+    }
+  }
+}
+
+void udp_peer_transport::ReceiveOne() {
+  // One byte more than allowed, so that a cut datagram is told from a whole.
+  std::array<char, kMaxDatagram + 1> buffer;
+  Poco::Net::SocketAddress from;
+  const int size =
+      socket_.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), from);
+  if (size > 0) {
+    Accept({buffer.data(), static_cast<std::size_t>(size)}, from.toString());
+  }
+}
+
+void udp_peer_transport::Accept(std::string_view datagram, std::string from) {
+  auto opened = Open(datagram, address_, keys_);
+  if (!opened)
+    return Drop(opened.error());
+  auto& envelope = opened.value();
+  const auto fresh = guard_.Accept(envelope, clock_.wall_now());
+  if (!fresh)
+    return Drop(fresh.error());
+  const auto label =
+      fmt::format("kind=\"{}\"", NameOf(kMessageKindNames, envelope.kind));
+  metrics_.Count("peer_received_total", label);
+  const auto& receive = handlers_[static_cast<std::size_t>(envelope.kind)];
+  if (receive) {
+    receive({std::move(envelope.sender), envelope.incarnation, std::move(from),
+             std::move(envelope.payload)});
+  }
+}
+
+// Dropped without an answer: an answer would tell a stranger that something
+// listens here, and could be aimed at a third party by a forged source.
+void udp_peer_transport::Drop(const error& reason) {
+  metrics_.Count("peer_dropped_total",
+                 fmt::format("reason=\"{}\"", NameOf(reason.code)));
+}
+
+}  // namespace samphire
--- a/tests/ledger/ledger_test.cc
+++ b/tests/ledger/ledger_test.cc
@@ -236,11 +236,11 @@
   local_shard_router router;
   system_clock_source clock;
   metrics registry;
-  constexpr int kEntries = 3;
-  constexpr int kThreads = 4;
+  constexpr std::size_t kEntries = 3;
+  constexpr std::size_t kThreads = 4;
   constexpr int kKeys = 40;
   std::vector<std::unique_ptr<ledger>> entries;
-  for (int i = 0; i < kEntries; ++i) {
+  for (std::size_t i = 0; i < kEntries; ++i) {
     ledger_options options;
     options.self = {"entry-" + std::to_string(i), 1};
     options.shards = 2;
@@ -252,7 +252,7 @@
   std::array<std::atomic<int>, kKeys> runs{};
   std::vector<std::thread> threads;
   threads.reserve(kEntries * kThreads);
-  for (int t = 0; t < kEntries * kThreads; ++t) {
+  for (std::size_t t = 0; t < kEntries * kThreads; ++t) {
     threads.emplace_back([&, t] {
       auto& entry = *entries[t % kEntries];
       for (int k = 0; k < kKeys; ++k) {
