--- /dev/null
+++ b/bench/decisions/recorder.cc
@@ -0,0 +1,51 @@
+#include "decisions/recorder.h"
+
+namespace samphire {
+
+template <typename F>
+void recorder::ForGroups(const simulated_request& request, const F& visit) {
+  if (request.arrived < count_from_)
+    return;
+  if (request.rules->kind == request_kind::kBulk) {
+    visit(report_.bulk);
+    return;
+  }
+  visit(report_.interactive);
+  if (request.shifted)
+    visit(report_.shifted);
+  if (request.rules->priority == priority::kHigh)
+    visit(report_.high);
+  if (request.rules->priority == priority::kLow)
+    visit(report_.low);
+}
+
+void recorder::OnArrival(const simulated_request& request) {
+  ForGroups(request, [](group_report& group) { ++group.arrived; });
+}
+
+void recorder::OnStart(const simulated_request& request, time_point now) {
+  ForGroups(request, [&](group_report& group) {
+    ++group.started;
+    group.waits.push_back(now - request.arrived);
+  });
+}
+
+void recorder::OnEnd(const simulated_request& request,
+                     bool in_time,
+                     time_point now) {
+  ForGroups(request, [&](group_report& group) {
+    group.latencies.push_back(now - request.arrived);
+    if (!in_time) {
+      ++group.late;
+      return;
+    }
+    ++group.in_time;
+    group.useful += request.service;
+  });
+}
+
+void recorder::OnRefusal(const simulated_request& request, result_code reason) {
+  ForGroups(request, [&](group_report& group) { ++group.refused[reason]; });
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/bench/decisions/strategy.h
@@ -0,0 +1,31 @@
+#ifndef DECISIONS_STRATEGY_H_
+#define DECISIONS_STRATEGY_H_
+
+#include "base/enum_names.h"
+
+namespace samphire {
+
+// How the simulated region decides.
+enum class strategy {
+  // One queue for all, which knows every slot at once: the limit.
+  kCentralQueue,
+  // Straight to a target, which queues.
+  kRoundRobin,
+  kRandom,
+  // Each entry keeps to its own slots.
+  kStaticShares,
+  // As the product does.
+  kLoans,
+};
+
+inline constexpr enum_names<strategy, 5> kStrategyNames{{
+    {strategy::kCentralQueue, "central queue"},
+    {strategy::kRoundRobin, "round-robin"},
+    {strategy::kRandom, "random"},
+    {strategy::kStaticShares, "static shares"},
+    {strategy::kLoans, "seats and loans"},
+}};
+
+}  // namespace samphire
+
+#endif  // DECISIONS_STRATEGY_H_
