--- a/bench/decisions/recorder.cc
+++ b/bench/decisions/recorder.cc
@@ -11,8 +11,7 @@
     return;
   }
   visit(report_.interactive);
-  if (request.shifted)
-    visit(report_.shifted);
+  visit(request.shifted ? report_.shifted : report_.home);
   if (request.rules->priority == priority::kHigh)
     visit(report_.high);
   if (request.rules->priority == priority::kLow)
--- a/bench/decisions/run_report.cc
+++ b/bench/decisions/run_report.cc
@@ -73,7 +73,7 @@
 }
 
 std::string TableRow(const run_report& report) {
-  const auto& group = report.interactive;
+  const auto& group = report.home;
   return fmt::format(
       "{:<34}{:<16}{:>5.2f}{:>5.2f}{:>9.1f}{:>9.1f}{:>9.1f}{:>9.1f}{:>7.1f}"
       "{:>6}{:>7.2f}{:>7.2f}  {}\n",
@@ -82,7 +82,8 @@
       QuantileMs(group.waits, 0.5), QuantileMs(group.waits, 0.99),
       QuantileMs(group.waits, 0.999), QuantileMs(group.latencies, 0.99),
       100 * report.goodput(), group.late, PerRequest(report.loans, report),
-      PerRequest(report.loan_messages, report), Refusals(group, false));
+      PerRequest(report.loan_messages, report),
+      Refusals(report.interactive, false));
 }
 
 std::string JsonLine(const run_report& report) {
@@ -90,14 +91,16 @@
       R"({{"scenario":{},"strategy":{},"load":{},"skew":{},"goodput":{:.4f},)"
       R"("loans_per_request":{:.3f},"asks_per_request":{:.3f},)"
       R"("messages_per_request":{:.3f},"most_on_target":{},)"
-      R"("most_shifted":{},"interactive":{},"bulk":{}}})",
+      R"("most_shifted":{},"interactive":{},"home":{},)"
+      R"("shifted":{},"high":{},"low":{},"bulk":{}}})",
       JsonQuote(report.input.name),
       JsonQuote(NameOf(kStrategyNames, report.input.strategy)),
       report.input.load, report.input.busiest_share, report.goodput(),
       PerRequest(report.loans, report), PerRequest(report.asks, report),
       PerRequest(report.loan_messages, report), report.most_on_target,
       report.most_shifted, JsonGroup(report.interactive),
-      JsonGroup(report.bulk));
+      JsonGroup(report.home), JsonGroup(report.shifted), JsonGroup(report.high),
+      JsonGroup(report.low), JsonGroup(report.bulk));
 }
 
 }  // namespace samphire
--- a/bench/decisions/run_report.h
+++ b/bench/decisions/run_report.h
@@ -32,6 +32,8 @@
   scenario input;
   group_report interactive;
   group_report bulk;
+  // Interactive work of the region's own callers, and parts of it.
+  group_report home;
   group_report high;
   group_report low;
   group_report shifted;
--- a/src/libsamphire/allowance/loan_borrower.cc
+++ b/src/libsamphire/allowance/loan_borrower.cc
@@ -11,6 +11,12 @@
 
 // A loan whose time is this much run down is renewed while requests wait.
 constexpr int kRenewPart = 2;
+// The lender answers an ask within half its life; an eighth more without word
+// means that a message was lost.
+constexpr int kAnswerEighths = 5;
+constexpr int kEighths = 8;
+constexpr duration kFirstResend = std::chrono::milliseconds(10);
+constexpr int kMostReturnSends = 7;
 
 std::int64_t Microseconds(duration length) {
   return std::chrono::duration_cast<std::chrono::microseconds>(length).count();
@@ -45,7 +51,8 @@
     // A doubled grant of a loan in use must not be sent back under its work.
     if (!Holds(from, message)) {
       ++counts_.sent_back;
-      Return(from, message.ask_id, message.lender_incarnation, message.loan_id);
+      Return(from, message.ask_id, message.lender_incarnation, message.loan_id,
+             now);
     }
     return;
   }
@@ -61,7 +68,8 @@
   }
   if (usable_until <= now) {
     ++counts_.sent_back;
-    Return(from, message.ask_id, message.lender_incarnation, message.loan_id);
+    Return(from, message.ask_id, message.lender_incarnation, message.loan_id,
+           now);
     return;
   }
   ++counts_.borrowed;
@@ -91,18 +99,19 @@
     Renew(*wish, now);
     AskFor(*wish, now);
   } else {
-    GiveUpAll();
+    GiveUpAll(now);
   }
+  SendReturns(now);
 }
 
 void loan_borrower::GiveUpLate(time_point now) {
   std::erase_if(asks_, [&](const auto& item) {
     const auto& [id, ask] = item;
-    if (ask.sent + terms_.ttl > now)
+    if (ask.sent + AnswerTime() > now)
       return false;
     ++counts_.asks_unanswered;
     if (ask.renews == 0)
-      Return(ask.lender, id, 0, 0);
+      Return(ask.lender, id, 0, 0, now);
     return true;
   });
 }
@@ -114,7 +123,7 @@
     held_.erase(found);
     std::erase_if(asks_,
                   [&](const auto& item) { return item.second.renews == id; });
-    Return(slot.lender, id, slot.lender_incarnation, slot.lender_loan);
+    Return(slot.lender, id, slot.lender_incarnation, slot.lender_loan, now);
   }
 }
 
@@ -166,12 +175,12 @@
                         Microseconds(longest_work), Microseconds(waited)}});
 }
 
-void loan_borrower::GiveUpAll() {
+void loan_borrower::GiveUpAll(time_point now) {
   std::erase_if(asks_, [&](const auto& item) {
     const auto& [id, ask] = item;
     if (ask.renews != 0)
       return false;
-    Return(ask.lender, id, 0, 0);
+    Return(ask.lender, id, 0, 0, now);
     return true;
   });
 }
@@ -179,9 +188,40 @@
 void loan_borrower::Return(const std::string& lender,
                            std::uint64_t ask_id,
                            std::uint64_t lender_incarnation,
-                           std::uint64_t lender_loan) {
-  outbox_.push_back({lender, loan_return{service_, incarnation_, ask_id,
-                                         lender_incarnation, lender_loan}});
+                           std::uint64_t lender_loan,
+                           time_point now) {
+  const loan_return message{service_, incarnation_, ask_id, lender_incarnation,
+                            lender_loan};
+  returns_[ask_id] = {lender, message, now, 0};
+}
+
+// A lost return costs the lender a slot for as long as the longest work may
+// take: with one message in twenty lost, a region at 80% load lost a quarter
+// of its slots to it. So a return is sent until the lender confirms it, at
+// growing distances, for about the time in which the lender takes the slot
+// back by itself.
+void loan_borrower::SendReturns(time_point now) {
+  for (auto each = returns_.begin(); each != returns_.end();) {
+    auto& open = each->second;
+    if (open.next_send <= now && open.sent == kMostReturnSends) {
+      each = returns_.erase(each);
+      continue;
+    }
+    if (open.next_send <= now) {
+      outbox_.push_back({open.lender, open.message});
+      open.next_send = now + kFirstResend * (1 << open.sent);
+      ++open.sent;
+    }
+    ++each;
+  }
+}
+
+void loan_borrower::OnClosed(const std::string& from,
+                             const loan_closed& message) {
+  const auto found = returns_.find(message.ask_id);
+  if (message.borrower_incarnation == incarnation_ && found != returns_.end() &&
+      found->second.lender == from)
+    returns_.erase(found);
 }
 
 bool loan_borrower::Holds(const std::string& from,
@@ -194,6 +234,10 @@
   });
 }
 
+duration loan_borrower::AnswerTime() const {
+  return terms_.ttl * kAnswerEighths / kEighths;
+}
+
 std::size_t loan_borrower::OpenAsks() const {
   return static_cast<std::size_t>(
       std::count_if(asks_.begin(), asks_.end(),
@@ -209,7 +253,9 @@
 time_point loan_borrower::NextDue() const {
   auto next = time_point::max();
   for (const auto& [id, ask] : asks_)
-    next = std::min(next, ask.sent + terms_.ttl);
+    next = std::min(next, ask.sent + AnswerTime());
+  for (const auto& [id, open] : returns_)
+    next = std::min(next, open.next_send);
   return next;
 }
 
--- a/src/libsamphire/allowance/loan_borrower.h
+++ b/src/libsamphire/allowance/loan_borrower.h
@@ -32,6 +32,7 @@
                const loan_grant& message,
                time_point now);
   void OnRefusal(const std::string& from, const loan_refusal& message);
+  void OnClosed(const std::string& from, const loan_closed& message);
   // Gives up, sends back, renews and asks for what is due.
   void Advance(time_point now);
   time_point NextDue() const;
@@ -56,11 +57,20 @@
     bool renewal_open = false;
   };
 
+  // A return that the lender has not confirmed yet.
+  struct open_return {
+    std::string lender;
+    loan_return message;
+    time_point next_send;
+    int sent = 0;
+  };
+
+  void SendReturns(time_point now);
   void GiveUpLate(time_point now);
   void SendBackIdle(time_point now);
   void Renew(const loan_wish& wish, time_point now);
   void AskFor(const loan_wish& wish, time_point now);
-  void GiveUpAll();
+  void GiveUpAll(time_point now);
   void Ask(const std::string& lender,
            duration waited,
            duration longest_work,
@@ -68,8 +78,10 @@
   void Return(const std::string& lender,
               std::uint64_t ask_id,
               std::uint64_t lender_incarnation,
-              std::uint64_t lender_loan);
+              std::uint64_t lender_loan,
+              time_point now);
   bool Holds(const std::string& from, const loan_grant& message) const;
+  duration AnswerTime() const;
   std::size_t OpenAsks() const;
   std::size_t OpenAsksAt(const std::string& lender) const;
   const lender_digest& PickLender();
@@ -84,6 +96,8 @@
   std::map<std::uint64_t, open_ask> asks_;
   // By the number of the ask that brought it.
   std::map<std::uint64_t, borrowed_slot> held_;
+  // By the number of the ask.
+  std::map<std::uint64_t, open_return> returns_;
   loan_outbox outbox_;
   std::vector<wakeup> wakeups_;
   loan_counts counts_;
--- a/src/libsamphire/allowance/loan_ledger.cc
+++ b/src/libsamphire/allowance/loan_ledger.cc
@@ -31,6 +31,9 @@
   void operator()(const loan_grant& message) const {
     borrower.OnGrant(from, message, now);
   }
+  void operator()(const loan_closed& message) const {
+    borrower.OnClosed(from, message);
+  }
   void operator()(const loan_refusal& message) const {
     borrower.OnRefusal(from, message);
   }
--- a/src/libsamphire/allowance/loan_lender.cc
+++ b/src/libsamphire/allowance/loan_lender.cc
@@ -99,6 +99,8 @@
       });
   if (closed != loans_.end())
     Close(closed, now);
+  outbox_.push_back({from, loan_closed{service_, message.borrower_incarnation,
+                                       message.ask_id}});
   Advance(now);
 }
 
--- a/src/libsamphire/allowance/loan_messages.h
+++ b/src/libsamphire/allowance/loan_messages.h
@@ -77,6 +77,18 @@
   }
 };
 
+// The lender has seen a return, and holds nothing for that ask any more.
+struct loan_closed {
+  std::string service;
+  std::uint64_t borrower_incarnation = 0;
+  std::uint64_t ask_id = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(service, borrower_incarnation, ask_id);
+  }
+};
+
 // The borrower asks to go on starting work on a loan that it holds.
 struct loan_renewal {
   std::string service;
@@ -94,8 +106,12 @@
   }
 };
 
-using loan_message =
-    std::variant<loan_ask, loan_grant, loan_refusal, loan_return, loan_renewal>;
+using loan_message = std::variant<loan_ask,
+                                  loan_grant,
+                                  loan_refusal,
+                                  loan_return,
+                                  loan_renewal,
+                                  loan_closed>;
 
 }  // namespace samphire
 
--- a/src/libsamphire/decision/load_shedder.h
+++ b/src/libsamphire/decision/load_shedder.h
@@ -15,8 +15,13 @@
   // Whether one of this priority may wait. `draw` in [0, 1) decides when part
   // of its priority is shed.
   bool Admits(priority rank, double draw, time_point now);
-  // How long a request had waited when it got its slot.
-  void OnStart(duration waited, time_point now);
+  // How long a request had waited when it got its slot, where work of its kind
+  // takes `mean_service`.
+  void OnStart(duration waited, duration mean_service, time_point now);
+
+  // The longest expected wait under which requests may queue: bounded once the
+  // queue has stood for long.
+  duration WaitBound(duration mean_service) const;
 
   double level() const { return level_; }
   duration delay() const { return last_delay_; }
@@ -28,6 +33,8 @@
   time_point interval_end_;
   duration least_delay_ = duration::max();
   duration last_delay_{0};
+  duration target_delay_{0};
+  int standing_intervals_ = 0;
   double level_ = 0;
   time_point last_normal_;
   time_point last_high_;
--- a/src/libsamphire/decision/service_dispatcher.cc
+++ b/src/libsamphire/decision/service_dispatcher.cc
@@ -10,10 +10,6 @@
 
 constexpr duration kPriorService = std::chrono::milliseconds(20);
 
-std::size_t IndexOf(request_kind kind) {
-  return static_cast<std::size_t>(kind);
-}
-
 }  // namespace
 
 service_dispatcher::service_dispatcher(const service& declared,
@@ -78,27 +74,22 @@
                                               time_point now) {
   auto& load = LoadOf(*request.request_class);
   const auto kind = load.rules.kind;
-  const auto rank = load.rules.priority;
-  shedder_.OnArrival(rank, now);
+  shedder_.OnArrival(load.rules.priority, now);
   if (const auto refused = RefuseAtOnce(request, load, now))
     return *refused;
-  if (const auto refused = shifts_.Admit(request.home_region, now))
-    return Refuse(refused->reason, refused->retry_after);
-  // Whoever waits goes first; a free slot beside waiters is one that they may
-  // not use (they avoid its failure domain).
-  const bool first =
-      queue_.ahead(kind, rank) == 0 || !request.avoid_failure_domains.empty();
-  if (first && !LeavesSlotToPeer(request.arrived, now)) {
+  shifts_.OnArrival(request.home_region, now);
+  // A slot that is free while requests wait is one that they can't use, so a
+  // newcomer that can passes nobody.
+  if (shifts_.room(request.home_region, now) > 0 &&
+      !LeavesSlotToPeer(request.arrived, now)) {
     if (auto grant = TryStart(request, load, now)) {
       if (kind == request_kind::kInteractive)
-        shedder_.OnStart(duration::zero(), now);
+        NoteInteractiveStart(duration::zero(), now);
       return std::move(*grant);
     }
   }
-  if (const auto refused = RefuseToQueue(request, load, now)) {
-    shifts_.Release(request.home_region, now);
+  if (const auto refused = RefuseToQueue(request, load, now))
     return *refused;
-  }
   return Enqueue(request, load, now);
 }
 
@@ -147,6 +138,7 @@
     ++bulk_running_;
   else
     ++interactive_running_;
+  shifts_.Start(request.home_region, now);
   NoteInteractiveLoad(now);
   return grant;
 }
@@ -160,10 +152,13 @@
   entry->request.request_class = nullptr;
   entry->load = &load;
   entry->latest_start = request.deadline - NeededTime(load, whole);
-  const auto ahead = queue_.ahead(load.rules.kind, load.rules.priority);
+  const auto& rules = load.rules;
+  const queued answer{
+      queue_.InLane(request.home_region, rules.kind, rules.priority),
+      ExpectedWait(rules.kind, rules.priority, request.home_region, now)};
   queue_.Add(std::move(entry));
   NoteInteractiveLoad(now);
-  return queued{ahead, ExpectedWait(load.rules.kind, ahead, now)};
+  return answer;
 }
 
 std::vector<wakeup> service_dispatcher::Finish(const slot_grant& grant,
@@ -202,7 +197,6 @@
   const auto entry = queue_.Remove(request_id);
   if (entry == nullptr)
     return {};
-  shifts_.Release(entry->request.home_region, now);
   NoteInteractiveLoad(now);
   return {true, Serve(now)};
 }
--- a/src/libsamphire/decision/service_dispatcher.h
+++ b/src/libsamphire/decision/service_dispatcher.h
@@ -29,6 +29,7 @@
 #include "decision/owned_slots.h"
 #include "decision/queue_order.h"
 #include "decision/shift_budget.h"
+#include "decision/start_gap.h"
 #include "decision/target_pool.h"
 #include "decision/wait_queue.h"
 #include "decision/wakeup.h"
@@ -122,6 +123,7 @@
   refusal Refuse(result_code reason, duration retry_after);
 
   std::vector<wakeup> Serve(time_point now);
+  wakeup TellExpired(const waiter& entry, time_point now);
   void Expire(time_point now, std::vector<wakeup>& wakeups);
   bool ServeOne(request_kind kind,
                 time_point now,
@@ -130,17 +132,32 @@
   bool BulkMayStart(time_point now) const;
   bool LeavesSlotToPeer(time_point arrived, time_point now) const;
 
+  // The time from one start to the next while requests wait.
+  duration Pace(request_kind kind, time_point now) const;
   duration ExpectedWait(request_kind kind,
-                        std::size_t ahead,
+                        priority rank,
+                        const std::string& home_region,
                         time_point now) const;
+  // How long the shift cap alone holds up one more request.
+  duration ShiftWait(const class_load& load,
+                     const std::string& home_region,
+                     time_point now) const;
   duration NeededTime(const class_load& load, duration whole_time) const;
+  bool IsTooLate(const waiter& entry, time_point now) const;
+  bool HasStartable(time_point now) const;
   void NoteInteractiveLoad(time_point now);
+  void NoteInteractiveStart(duration waited, time_point now);
+
+  static std::size_t IndexOf(request_kind kind) {
+    return static_cast<std::size_t>(kind);
+  }
 
   limits bounds_;
   std::mt19937_64 random_;
   target_pool pool_;
   shift_budget shifts_;
   load_shedder shedder_;
+  start_gap interactive_gap_;
   bulk_limit bulk_;
   wait_queue queue_;
   // By class name and by kind.
--- a/src/libsamphire/decision/service_dispatcher_loans.cc
+++ b/src/libsamphire/decision/service_dispatcher_loans.cc
@@ -16,13 +16,22 @@
 }  // namespace
 
 std::optional<loan_wish> service_dispatcher::WantsLoan(time_point now) const {
-  if (queue_.size(request_kind::kInteractive) == 0)
-    return std::nullopt;
   loan_wish wish;
-  queue_.ForFirst(request_kind::kInteractive, kMostWished,
-                  [&](const waiter& entry) {
-                    wish.waits.push_back(now - entry.request.arrived);
-                  });
+  std::map<std::string, std::size_t> room;
+  queue_.Find(request_kind::kInteractive, [&](const waiter& entry) {
+    const auto& home = entry.request.home_region;
+    const auto [left, added] = room.try_emplace(home, 0);
+    if (added)
+      left->second = shifts_.room(home, now);
+    // A slot is no help to a waiter that a shift cap holds up.
+    if (left->second > 0) {
+      --left->second;
+      wish.waits.push_back(now - entry.request.arrived);
+    }
+    return wish.waits.size() >= kMostWished;
+  });
+  if (wish.waits.empty())
+    return std::nullopt;
   for (const auto& [name, load] : loads_) {
     if (load->rules.kind == request_kind::kInteractive)
       wish.longest_work =
@@ -47,7 +56,7 @@
 }
 
 std::vector<std::uint64_t> service_dispatcher::TakeIdleLoans(time_point now) {
-  const bool unused = queue_.size(request_kind::kInteractive) == 0;
+  const bool unused = !HasStartable(now);
   return pool_.loans().TakeIdle(now, [&](const held_loan& loan) {
     return unused || !pool_.IsOpen(loan.target);
   });
--- a/src/libsamphire/decision/service_dispatcher_queue.cc
+++ b/src/libsamphire/decision/service_dispatcher_queue.cc
@@ -1,7 +1,8 @@
-// How the dispatcher bounds its queue and serves it.
+// How the dispatcher serves its queue.
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "decision/service_dispatcher.h"
 
@@ -11,84 +12,14 @@
 
 using std::chrono::milliseconds;
 
-// Where no better time is known, callers come back after this.
-constexpr duration kRetryWithoutTarget = milliseconds(1000);
-constexpr duration kLeastRetry = milliseconds(1);
-// A request may be given room for the longest work of its class only out of
-// half its time; else a class whose deadline is near its longest work would
-// never be queued at all.
-constexpr int kTailShareOfTime = 2;
 // Of two waiters at different entries, a slot moves to the longer waiting only
 // if it has waited this much longer: the move itself costs a round trip in
 // which the slot stands idle.
 constexpr duration kMoveMargin = milliseconds(5);
+constexpr duration kLeastRampWait = milliseconds(1);
 
 }  // namespace
 
-// Made for overload: what can't be answered in time is refused while its caller
-// can still turn elsewhere, and takes no slot from what can. Each bound is
-// checked on arrival, so that no refusal is held back.
-std::optional<refusal> service_dispatcher::RefuseAtOnce(
-    const admission_request& request,
-    const class_load& load,
-    time_point now) {
-  if (!pool_.AnyOpen())
-    return Refuse(result_code::kNoTargetAvailable, kRetryWithoutTarget);
-  // Even with a slot free at once the usual service time must fit; only a
-  // request that waits has to leave room for the longest.
-  const auto whole = request.deadline - request.arrived;
-  const auto needed = std::min(load.service.mean(), whole / kTailShareOfTime);
-  if (request.deadline - now < needed)
-    return Refuse(result_code::kDeadlineUnreachable, kLeastRetry);
-  return std::nullopt;
-}
-
-std::optional<refusal> service_dispatcher::RefuseToQueue(
-    const admission_request& request,
-    const class_load& load,
-    time_point now) {
-  const auto kind = load.rules.kind;
-  const auto rank = load.rules.priority;
-  const auto wait = ExpectedWait(kind, queue_.ahead(kind, rank), now);
-  const double draw = std::uniform_real_distribution<>(0, 1)(random_);
-  if (kind == request_kind::kInteractive && !shedder_.Admits(rank, draw, now)) {
-    return Refuse(result_code::kShedByPriority,
-                  ExpectedWait(kind, queue_.size(kind), now));
-  }
-  if (load.queued >= load.rules.queue_limit)
-    return Refuse(result_code::kQueueFull, wait);
-  const auto left = request.deadline - now;
-  const auto needed = NeededTime(load, request.deadline - request.arrived);
-  if (wait + needed > left)
-    return Refuse(result_code::kDeadlineUnreachable, wait + needed - left);
-  return std::nullopt;
-}
-
-refusal service_dispatcher::Refuse(result_code reason, duration retry_after) {
-  ++refusals_[reason];
-  return {reason,
-          std::chrono::ceil<milliseconds>(std::max(retry_after, kLeastRetry))};
-}
-
-duration service_dispatcher::NeededTime(const class_load& load,
-                                        duration whole_time) const {
-  const duration mean = load.service.mean();
-  const duration room_for_tail = whole_time / kTailShareOfTime;
-  return std::max(mean, std::min(load.service.tail(), room_for_tail));
-}
-
-duration service_dispatcher::ExpectedWait(request_kind kind,
-                                          std::size_t ahead,
-                                          time_point now) const {
-  const auto held = pool_.UsableSlots(now);
-  auto slots = held;
-  if (kind == request_kind::kBulk)
-    slots = bulk_.allowed(held);
-  slots = std::max(1U, slots);
-  const auto mean = kind_service_[static_cast<std::size_t>(kind)].mean();
-  return mean * static_cast<std::int64_t>(ahead + 1) / slots;
-}
-
 void service_dispatcher::NoteInteractiveLoad(time_point now) {
   const auto waiting = queue_.size(request_kind::kInteractive);
   bulk_.OnInteractiveLoad(
@@ -96,7 +27,7 @@
 }
 
 bool service_dispatcher::BulkMayStart(time_point now) const {
-  return queue_.size(request_kind::kInteractive) == 0 &&
+  return !HasStartable(now) &&
          bulk_running_ < bulk_.allowed(pool_.UsableSlots(now));
 }
 
@@ -135,45 +66,85 @@
 }
 
 void service_dispatcher::Expire(time_point now, std::vector<wakeup>& wakeups) {
-  while (const auto entry = queue_.RemoveExpired(now)) {
-    shifts_.Release(entry->request.home_region, now);
-    const auto kind = entry->load->rules.kind;
-    wakeups.push_back({entry->request.id,
-                       Refuse(result_code::kQueueExpired,
-                              ExpectedWait(kind, queue_.size(kind), now))});
-  }
+  while (const auto entry = queue_.RemoveExpired(now))
+    wakeups.push_back(TellExpired(*entry, now));
+}
+
+wakeup service_dispatcher::TellExpired(const waiter& entry, time_point now) {
+  const auto& rules = entry.load->rules;
+  const auto wait =
+      ExpectedWait(rules.kind, rules.priority, entry.request.home_region, now);
+  return {entry.request.id, Refuse(result_code::kQueueExpired, wait)};
+}
+
+// The latest start was set when the request came; what its class is known to
+// need may have grown since.
+bool service_dispatcher::IsTooLate(const waiter& entry, time_point now) const {
+  const auto whole = entry.request.deadline - entry.request.arrived;
+  return now + NeededTime(*entry.load, whole) > entry.request.deadline;
 }
 
 bool service_dispatcher::ServeOne(request_kind kind,
                                   time_point now,
                                   std::vector<wakeup>& wakeups) {
+  if (!pool_.MayStartAny(now))
+    return false;
   std::optional<slot_grant> grant;
+  std::vector<std::uint64_t> too_late;
   const auto* served = queue_.Find(kind, [&](waiter& entry) {
-    if (kind == request_kind::kInteractive &&
-        LeavesSlotToPeer(entry.request.arrived, now))
+    if (IsTooLate(entry, now)) {
+      too_late.push_back(entry.request.id);
+      return false;
+    }
+    if (shifts_.room(entry.request.home_region, now) == 0 ||
+        (kind == request_kind::kInteractive &&
+         LeavesSlotToPeer(entry.request.arrived, now)))
       return false;
     grant = TryStart(entry.request, *entry.load, now);
     return grant.has_value();
   });
+  const auto waited =
+      served == nullptr ? duration::zero() : now - served->request.arrived;
+  if (served != nullptr)
+    queue_.Remove(grant->request_id);
+  for (const auto id : too_late)
+    wakeups.push_back(TellExpired(*queue_.Remove(id), now));
+  // With the hopeless gone, those behind them have their turn.
   if (served == nullptr)
-    return false;
+    return !too_late.empty();
   if (kind == request_kind::kInteractive)
-    shedder_.OnStart(now - served->request.arrived, now);
-  queue_.Remove(grant->request_id);
-  NoteInteractiveLoad(now);
+    NoteInteractiveStart(waited, now);
   wakeups.push_back({grant->request_id, std::move(*grant)});
   return true;
 }
 
+void service_dispatcher::NoteInteractiveStart(duration waited, time_point now) {
+  const auto mean = kind_service_[IndexOf(request_kind::kInteractive)].mean();
+  shedder_.OnStart(waited, mean, now);
+  interactive_gap_.OnStart(HasStartable(now), now);
+  NoteInteractiveLoad(now);
+}
+
+// Whether an interactive request waits for nothing but a slot.
+bool service_dispatcher::HasStartable(time_point now) const {
+  return queue_.Find(request_kind::kInteractive, [&](const waiter& entry) {
+    return shifts_.room(entry.request.home_region, now) > 0;
+  }) != nullptr;
+}
+
 time_point service_dispatcher::NextTick(time_point now) const {
   auto next = time_point::max();
   if (const auto expiry = queue_.next_expiry())
     next = std::min(next, *expiry + milliseconds(1));
   if (const auto loan = pool_.loans().next_expiry())
     next = std::min(next, *loan);
-  if (!queue_.empty()) {
-    if (const auto change = pool_.NextChange(now))
-      next = std::min(next, *change);
+  if (queue_.empty())
+    return next;
+  if (const auto change = pool_.NextChange(now))
+    next = std::min(next, *change);
+  for (const auto& lane : queue_.lanes()) {
+    if (const auto ramp = shifts_.UntilRamp(lane->home_region, now))
+      next = std::min(next, now + std::max(*ramp, kLeastRampWait));
   }
   return std::max(next, now);
 }
--- a/src/libsamphire/decision/service_time.cc
+++ b/src/libsamphire/decision/service_time.cc
@@ -10,9 +10,11 @@
 // The mean follows the last fifty samples or so: long enough to ride over one
 // long request, short enough to follow a cold cache within a second of load.
 constexpr double kMeanWeight = 0.02;
-// The tail falls by half in about 350 samples, so a class with one long
-// request in a hundred keeps room for it.
-constexpr double kTailDecay = 0.998;
+// The tail falls by half in about 3,500 samples. With one in 350, a class of
+// which one request in twenty takes four times as long forgot its longest work
+// between two of them, and one admitted request in fifty came late under
+// three times the load.
+constexpr double kTailDecay = 0.9998;
 
 duration Blend(duration from, duration to, double weight) {
   return from + std::chrono::duration_cast<duration>((to - from) * weight);
--- a/src/libsamphire/decision/shift_budget.cc
+++ b/src/libsamphire/decision/shift_budget.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 
 namespace samphire {
 
@@ -13,10 +14,6 @@
 // A shift that has sent nothing for this long is over, and the next one starts
 // at the initial bound: the caches it had warmed are being pushed out again.
 constexpr duration kQuietTime = std::chrono::seconds(30);
-// Where the ramp has reached the cap, only an ending request makes room.
-constexpr milliseconds kRetryAtCap{500};
-constexpr milliseconds kMaxRetry{30'000};
-
 // Made for a region that is lost or drained: its whole load turns up elsewhere
 // within seconds and meets cold caches, where each request takes several times
 // as long. The bound on work in flight is what the destination's operators say
@@ -44,10 +41,9 @@
   });
 }
 
-std::optional<refusal> shift_budget::Admit(const std::string& home_region,
-                                           time_point now) {
+void shift_budget::OnArrival(const std::string& home_region, time_point now) {
   if (home_region == own_region_)
-    return std::nullopt;
+    return;
   auto& each = shifts_[home_region];
   const bool quiet = each.in_flight == 0 && (each.last_seen == time_point{} ||
                                              now - each.last_seen > kQuietTime);
@@ -55,10 +51,24 @@
     each.started = now;
   // Refused requests keep the ramp going too: those callers will be back.
   each.last_seen = now;
-  if (each.cap && each.in_flight >= LimitOf(each, now))
-    return refusal{result_code::kShiftCapReached, RetryAfter(each, now)};
+}
+
+std::uint32_t shift_budget::room(const std::string& home_region,
+                                 time_point now) const {
+  const auto found = shifts_.find(home_region);
+  if (found == shifts_.end() || !found->second.cap)
+    return std::numeric_limits<std::uint32_t>::max();
+  const auto bound = LimitOf(found->second, now);
+  const auto taken = found->second.in_flight;
+  return bound > taken ? bound - taken : 0;
+}
+
+void shift_budget::Start(const std::string& home_region, time_point now) {
+  if (home_region == own_region_)
+    return;
+  auto& each = shifts_[home_region];
   ++each.in_flight;
-  return std::nullopt;
+  each.last_seen = now;
 }
 
 void shift_budget::Release(const std::string& home_region, time_point now) {
@@ -114,20 +124,24 @@
   return sum;
 }
 
-milliseconds shift_budget::RetryAfter(const shift& each, time_point now) const {
+std::optional<duration> shift_budget::UntilRamp(const std::string& home_region,
+                                                time_point now) const {
+  const auto found = shifts_.find(home_region);
+  if (found == shifts_.end() || !found->second.cap)
+    return std::nullopt;
+  const auto& each = found->second;
   const auto& cap = *each.cap;
-  if (cap.ramp_per_s <= 0 || each.in_flight >= ShareOf(cap, cap.max_in_flight))
-    return kRetryAtCap;
-  // The total at which this entry's share holds one more.
+  if (cap.ramp_per_s <= 0 || ShareOf(cap, cap.max_in_flight) <= each.in_flight)
+    return std::nullopt;
+  // The least total at which this entry's share holds one more.
   std::uint32_t total = RampedTotal(cap, now - each.started);
   while (total < cap.max_in_flight && ShareOf(cap, total) <= each.in_flight)
     ++total;
   const double when =
       (total - static_cast<double>(cap.initial)) / cap.ramp_per_s;
-  const std::chrono::duration<double> lasted = now - each.started;
-  const auto wait = std::chrono::ceil<milliseconds>(
-      std::chrono::duration<double>(when) - lasted);
-  return std::clamp(wait, milliseconds(1), kMaxRetry);
+  const auto reached = each.started + std::chrono::ceil<duration>(
+                                          std::chrono::duration<double>(when));
+  return std::max(duration::zero(), reached - now);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/decision/shift_budget.h
+++ b/src/libsamphire/decision/shift_budget.h
@@ -5,11 +5,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock_source.h"
 #include "config/shift_cap.h"
-#include "decision/refusal.h"
 #include "decision/shift_share.h"
 
 namespace samphire {
@@ -24,11 +24,19 @@
 
   void SetCaps(const std::vector<shift_cap>& caps, const shift_share& share);
 
-  // Takes one unit of the budget, or says why not.
-  std::optional<refusal> Admit(const std::string& home_region, time_point now);
-  // Gives back the unit of a request that was admitted.
+  // A request of this region has come, whatever becomes of it.
+  void OnArrival(const std::string& home_region, time_point now);
+  // How many more may start now; the largest number where no cap holds.
+  std::uint32_t room(const std::string& home_region, time_point now) const;
+  void Start(const std::string& home_region, time_point now);
+  // Gives back the unit of a request that was started.
   void Release(const std::string& home_region, time_point now);
 
+  // How long until the ramp lets one more in beyond what is in flight; none
+  // where no cap holds or the ramp can give no more.
+  std::optional<duration> UntilRamp(const std::string& home_region,
+                                    time_point now) const;
+
   std::uint32_t in_flight(const std::string& home_region) const;
   // This entry's share now.
   std::uint32_t limit(const std::string& home_region, time_point now) const;
@@ -43,7 +51,6 @@
 
   std::uint32_t LimitOf(const shift& each, time_point now) const;
   std::uint32_t ShareOf(const shift_cap& cap, std::uint32_t total) const;
-  milliseconds RetryAfter(const shift& each, time_point now) const;
 
   std::string own_region_;
   shift_share share_;
--- a/src/libsamphire/decision/target_pool.h
+++ b/src/libsamphire/decision/target_pool.h
@@ -52,6 +52,8 @@
   const std::vector<target_state>& all() const { return targets_; }
   bool IsOpen(std::string_view target) const;
 
+  // Whether a free slot or a due probe may let anything start.
+  bool MayStartAny(time_point now) const;
   // Slots that are free now, own and borrowed, and own ones alone.
   std::uint32_t FreeSlots(time_point now) const;
   std::uint32_t FreeOwnSlots(time_point now) const;
--- a/src/libsamphire/decision/target_pool_slots.cc
+++ b/src/libsamphire/decision/target_pool_slots.cc
@@ -53,6 +53,16 @@
       });
 }
 
+bool target_pool::MayStartAny(time_point now) const {
+  if (loans_.idle(now) > 0)
+    return true;
+  return std::any_of(
+      targets_.begin(), targets_.end(), [&](const target_state& each) {
+        const bool usable = each.health.serving() || each.health.MayProbe(now);
+        return each.open() && usable && each.OwnFree(now) > 0;
+      });
+}
+
 std::uint32_t target_pool::FreeSlots(time_point now) const {
   return FreeOwnSlots(now) + loans_.idle(now);
 }
--- a/src/libsamphire/decision/wait_queue.cc
+++ b/src/libsamphire/decision/wait_queue.cc
@@ -1,6 +1,8 @@
 #include "decision/wait_queue.h"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <utility>
 
 #include "decision/class_load.h"
@@ -14,20 +16,35 @@
 // most when the queue is longest.
 constexpr std::size_t kScanLimit = 16;
 
+constexpr std::array<priority, 3> kHighestFirst = {
+    priority::kHigh, priority::kNormal, priority::kLow};
+
 }  // namespace
 
 wait_queue::~wait_queue() {
   by_expiry_.clear();
-  for (auto& kind : lists_) {
-    for (auto& list : kind)
-      list.clear();
+  for (auto& lane : lanes_) {
+    for (auto& kind : lane->lists) {
+      for (auto& list : kind)
+        list.clear();
+    }
+  }
+}
+
+waiter_lane& wait_queue::LaneOf(const std::string& home_region) {
+  for (auto& lane : lanes_) {
+    if (lane->home_region == home_region)
+      return *lane;
   }
+  // As many as there are regions; a lane costs a few hundred bytes.
+  auto& added = lanes_.emplace_back(std::make_unique<waiter_lane>());
+  added->home_region = home_region;
+  return *added;
 }
 
-wait_queue::waiter_list& wait_queue::ListOf(const waiter& entry) {
+waiter_lane::waiter_list& wait_queue::ListOf(const waiter& entry) {
   const auto& rules = entry.load->rules;
-  return lists_[static_cast<std::size_t>(rules.kind)]
-               [static_cast<std::size_t>(rules.priority)];
+  return LaneOf(entry.request.home_region).Of(rules.kind, rules.priority);
 }
 
 void wait_queue::Add(boost::intrusive_ptr<waiter> entry) {
@@ -64,53 +81,60 @@
   return Remove(by_expiry_.begin()->request.id);
 }
 
-waiter* wait_queue::Find(request_kind kind,
-                         const std::function<bool(waiter&)>& visit) {
-  auto& ranks = lists_[static_cast<std::size_t>(kind)];
-  for (auto rank = ranks.rbegin(); rank != ranks.rend(); ++rank) {
-    std::size_t scanned = 0;
-    for (auto& entry : *rank) {
-      if (++scanned > kScanLimit)
-        break;
-      if (visit(entry))
-        return &entry;
+waiter* wait_queue::Find(request_kind kind, const waiter_visitor& visit) const {
+  for (const auto rank : kHighestFirst) {
+    std::vector<waiter_lane::waiter_list*> lists;
+    for (const auto& lane : lanes_) {
+      if (!lane->Of(kind, rank).empty())
+        lists.push_back(&lane->Of(kind, rank));
     }
-  }
-  return nullptr;
-}
-
-void wait_queue::ForFirst(
-    request_kind kind,
-    std::size_t most,
-    const std::function<void(const waiter&)>& visit) const {
-  const auto& ranks = lists_[static_cast<std::size_t>(kind)];
-  for (auto rank = ranks.rbegin(); rank != ranks.rend(); ++rank) {
-    for (const auto& entry : *rank) {
-      if (most-- == 0)
-        return;
-      visit(entry);
+    std::sort(lists.begin(), lists.end(), [](const auto* a, const auto* b) {
+      return a->front().request.arrived < b->front().request.arrived;
+    });
+    for (auto* list : lists) {
+      std::size_t visited = 0;
+      for (auto& entry : *list) {
+        if (++visited > kScanLimit)
+          break;
+        if (visit(entry))
+          return &entry;
+      }
     }
   }
+  return nullptr;
 }
 
 std::size_t wait_queue::size(request_kind kind) const {
-  return ahead(kind, priority::kLow);
+  std::size_t count = 0;
+  for (const auto& lane : lanes_) {
+    for (const auto rank : kHighestFirst)
+      count += lane->Of(kind, rank).size();
+  }
+  return count;
 }
 
-std::size_t wait_queue::ahead(request_kind kind, priority rank) const {
-  const auto& ranks = lists_[static_cast<std::size_t>(kind)];
+std::size_t wait_queue::InLane(const std::string& home_region,
+                               request_kind kind,
+                               priority rank) const {
   std::size_t count = 0;
-  for (auto i = static_cast<std::size_t>(rank); i < ranks.size(); ++i)
-    count += ranks[i].size();
+  for (const auto& lane : lanes_) {
+    if (lane->home_region != home_region)
+      continue;
+    for (const auto each : kHighestFirst)
+      count += each >= rank ? lane->Of(kind, each).size() : 0;
+  }
   return count;
 }
 
 const waiter* wait_queue::oldest(request_kind kind) const {
   const waiter* first = nullptr;
-  for (const auto& list : lists_[static_cast<std::size_t>(kind)]) {
-    if (!list.empty() && (first == nullptr || list.front().request.arrived <
-                                                  first->request.arrived))
-      first = &list.front();
+  for (const auto& lane : lanes_) {
+    for (const auto rank : kHighestFirst) {
+      const auto& list = lane->Of(kind, rank);
+      if (!list.empty() && (first == nullptr || list.front().request.arrived <
+                                                    first->request.arrived))
+        first = &list.front();
+    }
   }
   return first;
 }
