--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Timestamp.h>
@@ -13,6 +12,7 @@
 
 #include "base/log.h"
 #include "front/answer_writer.h"
+#include "front/front_request.h"
 #include "front/head_wait.h"
 
 namespace samphire {
@@ -41,6 +41,14 @@
   }
 }
 
+// A body that was not read would be taken for the next request.
+bool IsDone(const front_request& request) {
+  const bool has_body =
+      request.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
+      request.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
+  return request.body_read() || !has_body;
+}
+
 }  // namespace
 
 front_connection::front_connection(
@@ -81,14 +89,14 @@
   }
   try {
     Poco::Net::HTTPServerResponseImpl response(session);
-    Poco::Net::HTTPServerRequestImpl request(response, session, params_.get());
+    front_request request(response, session, params_.get());
     response.setDate(Poco::Timestamp());
     response.setVersion(request.getVersion());
     response.setKeepAlive(request.getKeepAlive() && !control_.closing);
     std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
         factory_->createRequestHandler(request));
     handler->handleRequest(request, response);
-    return response.sent() && response.getKeepAlive();
+    return response.sent() && response.getKeepAlive() && IsDone(request);
   } catch (const Poco::Net::NoMessageException&) {
     return false;
   } catch (const Poco::Net::MessageException&) {
--- /dev/null
+++ b/src/libsamphire/gateway/lookup_handler.cc
@@ -0,0 +1,75 @@
+#include "gateway/lookup_handler.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/URI.h>
+
+#include "front/answer_writer.h"
+#include "steering/lookup_composer.h"
+
+namespace samphire {
+
+namespace {
+
+constexpr milliseconds kRetryAfter{500};
+
+struct lookup_query {
+  std::string service;
+  std::string client;
+};
+
+result<lookup_query> ReadQuery(const std::string& uri) {
+  lookup_query query;
+  try {
+    for (const auto& [name, value] : Poco::URI(uri).getQueryParameters()) {
+      if (name == "service")
+        query.service = value;
+      if (name == "client")
+        query.client = value;
+    }
+  } catch (const Poco::Exception&) {
+    return MakeError(result_code::kMalformedRequest, "nonsense query");
+  }
+  return query;
+}
+
+}  // namespace
+
+lookup_handler::lookup_handler(node_state& state, metrics& counters)
+    : state_(state), metrics_(counters) {}
+
+void lookup_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
+                                   Poco::Net::HTTPServerResponse& response) {
+  const auto answer = Answer(request);
+  if (!answer) {
+    metrics_.CountRefusal(answer.error().code);
+    WriteRefusal(response, answer_note{.code = answer.error().code,
+                                       .retry_after = kRetryAfter,
+                                       .detail = answer.error().detail});
+    return;
+  }
+  metrics_.Count("lookups_total");
+  response.set("Cache-Control", "no-store");
+  WriteBody(response, "application/json", answer.value());
+}
+
+result<std::string> lookup_handler::Answer(
+    const Poco::Net::HTTPServerRequest& request) {
+  const auto present = state_.deployments.Get();
+  const auto entries = state_.entries.Get();
+  if (!present || !entries)
+    return MakeError(result_code::kNoConfiguration);
+  BOOST_OUTCOME_TRY(query, ReadQuery(request.getURI()));
+  if (present->FindService(query.service) == nullptr)
+    return MakeError(result_code::kUnknownService, query.service);
+  const auto address = ParseIpAddress(
+      query.client.empty() ? request.clientAddress().host().toString()
+                           : query.client);
+  if (!address)
+    return MakeError(result_code::kBadClientAddress, query.client);
+  return WriteLookupAnswer(
+      ComposeLookupAnswer(present->lookups(), *entries, *address));
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/note_reader.cc
@@ -0,0 +1,35 @@
+#include "gateway/note_reader.h"
+
+#include <Poco/NumberParser.h>
+
+#include "front/header_names.h"
+
+namespace samphire {
+
+std::optional<answer_note> ReadNote(const Poco::Net::HTTPResponse& head) {
+  const auto result_text = head.get(kHeaderResult, "");
+  int number = 0;
+  Poco::UInt64 version = 0;
+  Poco::UInt64 retry_after = 0;
+  const auto code = Poco::NumberParser::tryParse(
+                        result_text.substr(0, result_text.find(' ')), number)
+                        ? ResultCodeOf(number)
+                        : std::nullopt;
+  const auto run = ValueOf(kRunStateNames, head.get(kHeaderRun, ""));
+  if (!code || !run)
+    return std::nullopt;
+  Poco::NumberParser::tryParseUnsigned64(head.get(kHeaderConfig, "0"), version);
+  Poco::NumberParser::tryParseUnsigned64(head.get(kHeaderRetryAfterMs, "0"),
+                                         retry_after);
+  return answer_note{.code = *code,
+                     .run = *run,
+                     .config_version = version,
+                     .retry_after = milliseconds(retry_after)};
+}
+
+bool IsAnswer(const answer_note& note) {
+  return note.code == result_code::kOk || note.code == result_code::kReplayed ||
+         note.code == result_code::kAnswerTooLargeToRecord;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/note_reader.h
@@ -0,0 +1,20 @@
+#ifndef GATEWAY_NOTE_READER_H_
+#define GATEWAY_NOTE_READER_H_
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <optional>
+
+#include "front/answer_note.h"
+
+namespace samphire {
+
+// What another entry said on its answer; nothing if it was no entry's.
+std::optional<answer_note> ReadNote(const Poco::Net::HTTPResponse& head);
+
+// Whether the note goes with the answer of a run rather than with a refusal.
+bool IsAnswer(const answer_note& note);
+
+}  // namespace samphire
+
+#endif  // GATEWAY_NOTE_READER_H_
--- /dev/null
+++ b/src/libsamphire/gateway/refusal_handler.h
@@ -0,0 +1,31 @@
+#ifndef GATEWAY_REFUSAL_HANDLER_H_
+#define GATEWAY_REFUSAL_HANDLER_H_
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include "front/answer_writer.h"
+#include "metrics/metrics.h"
+
+namespace samphire {
+
+// Answers whatever the port does not serve.
+class refusal_handler final : public Poco::Net::HTTPRequestHandler {
+ public:
+  refusal_handler(result_code code, metrics& counters)
+      : code_(code), metrics_(counters) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest& /*request*/,
+                     Poco::Net::HTTPServerResponse& response) override {
+    metrics_.CountRefusal(code_);
+    WriteRefusal(response, answer_note{.code = code_});
+  }
+
+ private:
+  result_code code_;
+  metrics& metrics_;
+};
+
+}  // namespace samphire
+
+#endif  // GATEWAY_REFUSAL_HANDLER_H_
--- a/src/libsamphire/gateway/request_reader.cc
+++ b/src/libsamphire/gateway/request_reader.cc
@@ -114,28 +114,6 @@
   return read;
 }
 
-// Both lengths at once, or a coding that is not understood, is how one request
-// is smuggled in as the tail of another; the caller of the other would get its
-// answer.
-result<void> CheckBodyHeaders(const Poco::Net::HTTPServerRequest& request,
-                              const limits& bounds) {
-  const bool has_coding =
-      request.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
-  if (has_coding && !request.getChunkedTransferEncoding())
-    return MakeError(result_code::kMalformedRequest, "unknown coding");
-  if (!request.has(Poco::Net::HTTPMessage::CONTENT_LENGTH))
-    return Success();
-  if (has_coding)
-    return MakeError(result_code::kMalformedRequest, "length and coding");
-  Poco::UInt64 length = 0;
-  if (!Poco::NumberParser::tryParseUnsigned64(
-          request.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), length))
-    return MakeError(result_code::kMalformedRequest, "nonsense length");
-  if (length > bounds.max_body_bytes)
-    return MakeError(result_code::kBodyTooLarge);
-  return Success();
-}
-
 void SetBody(caller_request& request, std::string body) {
   request.body = std::move(body);
   request.fingerprint =
--- a/src/libsamphire/gateway/request_reader.h
+++ b/src/libsamphire/gateway/request_reader.h
@@ -20,10 +20,6 @@
     const std::string& home_region,
     time_point now);
 
-// What a body of this request may hold at most, or why it is refused unread.
-result<void> CheckBodyHeaders(const Poco::Net::HTTPServerRequest& request,
-                              const limits& bounds);
-
 // Gives the request its body and what follows from it.
 void SetBody(caller_request& request, std::string body);
 
