--- /dev/null
+++ b/src/libsamphire/gateway/peer_call_handler.cc
@@ -0,0 +1,68 @@
+#include "gateway/peer_call_handler.h"
+
+#include <chrono>
+
+#include "front/answer_writer.h"
+
+namespace samphire {
+
+namespace {
+
+constexpr std::uint64_t kMaxCallBytes = 1 << 20;
+
+struct call_answerer {
+  peer_call_context& context;
+
+  result<std::string> operator()(const config_ask& /*call*/) const {
+    return EncodeBinary(context.configuration.Tell());
+  }
+  result<std::string> operator()(const config_pull& call) const {
+    BOOST_OUTCOME_TRY(update,
+                      context.configuration.shelf().Pull(call.have_version));
+    return EncodeBinary(update);
+  }
+  result<std::string> operator()(const chunk_ask& call) const {
+    BOOST_OUTCOME_TRY(texts, context.configuration.shelf().Chunks(call.refs));
+    return EncodeBinary(texts);
+  }
+  result<std::string> operator()(const instances_ask& call) const {
+    return EncodeBinary(context.instances.Answer(call.known));
+  }
+};
+
+}  // namespace
+
+peer_call_handler::peer_call_handler(peer_call_context& context)
+    : context_(context) {}
+
+void peer_call_handler::handleRequest(
+    Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response) {
+  const auto answer = Answer(static_cast<front_request&>(request));
+  if (!answer) {
+    context_.counters.CountRefusal(answer.error().code);
+    WriteRefusal(response, answer_note{.code = answer.error().code});
+    return;
+  }
+  context_.counters.Count("peer_call_bytes_total", "",
+                          static_cast<std::int64_t>(answer.value().size()));
+  WriteBody(response, "application/octet-stream", answer.value());
+}
+
+result<std::string> peer_call_handler::Answer(front_request& request) {
+  const auto deadline =
+      std::chrono::steady_clock::now() + context_.limits.header_timeout;
+  BOOST_OUTCOME_TRY(body, request.ReadBody(kMaxCallBytes, deadline));
+  BOOST_OUTCOME_TRYV(context_.signer.Verify(
+      {.method = request.getMethod(),
+       .target = request.getURI(),
+       .receiver = context_.peer_address,
+       .content = body},
+      request.get(kPeerTokenHeader, "")));
+  const auto call = DecodeBinary<peer_call>(body);
+  if (!call)
+    return MakeError(result_code::kPeerMalformed);
+  return std::visit(call_answerer{context_}, *call);
+}
+
+}  // namespace samphire
