--- /dev/null
+++ b/src/entry/main.cc
@@ -0,0 +1,110 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include "base/log.h"
+#include "config/entry_settings_reader.h"
+#include "gateway/entry_node.h"
+
+ABSL_FLAG(std::string, settings, "", "the settings file (JSON)");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(std::string,
+          log_level,
+          "info",
+          "the lowest level that is logged: debug, info, warning or error");
+
+namespace {
+
+using samphire::error;
+using samphire::result;
+
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+
+constexpr const char* kUsage =
+    "serves look-ups and requests of callers.\n\n"
+    "  samphire-entry --settings=entry-1.json\n"
+    "  samphire-entry --settings=entry-1.json --check\n"
+    "  samphire-entry --settings=entry-1.json --log_level=debug\n\n"
+    "SIGTERM or SIGINT: leaves look-ups, finishes what runs, exits 0.";
+
+int Refuse(const error& why) {
+  fmt::print(stderr, "{} {}: {}{}{}\n", static_cast<int>(why.code),
+             samphire::NameOf(why.code), why.detail,
+             why.pointer.empty() ? "" : " at ", why.pointer);
+  return kExitRefused;
+}
+
+result<samphire::entry_settings> ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return samphire::MakeError(samphire::result_code::kFileUnreadable, path);
+  }
+  const std::string text((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  return samphire::ReadEntrySettings(text);
+}
+
+// Blocked in every thread before the first one starts, so that the signals
+// reach the wait below and nothing else.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int Run(const samphire::entry_settings& settings,
+        samphire::node_secrets secrets) {
+  const auto signals = BlockStopSignals();
+  samphire::entry_node node(settings, std::move(secrets));
+  node.Start();
+  int received = 0;
+  sigwait(&signals, &received);
+  node.Drain();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(kUsage);
+  absl::ParseCommandLine(argc, argv);
+  const auto level = samphire::ValueOf(samphire::kLogLevelNames,
+                                       absl::GetFlag(FLAGS_log_level));
+  if (absl::GetFlag(FLAGS_settings).empty() || !level) {
+    fmt::print(stderr, "samphire-entry {}\n", kUsage);
+    return kExitUsage;
+  }
+  const auto settings = ReadSettings(absl::GetFlag(FLAGS_settings));
+  if (!settings)
+    return Refuse(settings.error());
+  samphire::ConfigureLog(settings.value().instance, *level);
+  auto secrets = samphire::LoadSecrets(settings.value());
+  if (!secrets)
+    return Refuse(secrets.error());
+  if (absl::GetFlag(FLAGS_check))
+    return 0;
+  try {
+    return Run(settings.value(), std::move(secrets.value()));
+  } catch (const Poco::Exception& e) {
+    samphire::Log(samphire::log_level::kError, "can't-start",
+                  {{"detail", e.displayText()}});
+  } catch (const std::exception& e) {
+    samphire::Log(samphire::log_level::kError, "can't-start",
+                  {{"detail", e.what()}});
+  }
+  return kExitRefused;
+}
--- /dev/null
+++ b/src/libsamphire/gateway/deployment_keeper.cc
@@ -0,0 +1,77 @@
+#include "gateway/deployment_keeper.h"
+
+#include "base/log.h"
+
+namespace samphire {
+
+namespace {
+
+const std::string kTargetRole = "target";
+
+}  // namespace
+
+deployment_keeper::deployment_keeper(node_state& state,
+                                     gate_set& gates,
+                                     const clock_source& clock,
+                                     metrics& counters)
+    : state_(state), gates_(gates), clock_(clock), metrics_(counters) {}
+
+// The gates change before the deployment is shown: a request that reads the
+// new version must find its gate, while one that still reads the old version
+// finds the gates of what was declared before kept.
+void deployment_keeper::OnImage(const image_ptr& image) {
+  deployment_ptr next(new deployment(image->Assemble(), image->version()));
+  gates_.Follow(*next);
+  {
+    // A gate forgets what was closed of targets that changed.
+    std::lock_guard guard(lock_);
+    closed_.clear();
+  }
+  CloseTargets(*next);
+  state_.deployments.Replace(next);
+  metrics_.Set("config_version", "", static_cast<double>(image->version()));
+  Log(log_level::kInfo, "configuration-in-force",
+      {{"version", image->version()}});
+}
+
+// Only what the list says is leaving or gone closes a target. One that the
+// list merely lacks stays open: the list lags, and a target that really has
+// gone is found out by its refused connections.
+void deployment_keeper::OnInstances(
+    const std::vector<instance_info>& instances) {
+  {
+    std::lock_guard guard(lock_);
+    listed_closed_.clear();
+    for (const auto& each : instances) {
+      if (each.role == kTargetRole && each.state != instance_state::kLive)
+        listed_closed_.insert(each.name);
+    }
+  }
+  Tick();
+}
+
+void deployment_keeper::Tick() {
+  if (const auto present = state_.deployments.Get())
+    CloseTargets(*present);
+}
+
+void deployment_keeper::CloseTargets(const deployment& present) {
+  const auto now = clock_.wall_now();
+  std::lock_guard guard(lock_);
+  for (const auto& whole : present.declared().services) {
+    auto closed = present.DrainedTargets(whole, now);
+    for (const auto& each : whole.targets) {
+      if (listed_closed_.contains(whole.name + "/" + each.name))
+        closed.insert(each.name);
+    }
+    const auto gate = gates_.Find(whole.name);
+    if (!gate || closed_[whole.name] == closed)
+      continue;
+    Log(log_level::kInfo, "targets-closed",
+        {{"service", whole.name}, {"count", closed.size()}});
+    gate->SetClosedTargets(closed);
+    closed_[whole.name] = std::move(closed);
+  }
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/deployment_keeper.h
@@ -0,0 +1,48 @@
+#ifndef GATEWAY_DEPLOYMENT_KEEPER_H_
+#define GATEWAY_DEPLOYMENT_KEEPER_H_
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock_source.h"
+#include "distribution/config_image.h"
+#include "gateway/gate_set.h"
+#include "gateway/node_state.h"
+#include "metrics/metrics.h"
+#include "store/instance_info.h"
+
+namespace samphire {
+
+// Brings each configuration into force at this entry, and closes the targets
+// that drain, leave or are gone.
+class deployment_keeper {
+ public:
+  deployment_keeper(node_state& state,
+                    gate_set& gates,
+                    const clock_source& clock,
+                    metrics& counters);
+
+  void OnImage(const image_ptr& image);
+  void OnInstances(const std::vector<instance_info>& instances);
+  // Looks again whether a drain has begun.
+  void Tick();
+
+ private:
+  void CloseTargets(const deployment& present);
+
+  node_state& state_;
+  gate_set& gates_;
+  const clock_source& clock_;
+  metrics& metrics_;
+  std::mutex lock_;
+  // "SERVICE/TARGET" of targets that the platform lists as leaving or gone.
+  std::set<std::string> listed_closed_;
+  std::map<std::string, std::set<std::string>> closed_;
+};
+
+}  // namespace samphire
+
+#endif  // GATEWAY_DEPLOYMENT_KEEPER_H_
--- /dev/null
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -0,0 +1,317 @@
+#include "gateway/entry_node.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "base/log.h"
+#include "gateway/caller_handler_factory.h"
+#include "gateway/peer_handler_factory.h"
+
+namespace samphire {
+
+namespace {
+
+// Ramps, expiries and loans move in steps of milliseconds; four gates a tick
+// cost some microseconds.
+constexpr milliseconds kFastTick{5};
+constexpr int kFastTicksPerSlow = 100;
+constexpr int kSlowTicksPerConfirmation = 8;
+
+// The watch is held by a few of each region; see distribution.
+constexpr std::size_t kWatchers = kWatchersPerRegion;
+
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+double Jitter() {
+  std::random_device device;
+  return std::uniform_real_distribution<double>(0, 1)(device);
+}
+
+follower_limits FollowerLimits() {
+  follower_limits limits;
+  limits.jitter = Jitter();
+  return limits;
+}
+
+member SelfMember(const entry_settings& settings, std::uint64_t incarnation) {
+  member self;
+  self.name = settings.instance;
+  self.region = settings.region;
+  self.failure_domain = settings.failure_domain;
+  self.caller_address = settings.caller_address;
+  self.operator_address = settings.operator_address;
+  self.peer_address = settings.peer_address;
+  self.incarnation = incarnation;
+  return self;
+}
+
+front_limits FrontLimits(const entry_settings& settings) {
+  return {.max_connections = settings.max_connections,
+          .header_timeout = settings.header_timeout,
+          .idle_timeout = settings.idle_timeout};
+}
+
+std::uint64_t ShortDigest(const std::string& digest) {
+  return XXH3_64bits(digest.data(), digest.size());
+}
+
+}  // namespace
+
+entry_node::entry_node(entry_settings settings, node_secrets secrets)
+    : settings_(std::move(settings)),
+      secrets_(std::move(secrets)),
+      incarnation_(NewIncarnation()),
+      store_({.addresses = settings_.platform_addresses}, clock_, metrics_),
+      transport_(settings_.peer_address,
+                 settings_.instance,
+                 incarnation_,
+                 secrets_.keys,
+                 clock_,
+                 metrics_),
+      membership_(SelfMember(settings_, incarnation_),
+                  membership_options{},
+                  transport_,
+                  clock_,
+                  metrics_,
+                  incarnation_),
+      fleet_(settings_.region, state_),
+      messenger_(transport_, fleet_, metrics_),
+      gates_(settings_.region,
+             incarnation_,
+             clock_,
+             [this](const loan_outbox& messages) { messenger_.Send(messages); }),
+      quarantine_(
+          clock_,
+          [this](const crash_notice& notice) { messenger_.Tell(notice); }),
+      keeper_(state_, gates_, clock_, metrics_),
+      signer_(secrets_.keys, {settings_.instance, incarnation_}, clock_),
+      peer_caller_(pool_, signer_, [this] { return fleet_.OwnRegionPeers(); }),
+      follower_(store_,
+                peer_caller_,
+                clock_,
+                metrics_,
+                FollowerLimits(),
+                [this](const image_ptr& image) { OnImage(image); }),
+      instances_(store_,
+                 peer_caller_,
+                 metrics_,
+                 FollowerLimits(),
+                 [this](const std::vector<instance_info>& instances) {
+                   OnInstances(instances);
+                 }),
+      ledger_(store_, shard_router_, clock_, metrics_, LedgerOptions()),
+      local_(gates_, ledger_, quarantine_, budgets_, pool_, clock_, metrics_),
+      remote_(fleet_, signer_, budgets_, pool_, clock_, metrics_),
+      router_(settings_.region, local_, remote_, fleet_, clock_, metrics_),
+      reporter_(gates_, metrics_),
+      services_{state_, router_,  signer_,
+                clock_, metrics_, FrontLimits(settings_),
+                settings_.peer_address},
+      peer_calls_{follower_,
+                  instances_,
+                  signer_,
+                  metrics_,
+                  FrontLimits(settings_),
+                  settings_.peer_address},
+      caller_front_(settings_.caller_address,
+                    new caller_handler_factory(
+                        services_,
+                        [this] { return StatusText(); },
+                        [this] { return CountersText(); }),
+                    FrontLimits(settings_),
+                    metrics_),
+      peer_front_(settings_.peer_address,
+                  new peer_handler_factory(services_, peer_calls_),
+                  FrontLimits(settings_),
+                  metrics_) {
+  messenger_.Receive(gates_, quarantine_);
+  membership_.on_config_version = [this](std::uint64_t version,
+                                         std::uint64_t /*digest*/,
+                                         const std::string& peer) {
+    OnPeerVersion(version, peer);
+  };
+  membership_.on_replaced = [] {
+    Log(log_level::kError, "replaced",
+        {{"detail", "a later process runs under this instance's name"}});
+  };
+}
+
+entry_node::~entry_node() {
+  ticker_ = {};
+  instances_.Stop();
+  follower_.Stop();
+}
+
+void entry_node::Start() {
+  membership_.AddSeeds(settings_.seeds);
+  transport_.Start();
+  membership_.Start();
+  follower_.Start();
+  instances_.Start();
+  ledger_retry_ = std::make_unique<ledger_retry_thread>(ledger_);
+  ticker_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+  peer_front_.Start();
+  caller_front_.Start();
+  Log(log_level::kInfo, "started",
+      {{"region", settings_.region},
+       {"caller_address", caller_front_.address()},
+       {"incarnation", incarnation_}});
+}
+
+void entry_node::Run(const std::stop_token& stop) {
+  int ticks = 0;
+  std::unique_lock guard(tick_lock_);
+  while (!stop.stop_requested()) {
+    guard.unlock();
+    FastTick();
+    if (ticks % kFastTicksPerSlow == 0)
+      SlowTick();
+    if (ticks % (kFastTicksPerSlow * kSlowTicksPerConfirmation) == 0)
+      AskConfirmation();
+    ++ticks;
+    guard.lock();
+    tick_wake_.wait_for(guard, stop, kFastTick, [] { return false; });
+  }
+}
+
+void entry_node::FastTick() {
+  for (const auto& [name, gate] : gates_.All())
+    gate->Tick();
+}
+
+void entry_node::SlowTick() {
+  const auto present = state_.deployments.Get();
+  std::vector<std::string> regions;
+  if (present) {
+    for (const auto& region : present->declared().regions)
+      regions.push_back(region.name);
+    state_.fresh = follower_.confirmed_age() <=
+                   present->declared().limits.max_configuration_age;
+  }
+  fleet_.Refresh(membership_, regions);
+  keeper_.Tick();
+  reporter_.SetGauges();
+  const bool watching = membership_.IsWatcher(kWatchers);
+  follower_.SetWatching(watching);
+  instances_.SetWatching(watching);
+  const auto told = follower_.Tell();
+  membership_.SetSelf({.config_version = told.version,
+                       .watching = static_cast<std::uint8_t>(watching),
+                       .loads = reporter_.Loads()},
+                      ShortDigest(told.digest));
+}
+
+// Gossip tells of newer versions, but not how lately a peer had its own
+// confirmed; without that, entries that don't watch would each ask the
+// platform. So one peer is asked every few seconds.
+void entry_node::AskConfirmation() {
+  const auto peers = fleet_.OwnRegionPeers();
+  if (peers.empty())
+    return;
+  static thread_local std::mt19937 random(std::random_device{}());
+  const auto& peer =
+      peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(
+          random)];
+  if (const auto config = peer_caller_.Ask(peer))
+    follower_.OnPeerVersion(peer, config.value());
+}
+
+void entry_node::OnImage(const image_ptr& image) {
+  keeper_.OnImage(image);
+}
+
+void entry_node::OnInstances(const std::vector<instance_info>& instances) {
+  keeper_.OnInstances(instances);
+  std::vector<std::string> seeds;
+  for (const auto& each : instances) {
+    if (each.role == "entry" && each.state != instance_state::kGone)
+      seeds.push_back(each.address);
+  }
+  membership_.AddSeeds(seeds);
+}
+
+void entry_node::OnPeerVersion(std::uint64_t version, const std::string& peer) {
+  if (version <= follower_.Tell().version)
+    return;
+  follower_.OnPeerVersion(peer,
+                          {.version = version,
+                           .confirmed_age = std::chrono::hours(24)});
+}
+
+ledger_options entry_node::LedgerOptions() const {
+  ledger_options options;
+  options.self = {settings_.instance, incarnation_};
+  return options;
+}
+
+std::string entry_node::CountersText() {
+  reporter_.SetGauges();
+  metrics_.Set("config_age_seconds", "",
+               std::chrono::duration<double>(follower_.confirmed_age()).count());
+  metrics_.Set("ledger_pending", "", static_cast<double>(ledger_.pending()));
+  metrics_.Set("quarantined", "",
+               static_cast<double>(quarantine_.quarantined()));
+  metrics_.Set("connections", "", caller_front_.connections());
+  return metrics_.Render();
+}
+
+std::string entry_node::StatusText() {
+  std::string members;
+  for (const auto& each : membership_.members()) {
+    members += fmt::format(
+        R"({}{{"name":{},"region":{},"state":"{}","config_version":{}}})",
+        members.empty() ? "" : ",", JsonQuote(each.name),
+        JsonQuote(each.region), NameOf(kMemberStateNames, each.state),
+        each.digest.config_version);
+  }
+  std::string services;
+  for (const auto& [name, gate] : gates_.All()) {
+    const auto status = gate->status();
+    services += fmt::format(
+        R"({}{{"name":{},"owned":{},"lent":{},"borrowed":{},"free":{},)"
+        R"("in_flight":{},"headroom":{:.3f},"ejected":{}}})",
+        services.empty() ? "" : ",", JsonQuote(name), status.owned, status.lent,
+        status.borrowed, status.free, status.in_flight, status.headroom,
+        status.ejected.size());
+  }
+  const auto told = follower_.Tell();
+  return fmt::format(
+      R"({{"instance":{},"region":{},"leaving":{},"config_version":{},)"
+      R"("config_age_ms":{},"platform_failing":{},"ledger_pending":{},)"
+      R"("members":[{}],"services":[{}]}})"
+      "\n",
+      JsonQuote(settings_.instance), JsonQuote(settings_.region),
+      state_.leaving.load(), told.version,
+      std::chrono::duration_cast<milliseconds>(follower_.confirmed_age())
+          .count(),
+      follower_.platform_failing(), ledger_.pending(), members, services);
+}
+
+void entry_node::Drain() {
+  Log(log_level::kInfo, "leaving");
+  const auto started = clock_.now();
+  state_.leaving = true;
+  membership_.AnnounceLeaving();
+  const auto present = state_.deployments.Get();
+  const auto ttl =
+      present ? present->declared().limits.lookup_ttl : milliseconds{0};
+  std::this_thread::sleep_for(ttl);
+  caller_front_.StopAccepting();
+  peer_front_.StopAccepting();
+  while (caller_front_.connections() + peer_front_.connections() > 0)
+    std::this_thread::sleep_for(milliseconds{20});
+  Log(log_level::kInfo, "drained",
+      {{"seconds",
+        std::chrono::duration<double>(clock_.now() - started).count()}});
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/fleet_view.cc
@@ -0,0 +1,96 @@
+#include "gateway/fleet_view.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+live_entry LiveEntryOf(const member& each) {
+  return {.name = each.name,
+          .caller_address = each.caller_address,
+          .region = each.region,
+          .leaving = each.state == member_state::kLeaving};
+}
+
+// A suspect may only be slow, and a look-up that names it costs its callers a
+// failed connection at worst; a dead one would cost that to all of them.
+bool MayServe(const member& each) {
+  return each.state != member_state::kDead;
+}
+
+}  // namespace
+
+fleet_view::fleet_view(std::string own_region, node_state& state)
+    : own_region_(std::move(own_region)), state_(state) {}
+
+void fleet_view::Refresh(const membership_service& membership,
+                         const std::vector<std::string>& regions) {
+  boost::intrusive_ptr<copy> next(new copy);
+  std::vector<live_entry> named;
+  bool first = true;
+  for (const auto& each : membership.members()) {
+    const bool self = std::exchange(first, false);
+    if (!MayServe(each))
+      continue;
+    named.push_back(LiveEntryOf(each));
+    if (self && state_.leaving)
+      named.back().leaving = true;
+    if (!self)
+      next->own_addresses[each.name] = each.peer_address;
+  }
+  for (const auto& region : regions) {
+    if (region == own_region_)
+      continue;
+    for (const auto& contact : membership.EntriesOf(region)) {
+      next->regions[region].entries.push_back(
+          {contact.name, contact.peer_address});
+      named.push_back({.name = contact.name,
+                       .caller_address = contact.caller_address,
+                       .region = region});
+    }
+  }
+  for (const auto& seen : membership.regions())
+    next->regions[seen.digest.region].free_slots = seen.digest.free_slots;
+  copy_.Replace(next);
+  state_.entries.Replace(new entry_directory(named));
+}
+
+std::vector<peer_entry> fleet_view::EntriesIn(const std::string& region) {
+  const auto present = copy_.Get();
+  if (!present)
+    return {};
+  const auto found = present->regions.find(region);
+  return found == present->regions.end() ? std::vector<peer_entry>()
+                                         : found->second.entries;
+}
+
+bool fleet_view::HasRoom(const std::string& region,
+                         const std::string& /*service*/) {
+  const auto present = copy_.Get();
+  if (!present)
+    return false;
+  const auto found = present->regions.find(region);
+  return found != present->regions.end() && found->second.free_slots > 0;
+}
+
+std::string fleet_view::AddressOf(const std::string& name) const {
+  const auto present = copy_.Get();
+  if (!present)
+    return {};
+  const auto found = present->own_addresses.find(name);
+  return found == present->own_addresses.end() ? std::string() : found->second;
+}
+
+std::vector<std::string> fleet_view::OwnRegionPeers() const {
+  std::vector<std::string> addresses;
+  const auto present = copy_.Get();
+  if (!present)
+    return addresses;
+  for (const auto& [name, address] : present->own_addresses)
+    addresses.push_back(address);
+  return addresses;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/load_reporter.cc
@@ -0,0 +1,56 @@
+#include "gateway/load_reporter.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+
+namespace samphire {
+
+namespace {
+
+std::uint16_t Narrow(std::size_t value) {
+  return static_cast<std::uint16_t>(
+      std::min<std::size_t>(value, std::numeric_limits<std::uint16_t>::max()));
+}
+
+std::size_t QueuedIn(const dispatcher_status& status) {
+  std::size_t queued = 0;
+  for (const auto& each : status.classes)
+    queued += each.queued;
+  return queued;
+}
+
+}  // namespace
+
+load_reporter::load_reporter(gate_set& gates, metrics& counters)
+    : gates_(gates), metrics_(counters) {}
+
+std::vector<service_load> load_reporter::Loads() {
+  std::vector<service_load> loads;
+  for (const auto& [name, gate] : gates_.All()) {
+    const auto status = gate->status();
+    loads.push_back({.service_id = ServiceId(name),
+                     .free_slots = Narrow(status.free),
+                     .queued = Narrow(QueuedIn(status))});
+  }
+  if (loads.size() > kMaxServiceLoads)
+    loads.resize(kMaxServiceLoads);
+  return loads;
+}
+
+void load_reporter::SetGauges() {
+  for (const auto& [name, gate] : gates_.All()) {
+    const auto status = gate->status();
+    const auto label = "service=\"" + name + "\"";
+    metrics_.Set("slots_owned", label, status.owned);
+    metrics_.Set("slots_lent", label, status.lent);
+    metrics_.Set("slots_borrowed", label, status.borrowed);
+    metrics_.Set("in_flight", label, status.in_flight);
+    metrics_.Set("queued", label, static_cast<double>(QueuedIn(status)));
+    metrics_.Set("headroom", label, status.headroom);
+    metrics_.Set("targets_ejected", label,
+                 static_cast<double>(status.ejected.size()));
+  }
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/peer_messenger.cc
@@ -0,0 +1,88 @@
+#include "gateway/peer_messenger.h"
+
+#include <string>
+#include <variant>
+
+#include "base/bounded_codec.h"
+
+namespace samphire {
+
+namespace {
+
+struct kind_of_loan {
+  message_kind operator()(const loan_ask& /*message*/) const {
+    return message_kind::kLoanAsk;
+  }
+  message_kind operator()(const loan_renewal& /*message*/) const {
+    return message_kind::kLoanAsk;
+  }
+  message_kind operator()(const loan_grant& /*message*/) const {
+    return message_kind::kLoanAnswer;
+  }
+  message_kind operator()(const loan_refusal& /*message*/) const {
+    return message_kind::kLoanAnswer;
+  }
+  message_kind operator()(const loan_return& /*message*/) const {
+    return message_kind::kLoanReturn;
+  }
+};
+
+std::string ServiceOf(const loan_message& message) {
+  return std::visit([](const auto& each) { return each.service; }, message);
+}
+
+}  // namespace
+
+peer_messenger::peer_messenger(peer_transport& transport,
+                               fleet_view& fleet,
+                               metrics& counters)
+    : transport_(transport), fleet_(fleet), metrics_(counters) {}
+
+void peer_messenger::Receive(gate_set& gates, guarded_quarantine& quarantine) {
+  for (const auto kind : {message_kind::kLoanAsk, message_kind::kLoanAnswer,
+                          message_kind::kLoanReturn}) {
+    transport_.OnMessage(kind, [this, &gates](const peer_message& message) {
+      OnLoan(gates, message);
+    });
+  }
+  transport_.OnMessage(
+      message_kind::kQuarantine, [&quarantine](const peer_message& message) {
+        if (const auto notice = DecodeBinary<crash_notice>(message.payload))
+          quarantine.OnNotice(*notice);
+      });
+}
+
+void peer_messenger::OnLoan(gate_set& gates, const peer_message& message) {
+  const auto loan = DecodeBinary<loan_message>(message.payload);
+  const auto gate = loan ? gates.Find(ServiceOf(*loan)) : nullptr;
+  if (!gate) {
+    metrics_.CountRefusal(result_code::kPeerMalformed);
+    return;
+  }
+  gate->Receive(message.sender, *loan);
+}
+
+// A message to a member that has gone is dropped, which is what would become
+// of it on the way; the loans are made for lost messages.
+void peer_messenger::Send(const loan_outbox& messages) {
+  for (const auto& each : messages) {
+    const auto address = fleet_.AddressOf(each.to);
+    if (address.empty())
+      continue;
+    metrics_.Count("loan_messages_total");
+    static_cast<void>(transport_.Send(address,
+                                      std::visit(kind_of_loan{}, each.message),
+                                      EncodeBinary(each.message)));
+  }
+}
+
+void peer_messenger::Tell(const crash_notice& notice) {
+  metrics_.Count("crash_notices_total");
+  const auto payload = EncodeBinary(notice);
+  for (const auto& address : fleet_.OwnRegionPeers()) {
+    static_cast<void>(
+        transport_.Send(address, message_kind::kQuarantine, payload));
+  }
+}
+
+}  // namespace samphire
