Distribute the configuration: publisher, images, follower

Cause: an accepted declaration reached no entry. What was ruled out: one object (over 1 MB at 1.9 million client blocks); keys by digest alone (one operator's clean-up could delete a chunk that another's change begins to name); reading back alone after a lost answer (the first write may still be under way); last writer wins between operators. Before: no way from an apply to an entry. After: an apply writes content-addressed chunks and then the root by one conditional update; followers load by digest, from peers by delta; old chunks are collected; witnessed classes wait for a second operator. Two faults were found by the new tests and mended: an unchecked declaration was accepted and then loaded nowhere, and a peer that told of more than it had was asked in an endless loop.

--- /dev/null
+++ b/src/libsamphire/distribution/config_chunk.cc
@@ -0,0 +1,34 @@
+#include "distribution/config_chunk.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace samphire {
+
+std::string ContentDigest(std::string_view text) {
+  const auto hash = XXH3_128bits(text.data(), text.size());
+  return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
+}
+
+// The salt makes each attempt's chunks its own. Were the digest the whole key,
+// one operator's clean-up could delete a chunk in the moment in which another
+// operator's change begins to name it again, and no entry could load that
+// change: refs die once and are never named again.
+std::string MakeRef(const std::string& digest, std::uint64_t salt) {
+  return fmt::format("{}.{:016x}", digest, salt);
+}
+
+std::string DigestOf(std::string_view ref) {
+  return std::string(ref.substr(0, ref.find('.')));
+}
+
+std::string ChunkKey(std::string_view ref) {
+  return "config/chunk/" + std::string(ref);
+}
+
+chunk_ptr MakeChunk(std::string text, std::uint64_t salt) {
+  auto ref = MakeRef(ContentDigest(text), salt);
+  return {new config_chunk(std::move(ref), std::move(text))};
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/distribution/config_follower.cc
@@ -0,0 +1,295 @@
+#include "distribution/config_follower.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace samphire {
+
+namespace {
+
+// Of the peers that can be asked in an outage. More would delay the start and
+// add nothing: each of them has heard the highest version by gossip.
+constexpr std::size_t kMaxAsked = 16;
+
+}  // namespace
+
+struct config_follower::action_runner {
+  config_follower& self;
+
+  duration operator()(const read_root& /*action*/) const {
+    self.ReadPlatformRoot();
+    return duration::zero();
+  }
+  duration operator()(const pull_from_peer& action) const {
+    self.Pull(action.peer);
+    return duration::zero();
+  }
+  duration operator()(const ask_peers& /*action*/) const {
+    self.AskPeers();
+    return duration::zero();
+  }
+  duration operator()(const wait_until& action) const {
+    return action.at - self.clock_.now();
+  }
+};
+
+template <typename F>
+auto config_follower::WithState(F&& use) {
+  std::lock_guard guard(lock_);
+  return std::forward<F>(use)(state_);
+}
+
+follower_state config_follower::Snapshot() const {
+  std::lock_guard guard(lock_);
+  return state_;
+}
+
+config_follower::config_follower(object_store& store,
+                                 config_peer_source& peers,
+                                 const clock_source& clock,
+                                 metrics& metrics,
+                                 const follower_limits& limits,
+                                 on_image slot)
+    : store_(store),
+      peers_(peers),
+      clock_(clock),
+      metrics_(metrics),
+      limits_(limits),
+      slot_(std::move(slot)),
+      state_(limits, clock.now()) {}
+
+config_follower::~config_follower() {
+  Stop();
+}
+
+void config_follower::Start() {
+  puller_.Start([this] { return Step(); });
+  watcher_.Start([this] { return WatchStep(); });
+}
+
+void config_follower::Stop() {
+  puller_.Stop();
+  watcher_.Stop();
+}
+
+void config_follower::SetWatching(bool watching) {
+  WithState([&](auto& state) { state.SetWatching(watching); });
+  watcher_.Wake();
+}
+
+void config_follower::OnPeerVersion(const std::string& peer,
+                                    const peer_config& config) {
+  const auto verdict = WithState(
+      [&](auto& state) { return state.OnPeer(peer, config, clock_.now()); });
+  if (verdict == root_verdict::kDiffers)
+    CountVerdict(verdict, "peer");
+  if (verdict == root_verdict::kNewer)
+    puller_.Wake();
+}
+
+peer_config config_follower::Tell() const {
+  const auto state = Snapshot();
+  const auto age =
+      std::chrono::ceil<milliseconds>(clock_.now() - state.confirmed_at());
+  return {state.version(), state.digest(), age};
+}
+
+duration config_follower::confirmed_age() const {
+  return clock_.now() - Snapshot().confirmed_at();
+}
+
+bool config_follower::platform_failing() const {
+  return Snapshot().platform_failing();
+}
+
+duration config_follower::Step() {
+  return std::visit(action_runner{*this}, Snapshot().Next(clock_.now()));
+}
+
+void config_follower::ReadPlatformRoot() {
+  const auto root = store_.Get(kConfigRootKey);
+  const auto now = clock_.now();
+  if (!root && root.error().code == result_code::kStoreNotFound) {
+    WithState([&](auto& state) { state.OnNoRoot(now); });
+    return;
+  }
+  if (!root) {
+    WithState([&](auto& state) { state.OnPlatformError(now); });
+    metrics_.CountRetry(root.error().code);
+    return;
+  }
+  const auto& text = root.value().value;
+  const auto read = ReadRoot(text);
+  if (!read) {
+    Adopt(read.error(), now, "platform");
+    return;
+  }
+  const auto verdict = WithState([&](auto& state) {
+    return state.OnRoot(read.value().change.version, ContentDigest(text), now);
+  });
+  CountVerdict(verdict, "platform");
+  if (verdict != root_verdict::kNewer)
+    return;
+  // A whole first load is left to a peer, which spares the platform the reads.
+  const auto base = shelf_.present();
+  const auto peers = base ? std::vector<std::string>() : peers_.Peers();
+  Adopt(LoadImage(text, base, {}, FetchFrom(peers.empty() ? "" : peers[0])),
+        now, "platform");
+}
+
+void config_follower::Pull(const std::string& peer) {
+  const auto base = shelf_.present();
+  const auto update = peers_.Pull(peer, base ? base->version() : 0);
+  if (!update) {
+    Adopt(update.error(), {}, "peer");
+    return;
+  }
+  // Confirmed only as far as the peer's own confirmation says, which gossip
+  // tells; until then the age of the image before stands.
+  Adopt(LoadImage(update.value().root_text, base,
+                  ApplyUpdate(base, update.value()), FetchFrom(peer)),
+        {}, "peer");
+}
+
+void config_follower::AskPeers() {
+  auto peers = peers_.Peers();
+  peers.resize(std::min(peers.size(), kMaxAsked));
+  std::string best;
+  peer_config highest;
+  for (const auto& peer : peers) {
+    const auto told = peers_.Ask(peer);
+    if (told && told.value().version > highest.version) {
+      best = peer;
+      highest = told.value();
+    }
+  }
+  if (highest.version == 0) {
+    Adopt(MakeError(result_code::kNoConfiguration, "no peer has one"), {},
+          "peer");
+    return;
+  }
+  Log(log_level::kWarning, "config-from-peers",
+      {{"version", highest.version}, {"peer", best}});
+  Pull(best);
+  WithState([&](auto& state) { state.OnPeer(best, highest, clock_.now()); });
+}
+
+void config_follower::Adopt(const result<image_ptr>& loaded,
+                            time_point confirmed_at,
+                            std::string_view source) {
+  if (!loaded) {
+    // What is in force stays in force; only its age grows.
+    WithState([&](auto& state) { state.OnLoadFailed(clock_.now()); });
+    metrics_.Count("config_load_failures_total",
+                   fmt::format("source=\"{}\",reason=\"{}\"", source,
+                               NameOf(loaded.error().code)));
+    Log(log_level::kWarning, "config-load-failed",
+        {{"source", source},
+         {"result", NameOf(loaded.error().code)},
+         {"detail", loaded.error().detail}});
+    return;
+  }
+  const auto& image = loaded.value();
+  const auto present = shelf_.present();
+  if (present && present->version() >= image->version()) {
+    // The peer told of more than it has. Asked again at once it would answer
+    // the same, in an endless loop.
+    WithState([&](auto& state) { state.OnLoadFailed(clock_.now()); });
+    return;
+  }
+  shelf_.Add(image);
+  WithState([&](auto& state) {
+    state.OnImage(image->version(), image->digest(), confirmed_at);
+  });
+  metrics_.Count("config_loads_total", fmt::format("source=\"{}\"", source));
+  metrics_.Set("config_version", {}, static_cast<double>(image->version()));
+  slot_(image);
+}
+
+void config_follower::CountVerdict(root_verdict verdict,
+                                   std::string_view source) {
+  if (verdict != root_verdict::kOlder && verdict != root_verdict::kDiffers)
+    return;
+  const auto name = NameOf(kRootVerdictNames, verdict);
+  metrics_.Count("config_roots_refused_total",
+                 fmt::format("source=\"{}\",verdict=\"{}\"", source, name));
+  Log(log_level::kError, "config-root-refused",
+      {{"source", source}, {"verdict", name}});
+}
+
+chunk_fetch config_follower::FetchFrom(const std::string& peer) {
+  return [this, peer](const std::vector<std::string>& refs)
+             -> result<std::vector<std::string>> {
+    auto texts = FetchFromPeer(peer, refs);
+    return texts ? std::move(texts) : FetchFromStore(refs);
+  };
+}
+
+result<std::vector<std::string>> config_follower::FetchFromPeer(
+    const std::string& peer,
+    const std::vector<std::string>& refs) {
+  if (peer.empty())
+    return MakeError(result_code::kPeerUnreachable);
+  BOOST_OUTCOME_TRY(texts, peers_.Chunks(peer, refs));
+  bool sound = texts.size() == refs.size();
+  for (std::size_t i = 0; sound && i < refs.size(); ++i)
+    sound = ContentDigest(texts[i]) == DigestOf(refs[i]);
+  if (!sound) {
+    metrics_.Count("config_load_failures_total",
+                   "source=\"peer\",reason=\"store-corrupt\"");
+    return MakeError(result_code::kStoreCorrupt, peer);
+  }
+  metrics_.Count("config_chunks_fetched_total", "source=\"peer\"",
+                 static_cast<std::int64_t>(refs.size()));
+  return texts;
+}
+
+result<std::vector<std::string>> config_follower::FetchFromStore(
+    const std::vector<std::string>& refs) {
+  std::vector<std::string> texts;
+  for (const auto& ref : refs) {
+    BOOST_OUTCOME_TRY(object, store_.Get(ChunkKey(ref)));
+    texts.push_back(std::move(object.value));
+  }
+  metrics_.Count("config_chunks_fetched_total", "source=\"platform\"",
+                 static_cast<std::int64_t>(refs.size()));
+  return texts;
+}
+
+// Anything but a quiet watch has the root read anew, and a watch that begins
+// takes its cursor first: whatever is written after it will be told.
+duration config_follower::WatchStep() {
+  if (!Snapshot().watching()) {
+    cursor_ = 0;
+    return limits_.longest_retry;
+  }
+  const auto batch = store_.Watch(kConfigRootKey, cursor_, limits_.watch_wait);
+  if (!batch) {
+    cursor_ = 0;
+    WithState([&](auto& state) { state.OnPlatformError(clock_.now()); });
+    metrics_.Count("config_watch_failures_total",
+                   fmt::format("reason=\"{}\"", NameOf(batch.error().code)));
+    return limits_.first_retry * 2;
+  }
+  OnWatchBatch(batch.value());
+  return duration::zero();
+}
+
+void config_follower::OnWatchBatch(const watch_batch& batch) {
+  const bool quiet = cursor_ != 0 && !batch.reset && batch.events.empty();
+  if (batch.reset)
+    metrics_.Count("config_watch_resets_total");
+  cursor_ = batch.cursor;
+  const auto now = clock_.now();
+  WithState([&](auto& state) {
+    quiet ? state.OnQuietWatch(now) : state.OnRootChanged();
+  });
+  if (!quiet)
+    puller_.Wake();
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/distribution/config_publisher.cc
@@ -0,0 +1,288 @@
+#include "distribution/config_publisher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "config/declaration_checker.h"
+#include "config/wall_time_text.h"
+#include "distribution/declaration_lines.h"
+#include "distribution/image_loader.h"
+#include "distribution/root_commit.h"
+#include "distribution/witness_check.h"
+
+namespace samphire {
+
+namespace {
+
+// Two operators who declare drains in the same moment both mean it, and their
+// drains don't touch: each is tried on the newer version. More rivals than
+// this in a row would be a script gone wild.
+constexpr int kEditAttempts = 5;
+
+// What every entry will have to read is read here first. A declaration that a
+// caller let through unchecked would be accepted and then load nowhere, so
+// that each later change to mend it found no version to build on.
+result<void> CheckReadable(const std::vector<keyed_line>& frame) {
+  std::vector<std::string_view> lines;
+  lines.reserve(frame.size());
+  for (const auto& line : frame)
+    lines.emplace_back(line.text);
+  BOOST_OUTCOME_TRYV(ReadFrame(lines));
+  return Success();
+}
+
+std::vector<std::string> RefsOf(const std::vector<chunk_ptr>& chunks) {
+  std::vector<std::string> refs;
+  refs.reserve(chunks.size());
+  for (const auto& chunk : chunks)
+    refs.push_back(chunk->ref);
+  return refs;
+}
+
+}  // namespace
+
+config_publisher::config_publisher(object_store& store,
+                                   const clock_source& clock,
+                                   metrics& metrics,
+                                   publish_options options)
+    : store_(store),
+      clock_(clock),
+      metrics_(metrics),
+      options_(std::move(options)),
+      chunks_(store, options_, metrics) {}
+
+result<apply_receipt> config_publisher::Apply(const declaration& declared,
+                                              const apply_request& request) {
+  std::lock_guard guard(changing_);
+  BOOST_OUTCOME_TRY(from, ReadBase());
+  return Change(from, declared,
+                {FrameLines(declared), BlockLines(declared.client_blocks)},
+                request);
+}
+
+result<apply_receipt> config_publisher::AddDrain(const drain& added,
+                                                 const apply_request& request) {
+  return EditFrame(request, [&](declaration& frame) -> result<void> {
+    std::erase_if(frame.drains,
+                  [&](const drain& one) { return one.name == added.name; });
+    frame.drains.push_back(added);
+    return Success();
+  });
+}
+
+result<apply_receipt> config_publisher::RemoveDrain(
+    const std::string& name,
+    const apply_request& request) {
+  return EditFrame(request, [&](declaration& frame) -> result<void> {
+    const auto removed = std::erase_if(
+        frame.drains, [&](const drain& one) { return one.name == name; });
+    if (removed == 0)
+      return MakeError(result_code::kUnknownDrain, name);
+    return Success();
+  });
+}
+
+result<apply_receipt> config_publisher::EditFrame(const apply_request& request,
+                                                  const frame_edit& edit) {
+  std::lock_guard guard(changing_);
+  for (int n = 0;; ++n) {
+    BOOST_OUTCOME_TRY(from, ReadBase());
+    if (!from.image)
+      return MakeError(result_code::kNoConfiguration);
+    // A repeat must not fail because its first try did what it asks for.
+    if (const auto done = FindChange(from.image, request.apply_id))
+      return apply_receipt{done->version};
+    auto wanted = from.image->frame();
+    BOOST_OUTCOME_TRYV(edit(wanted));
+    BOOST_OUTCOME_TRYV(CheckDeclaration(wanted));
+    BOOST_OUTCOME_TRYV(
+        CheckNewDrains(wanted, clock_.wall_now(), &from.image->frame()));
+    auto changed =
+        Change(from, wanted, {FrameLines(wanted), std::nullopt}, request);
+    const bool rival =
+        !changed && changed.error().code == result_code::kVersionConflict;
+    if (!rival || request.expect || n + 1 >= kEditAttempts)
+      return changed;
+    metrics_.CountRetry(result_code::kVersionConflict);
+  }
+}
+
+result<apply_receipt> config_publisher::Change(const base& from,
+                                               const declaration& wanted,
+                                               changed_lines lines,
+                                               const apply_request& request) {
+  const auto content = ContentOf(lines, from.image);
+  if (const auto done = FindChange(from.image, request.apply_id)) {
+    if (done->content == content)
+      return apply_receipt{done->version};
+    return MakeError(result_code::kVersionConflict,
+                     "the apply id was used for another change");
+  }
+  if (request.expect && *request.expect != from.version())
+    return Conflict(from);
+  BOOST_OUTCOME_TRYV(CheckReadable(lines.frame));
+  auto touches = WitnessedChanges(
+      from.image ? from.image->frame() : declaration(), wanted);
+  auto built = BuildTrees(std::move(lines), from.image, options_.nonce());
+  // The first declaration has nothing that a witness could compare it to.
+  if (from.image && !touches.empty())
+    return Propose(from, built, content, std::move(touches), request);
+  return Commit(from, std::move(built),
+                {from.version() + 1, request.apply_id, request.operator_name,
+                 "", FormatWallTime(clock_.wall_now()), content, ""});
+}
+
+result<apply_receipt> config_publisher::Commit(const base& from,
+                                               built_change built,
+                                               config_change change) {
+  CollectOrphans();
+  const auto history = CollectOld(from.image);
+  CompleteChange(built, change, history, from.image, options_.nonce());
+  const auto committed = WriteChange(from, built);
+  if (!committed) {
+    // Surely not in force, so what was written for it is nobody's. After an
+    // unknown outcome it stays: the root may name it.
+    if (committed.error().code != result_code::kApplyOutcomeUnknown) {
+      const auto refs = RefsOf(built.fresh);
+      orphans_.insert(orphans_.end(), refs.begin(), refs.end());
+      CollectOrphans();
+    }
+    metrics_.Count(
+        "config_applies_refused_total",
+        fmt::format("reason=\"{}\"", NameOf(committed.error().code)));
+    return committed.error();
+  }
+  metrics_.Count("config_applies_total");
+  Log(log_level::kInfo, "config-applied",
+      {{"version", change.version},
+       {"apply_id", change.apply_id},
+       {"operator", change.operator_name},
+       {"witness", change.witness},
+       {"chunks", built.fresh.size()}});
+  return apply_receipt{change.version};
+}
+
+result<void> config_publisher::WriteChange(const base& from,
+                                           const built_change& built) {
+  for (const auto& chunk : built.fresh) {
+    // Whether a chunk was written or not: without its root it means nothing.
+    const auto written = chunks_.Write(*chunk);
+    if (!written)
+      return MakeError(result_code::kStoreUnreachable, written.error().detail);
+  }
+  const auto holds_change = [&](const std::string& text) -> result<bool> {
+    BOOST_OUTCOME_TRY(image, Load(text));
+    return FindChange(image, built.root.change.apply_id).has_value();
+  };
+  return CommitRoot(store_, WriteRoot(built.root), from.store_version,
+                    holds_change, options_, metrics_);
+}
+
+void config_publisher::CollectOrphans() {
+  if (!orphans_.empty() && chunks_.Remove(orphans_))
+    orphans_.clear();
+}
+
+// Collects what only versions older than the retained ones named, and returns
+// the history without those changes. This goes by a root that is in force, and
+// refs are never named again once dropped, so no rival's change can need what
+// is deleted here. It runs before the new root is written: were it after, a
+// process that dies in between would leave chunks that nothing remembers.
+std::vector<config_change> config_publisher::CollectOld(
+    const image_ptr& image) {
+  std::vector<config_change> kept;
+  if (!image)
+    return kept;
+  for (const auto& change : image->History()) {
+    const auto age = image->version() - change.version;
+    if (age < options_.retained) {
+      kept.push_back(change);
+      continue;
+    }
+    const auto collected = Collect(change);
+    if (collected && collected.value())
+      continue;
+    // The platform has an outage; the next change tries again. A history that
+    // grew without bound would in the end make every change fail.
+    if (age < 2 * options_.retained)
+      kept.push_back(change);
+    else
+      metrics_.Count("config_garbage_leaked_total");
+  }
+  return kept;
+}
+
+result<bool> config_publisher::Collect(const config_change& change) {
+  if (change.dropped.empty())
+    return true;
+  const auto listed = chunks_.Fetch({change.dropped});
+  // Another publisher collected it and failed to write its root.
+  if (!listed && listed.error().code == result_code::kStoreNotFound)
+    return true;
+  if (!listed)
+    return listed.error();
+  BOOST_OUTCOME_TRYV(chunks_.Remove(ReadRefs(listed.value().front())));
+  BOOST_OUTCOME_TRYV(chunks_.Remove({change.dropped}));
+  return true;
+}
+
+result<image_ptr> config_publisher::Present() {
+  BOOST_OUTCOME_TRY(from, ReadBase());
+  if (!from.image)
+    return MakeError(result_code::kNoConfiguration);
+  return from.image;
+}
+
+result<config_publisher::base> config_publisher::ReadBase() {
+  const auto root = store_.Get(kConfigRootKey);
+  if (!root && root.error().code == result_code::kStoreNotFound)
+    return base{};
+  if (!root)
+    return root.error();
+  BOOST_OUTCOME_TRY(image, Load(root.value().value));
+  return base{root.value().version, std::move(image)};
+}
+
+result<image_ptr> config_publisher::Load(const std::string& root_text) {
+  image_ptr known;
+  {
+    std::lock_guard guard(lock_);
+    known = known_;
+  }
+  if (known && known->root_text() == root_text)
+    return known;
+  BOOST_OUTCOME_TRY(image, LoadImage(root_text, known, {},
+                                     [&](const std::vector<std::string>& refs) {
+                                       return chunks_.Fetch(refs);
+                                     }));
+  OfferImage(image);
+  return image;
+}
+
+void config_publisher::OfferImage(image_ptr image) {
+  std::lock_guard guard(lock_);
+  if (!known_ || known_->version() < image->version())
+    known_ = std::move(image);
+}
+
+std::optional<config_change> config_publisher::FindChange(
+    const image_ptr& image,
+    const std::string& apply_id) {
+  if (!image)
+    return std::nullopt;
+  for (auto& change : image->History()) {
+    if (change.apply_id == apply_id)
+      return std::move(change);
+  }
+  return std::nullopt;
+}
+
+error config_publisher::Conflict(const base& from) {
+  return MakeError(result_code::kVersionConflict,
+                   fmt::format("in force is {}", from.version()));
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/distribution/tree_ref_json.h
@@ -0,0 +1,18 @@
+#ifndef DISTRIBUTION_TREE_REF_JSON_H_
+#define DISTRIBUTION_TREE_REF_JSON_H_
+
+#include <Poco/JSON/Object.h>
+
+#include <string>
+
+#include "distribution/tree_ref.h"
+
+namespace samphire {
+
+std::string WriteTreeRef(const tree_ref& tree);
+// Throws a Poco exception if the member `name` is not a tree.
+tree_ref ReadTreeRef(const Poco::JSON::Object& json, const std::string& name);
+
+}  // namespace samphire
+
+#endif  // DISTRIBUTION_TREE_REF_JSON_H_
