--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -29,8 +29,12 @@
 }
 
 std::string SettingsJson(const fleet_plan& plan,
-                         const entry_settings& settings,
+                         std::size_t entry,
                          const std::string& directory) {
+  const auto& settings = plan.entries[entry];
+  const auto& platform = entry < plan.entry_platform_addresses.size()
+                             ? plan.entry_platform_addresses[entry]
+                             : plan.platform_address;
   std::string seeds;
   for (const auto& other : plan.entries) {
     if (other.instance != settings.instance)
@@ -64,7 +68,7 @@
   entries_.resize(plan_.entries.size());
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     Write(plan_.entries[i].instance + ".json",
-          SettingsJson(plan_, plan_.entries[i], directory_));
+          SettingsJson(plan_, i, directory_));
     SetInstance(i, "live");
   }
   for (std::size_t i = 0; i < entries_.size(); ++i)
@@ -214,6 +218,12 @@
   return count;
 }
 
+bool fleet::MoreWhole(std::size_t more) const {
+  const auto before = CountAnswers(answer_body::kWhole);
+  return WaitUntil(
+      [&] { return CountAnswers(answer_body::kWhole) >= before + more; });
+}
+
 std::string fleet::File(const std::string& name) const {
   return directory_ + "/" + name;
 }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -57,6 +57,8 @@
   std::vector<history_event> History() const;
   // How many answers of a kind callers have had so far.
   std::size_t CountAnswers(answer_body body) const;
+  // Waits until callers have had `more` further whole answers.
+  bool MoreWhole(std::size_t more) const;
 
  private:
   std::string File(const std::string& name) const;
--- a/tests/process/fleet_plan.h
+++ b/tests/process/fleet_plan.h
@@ -12,6 +12,9 @@
 // A small deployment with two regions: what a test starts and declares.
 struct fleet_plan {
   std::string platform_address;
+  // Where the first entries reach the platform, if not directly: a relay's
+  // address for each.
+  std::vector<std::string> entry_platform_addresses{};
   std::vector<entry_settings> entries;
   samphire::declaration declaration;
 };
