--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,7 +1,7 @@
+#include <Poco/Exception.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <Poco/Exception.h>
 #include <fmt/format.h>
 #include <signal.h>
 
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -85,10 +85,11 @@
                   incarnation_),
       fleet_(settings_.region, state_),
       messenger_(transport_, fleet_, metrics_),
-      gates_(settings_.region,
-             incarnation_,
-             clock_,
-             [this](const loan_outbox& messages) { messenger_.Send(messages); }),
+      gates_(
+          settings_.region,
+          incarnation_,
+          clock_,
+          [this](const loan_outbox& messages) { messenger_.Send(messages); }),
       quarantine_(
           clock_,
           [this](const crash_notice& notice) { messenger_.Tell(notice); }),
@@ -113,8 +114,12 @@
       remote_(fleet_, signer_, budgets_, pool_, clock_, metrics_),
       router_(settings_.region, local_, remote_, fleet_, clock_, metrics_),
       reporter_(gates_, metrics_),
-      services_{state_, router_,  signer_,
-                clock_, metrics_, FrontLimits(settings_),
+      services_{state_,
+                router_,
+                signer_,
+                clock_,
+                metrics_,
+                FrontLimits(settings_),
                 settings_.peer_address},
       peer_calls_{follower_,
                   instances_,
@@ -134,11 +139,9 @@
                   FrontLimits(settings_),
                   metrics_) {
   messenger_.Receive(gates_, quarantine_);
-  membership_.on_config_version = [this](std::uint64_t version,
-                                         std::uint64_t /*digest*/,
-                                         const std::string& peer) {
-    OnPeerVersion(version, peer);
-  };
+  membership_.on_config_version =
+      [this](std::uint64_t version, std::uint64_t /*digest*/,
+             const std::string& peer) { OnPeerVersion(version, peer); };
   membership_.on_replaced = [] {
     Log(log_level::kError, "replaced",
         {{"detail", "a later process runs under this instance's name"}});
@@ -218,9 +221,8 @@
   if (peers.empty())
     return;
   static thread_local std::mt19937 random(std::random_device{}());
-  const auto& peer =
-      peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(
-          random)];
+  const auto& peer = peers[std::uniform_int_distribution<std::size_t>(
+      0, peers.size() - 1)(random)];
   if (const auto config = peer_caller_.Ask(peer))
     follower_.OnPeerVersion(peer, config.value());
 }
@@ -242,9 +244,8 @@
 void entry_node::OnPeerVersion(std::uint64_t version, const std::string& peer) {
   if (version <= follower_.Tell().version)
     return;
-  follower_.OnPeerVersion(peer,
-                          {.version = version,
-                           .confirmed_age = std::chrono::hours(24)});
+  follower_.OnPeerVersion(
+      peer, {.version = version, .confirmed_age = std::chrono::hours(24)});
 }
 
 ledger_options entry_node::LedgerOptions() const {
@@ -255,8 +256,9 @@
 
 std::string entry_node::CountersText() {
   reporter_.SetGauges();
-  metrics_.Set("config_age_seconds", "",
-               std::chrono::duration<double>(follower_.confirmed_age()).count());
+  metrics_.Set(
+      "config_age_seconds", "",
+      std::chrono::duration<double>(follower_.confirmed_age()).count());
   metrics_.Set("ledger_pending", "", static_cast<double>(ledger_.pending()));
   metrics_.Set("quarantined", "",
                static_cast<double>(quarantine_.quarantined()));
--- a/src/libsamphire/gateway/peer_call_handler.cc
+++ b/src/libsamphire/gateway/peer_call_handler.cc
@@ -35,9 +35,8 @@
 peer_call_handler::peer_call_handler(peer_call_context& context)
     : context_(context) {}
 
-void peer_call_handler::handleRequest(
-    Poco::Net::HTTPServerRequest& request,
-    Poco::Net::HTTPServerResponse& response) {
+void peer_call_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
+                                      Poco::Net::HTTPServerResponse& response) {
   const auto answer = Answer(static_cast<front_request&>(request));
   if (!answer) {
     context_.counters.CountRefusal(answer.error().code);
@@ -53,12 +52,11 @@
   const auto deadline =
       std::chrono::steady_clock::now() + context_.limits.header_timeout;
   BOOST_OUTCOME_TRY(body, request.ReadBody(kMaxCallBytes, deadline));
-  BOOST_OUTCOME_TRYV(context_.signer.Verify(
-      {.method = request.getMethod(),
-       .target = request.getURI(),
-       .receiver = context_.peer_address,
-       .content = body},
-      request.get(kPeerTokenHeader, "")));
+  BOOST_OUTCOME_TRYV(context_.signer.Verify({.method = request.getMethod(),
+                                             .target = request.getURI(),
+                                             .receiver = context_.peer_address,
+                                             .content = body},
+                                            request.get(kPeerTokenHeader, "")));
   const auto call = DecodeBinary<peer_call>(body);
   if (!call)
     return MakeError(result_code::kPeerMalformed);
--- a/src/libsamphire/gateway/peer_handler_factory.h
+++ b/src/libsamphire/gateway/peer_handler_factory.h
@@ -10,8 +10,7 @@
 
 // The handlers of the peers' port: calls between entries, and requests that
 // another region's entries pass here.
-class peer_handler_factory final
-    : public Poco::Net::HTTPRequestHandlerFactory {
+class peer_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
  public:
   peer_handler_factory(service_context& services, peer_call_context& calls);
 
--- a/src/libsamphire/gateway/peer_messenger.cc
+++ b/src/libsamphire/gateway/peer_messenger.cc
@@ -22,6 +22,9 @@
   message_kind operator()(const loan_refusal& /*message*/) const {
     return message_kind::kLoanAnswer;
   }
+  message_kind operator()(const loan_closed& /*message*/) const {
+    return message_kind::kLoanAnswer;
+  }
   message_kind operator()(const loan_return& /*message*/) const {
     return message_kind::kLoanReturn;
   }
