Let operators drive an entry: HTTP interface and samphirectl

Cause: nothing let an operator check, apply, drain, witness or settle. Ruled out: sending an apply again after a lost answer, since the second could be refused for what the first did; Abseil's own parsing of the command line, since it ends with 1, which here means refused; read() for bodies, since a sender of single bytes outlasts any deadline; taking a waiting proposal for a lost witness's refusal, since the consent may be on its way. Before: an interface on paper.

--- /dev/null
+++ b/src/entry/operator/ledger_query.h
@@ -0,0 +1,16 @@
+#ifndef ENTRY_OPERATOR_LEDGER_QUERY_H_
+#define ENTRY_OPERATOR_LEDGER_QUERY_H_
+
+#include <string>
+
+namespace samphire {
+
+// Which reservation is meant.
+struct ledger_query {
+  std::string service;
+  std::string key;
+};
+
+}  // namespace samphire
+
+#endif  // ENTRY_OPERATOR_LEDGER_QUERY_H_
--- /dev/null
+++ b/src/entry/operator/ledger_resolution.h
@@ -0,0 +1,19 @@
+#ifndef ENTRY_OPERATOR_LEDGER_RESOLUTION_H_
+#define ENTRY_OPERATOR_LEDGER_RESOLUTION_H_
+
+#include "base/enum_names.h"
+
+namespace samphire {
+
+// How an operator settles a reservation in doubt: it did run, or it did not
+// and may be tried again.
+enum class ledger_resolution { kDone, kReleased };
+
+inline constexpr enum_names<ledger_resolution, 2> kLedgerResolutionNames{{
+    {ledger_resolution::kDone, "done"},
+    {ledger_resolution::kReleased, "released"},
+}};
+
+}  // namespace samphire
+
+#endif  // ENTRY_OPERATOR_LEDGER_RESOLUTION_H_
--- /dev/null
+++ b/src/entry/operator/operator_handler.cc
@@ -0,0 +1,114 @@
+#include "entry/operator/operator_handler.h"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <istream>
+#include <string_view>
+
+#include "base/log.h"
+#include "entry/operator/operator_json.h"
+#include "entry/operator/secret_equals.h"
+
+namespace samphire {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kReadBytes = 16384;
+constexpr const char* kRetryAfterSeconds = "1";
+
+error OutcomeOf(const result<operator_outcome>& answer) {
+  return answer.has_error() ? answer.error() : MakeError(answer.value().code);
+}
+
+}  // namespace
+
+operator_handler::operator_handler(operator_api& api,
+                                   const std::string& token,
+                                   const operator_limits& limits,
+                                   samphire::metrics& counters)
+    : api_(api), token_(token), limits_(limits), metrics_(counters) {}
+
+void operator_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
+                                     Poco::Net::HTTPServerResponse& response) {
+  const auto answer = Answer(request);
+  const auto outcome = OutcomeOf(answer);
+  const auto& info = InfoOf(outcome.code);
+  metrics_.Count("operator_calls_total",
+                 fmt::format("result=\"{}\"", info.name));
+  Log(answer.has_error() ? log_level::kWarning : log_level::kInfo,
+      "operator-call",
+      {{"method", request.getMethod()},
+       {"path", request.getURI().substr(0, request.getURI().find('?'))},
+       {"result", info.name},
+       {"detail", outcome.detail}});
+  if (answer.has_error()) {
+    metrics_.CountRefusal(outcome.code);
+    // Part of the body may be unread; the next call must not start within it.
+    response.setKeepAlive(false);
+  }
+  const auto body =
+      OperatorAnswerText(outcome, answer.has_error() ? Poco::JSON::Object()
+                                                     : answer.value().fields);
+  response.setStatus(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(info.http_status));
+  response.set("Samphirewinch-Result",
+               fmt::format("{} {}", static_cast<int>(info.code), info.name));
+  if (info.come_back)
+    response.set("Retry-After", kRetryAfterSeconds);
+  response.setContentType("application/json");
+  response.sendBuffer(body.data(), body.size());
+}
+
+// The token comes first: who has none learns neither which calls there are nor
+// makes the entry read a body.
+result<operator_outcome> operator_handler::Answer(
+    Poco::Net::HTTPServerRequest& request) {
+  if (!IsAuthorized(request))
+    return MakeError(result_code::kUnauthorized);
+  BOOST_OUTCOME_TRY(call,
+                    ParseOperatorCall(request.getMethod(), request.getURI()));
+  BOOST_OUTCOME_TRY(body, ReadBody(request));
+  call.body = std::move(body);
+  return DispatchOperatorCall(api_, call);
+}
+
+bool operator_handler::IsAuthorized(
+    const Poco::Net::HTTPServerRequest& request) const {
+  const std::string given = request.get("Authorization", "");
+  return given.starts_with(kBearer) &&
+         SecretEquals(token_, std::string_view(given).substr(kBearer.size()));
+}
+
+// Bounded in bytes and in time: an operator's connection that stalls must not
+// hold a thread that another operator needs in an incident. Only what has
+// arrived is taken at a time, since read() would wait for a whole piece and a
+// sender of single bytes would outlast any deadline. A body shorter than
+// announced was cut on its way and is never taken for the whole file.
+result<std::string> operator_handler::ReadBody(
+    Poco::Net::HTTPServerRequest& request) const {
+  const auto announced = request.getContentLength64();
+  if (announced > static_cast<Poco::Int64>(limits_.max_body_bytes))
+    return MakeError(result_code::kBodyTooLarge);
+  const auto deadline = std::chrono::steady_clock::now() + limits_.body_timeout;
+  std::string body;
+  std::string piece(kReadBytes, '\0');
+  auto& stream = request.stream();
+  while (stream.peek() != std::istream::traits_type::eof()) {
+    const auto taken = stream.readsome(
+        piece.data(), static_cast<std::streamsize>(piece.size()));
+    body.append(piece, 0, static_cast<std::size_t>(taken));
+    if (body.size() > limits_.max_body_bytes)
+      return MakeError(result_code::kBodyTooLarge);
+    if (std::chrono::steady_clock::now() > deadline)
+      return MakeError(result_code::kRequestTooSlow);
+  }
+  if (announced > static_cast<Poco::Int64>(body.size()))
+    return MakeError(result_code::kMalformedRequest, "the body was cut short");
+  return body;
+}
+
+}  // namespace samphire
--- a/src/libsamphire/steering/snapshot_holder.h
+++ b/src/libsamphire/steering/shared_snapshot.h
@@ -1,5 +1,5 @@
-#ifndef STEERING_SNAPSHOT_HOLDER_H_
-#define STEERING_SNAPSHOT_HOLDER_H_
+#ifndef STEERING_SHARED_SNAPSHOT_H_
+#define STEERING_SHARED_SNAPSHOT_H_
 
 #include <array>
 #include <atomic>
@@ -21,11 +21,11 @@
 // would let hundreds of idle connection threads hold old tables of tens of
 // megabytes each. So readers are counted in slots, spread over the threads.
 template <typename T>
-class snapshot_holder {
+class shared_snapshot {
  public:
   using pointer = boost::intrusive_ptr<const T>;
 
-  explicit snapshot_holder(pointer first = nullptr)
+  explicit shared_snapshot(pointer first = nullptr)
       : held_(std::move(first)), current_(held_.get()) {}
 
   // Runs `visit` on the present object, which may be null. Keep it short: a
@@ -67,7 +67,7 @@
 
   class reader_mark {
    public:
-    explicit reader_mark(const snapshot_holder& holder)
+    explicit reader_mark(const shared_snapshot& holder)
         : count_(holder.slots_[OwnSlot()].readers[holder.phase_.load()]) {
       count_.fetch_add(1);
     }
@@ -101,4 +101,4 @@
 
 }  // namespace samphire
 
-#endif  // STEERING_SNAPSHOT_HOLDER_H_
+#endif  // STEERING_SHARED_SNAPSHOT_H_
--- a/tests/steering/lookup_test.cc
+++ b/tests/steering/lookup_test.cc
@@ -8,7 +8,7 @@
 
 #include "config/client_block_text.h"
 #include "steering/lookup_composer.h"
-#include "steering/snapshot_holder.h"
+#include "steering/shared_snapshot.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -169,7 +169,7 @@
     return boost::intrusive_ptr<const lookup_snapshot>(
         new lookup_snapshot(declared, version));
   };
-  snapshot_holder<lookup_snapshot> holder(made(0));
+  shared_snapshot<lookup_snapshot> holder(made(0));
   const auto stranger = *ParseIpAddress("192.0.2.1");
   std::atomic<bool> stop{false};
   std::atomic<int> wrong{0};
