--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -47,7 +47,7 @@
       R"("peer_key_file":"{}/peer.key","operator_token_file":"{}/token"}})",
       settings.instance, settings.region, settings.failure_domain,
       settings.caller_address, settings.operator_address, settings.peer_address,
-      plan.platform_address, seeds, directory, directory);
+      platform, seeds, directory, directory);
 }
 
 }  // namespace
