--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -13,6 +13,9 @@
 
 #include "base/log.h"
 #include "config/entry_settings_reader.h"
+#include "entry/operator/operator_handler_factory.h"
+#include "entry/operator_service.h"
+#include "front/front_server.h"
 #include "gateway/entry_node.h"
 
 ABSL_FLAG(std::string, settings, "", "the settings file (JSON)");
@@ -29,6 +32,9 @@
 
 constexpr int kExitRefused = 1;
 constexpr int kExitUsage = 2;
+// Operators and their scripts; kept apart from callers, so that a crowd of
+// those never shuts an operator out.
+constexpr std::uint32_t kOperatorConnections = 32;
 
 constexpr const char* kUsage =
     "serves look-ups and requests of callers.\n\n"
@@ -69,8 +75,16 @@
 int Run(const samphire::entry_settings& settings,
         samphire::node_secrets secrets) {
   const auto signals = BlockStopSignals();
+  const auto token = secrets.operator_token;
   samphire::entry_node node(settings, std::move(secrets));
+  samphire::operator_service operators(node);
+  samphire::front_server operator_front(
+      settings.operator_address,
+      new samphire::operator_handler_factory(operators, token, {},
+                                             node.counters()),
+      {.max_connections = kOperatorConnections}, node.counters());
   node.Start();
+  operator_front.Start();
   int received = 0;
   sigwait(&signals, &received);
   node.Drain();
--- a/src/entry/operator/apply_request.h
+++ b/src/entry/operator/apply_call.h
@@ -1,5 +1,5 @@
-#ifndef ENTRY_OPERATOR_APPLY_REQUEST_H_
-#define ENTRY_OPERATOR_APPLY_REQUEST_H_
+#ifndef ENTRY_OPERATOR_APPLY_CALL_H_
+#define ENTRY_OPERATOR_APPLY_CALL_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,7 +8,7 @@
 namespace samphire {
 
 // An operator's wish that a declaration come into force.
-struct apply_request {
+struct apply_call {
   // Made by the caller, so that a lost answer can be settled by it.
   std::string apply_id;
   std::string operator_name;
@@ -19,4 +19,4 @@
 
 }  // namespace samphire
 
-#endif  // ENTRY_OPERATOR_APPLY_REQUEST_H_
+#endif  // ENTRY_OPERATOR_APPLY_CALL_H_
--- a/src/entry/operator/operator_api.h
+++ b/src/entry/operator/operator_api.h
@@ -7,7 +7,7 @@
 #include "base/result.h"
 #include "config/drain.h"
 #include "entry/operator/apply_answer.h"
-#include "entry/operator/apply_request.h"
+#include "entry/operator/apply_call.h"
 #include "entry/operator/config_answer.h"
 #include "entry/operator/drain_add_request.h"
 #include "entry/operator/drain_remove_request.h"
@@ -26,7 +26,7 @@
   virtual ~operator_api() = default;
 
   virtual result<void> Check(const std::string& text) = 0;
-  virtual result<apply_answer> Apply(const apply_request& request) = 0;
+  virtual result<apply_answer> Apply(const apply_call& request) = 0;
   virtual result<config_answer> Config() = 0;
   // The newest first.
   virtual result<std::vector<history_entry>> History() = 0;
--- /dev/null
+++ b/src/entry/operator_service.cc
@@ -0,0 +1,203 @@
+#include "entry/operator_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "config/declaration_reader.h"
+#include "config/declaration_writer.h"
+#include "config/wall_time_text.h"
+
+namespace samphire {
+
+namespace {
+
+history_entry EntryOf(const config_change& change) {
+  return {.version = change.version,
+          .apply_id = change.apply_id,
+          .operator_name = change.operator_name,
+          .witness = change.witness,
+          .proposal = change.witness.empty() ? "" : change.apply_id,
+          .state = history_state::kAccepted,
+          .at = ParseWallTime(change.at).value_or(wall_time{})};
+}
+
+history_entry EntryOf(const config_proposal& proposal) {
+  return {.apply_id = proposal.id,
+          .operator_name = proposal.operator_name,
+          .proposal = proposal.id,
+          .state = history_state::kProposed};
+}
+
+ledger_answer AnswerOf(const ledger_entry& entry) {
+  return {.service = entry.service,
+          .key = entry.key,
+          .state = std::string(NameOf(kReservationStateNames, entry.state)),
+          .holder = entry.holder.instance,
+          .reserved_at = entry.changed_at,
+          .settled_by = entry.settled_by,
+          .reason = entry.reason};
+}
+
+member_status StatusOf(const member& each) {
+  return {.name = each.name,
+          .region = each.region,
+          .state = std::string(NameOf(kMemberStateNames, each.state)),
+          .config_version = each.digest.config_version};
+}
+
+}  // namespace
+
+operator_service::operator_service(entry_node& node)
+    : node_(node), publisher_(node.store(), node.clock(), node.counters()) {}
+
+// Drains that are in force already may have passed since; a file that repeats
+// them is not wrong for that.
+result<declaration> operator_service::Read(const std::string& text) {
+  const auto image = node_.configuration().image();
+  if (!image)
+    return ReadDeclaration(text, node_.clock().wall_now());
+  return ReadDeclaration(text, node_.clock().wall_now(), &image->frame());
+}
+
+result<void> operator_service::Check(const std::string& text) {
+  auto read = Read(text);
+  if (!read)
+    return read.error();
+  return Success();
+}
+
+result<apply_answer> operator_service::Apply(const apply_call& request) {
+  BOOST_OUTCOME_TRY(declared, Read(request.text));
+  return AnswerOf(
+      publisher_.Apply(
+          declared, {request.apply_id, request.operator_name, request.expect}),
+      request.apply_id, request.operator_name);
+}
+
+result<apply_answer> operator_service::AnswerOf(
+    const result<apply_receipt>& receipt,
+    const std::string& apply_id,
+    const std::string& operator_name) {
+  if (receipt) {
+    Log(log_level::kInfo, "applied",
+        {{"version", receipt.value().version},
+         {"apply_id", apply_id},
+         {"operator", operator_name}});
+    return apply_answer{.version = receipt.value().version};
+  }
+  if (receipt.error().code == result_code::kWitnessNeeded)
+    return apply_answer{.proposal = apply_id};
+  Log(log_level::kWarning, "apply-refused",
+      {{"apply_id", apply_id},
+       {"operator", operator_name},
+       {"code", static_cast<int>(receipt.error().code)},
+       {"detail", receipt.error().detail}});
+  return receipt.error();
+}
+
+result<config_answer> operator_service::Config() {
+  const auto image = node_.configuration().image();
+  if (!image)
+    return MakeError(result_code::kNoConfiguration);
+  const auto& change = image->root().change;
+  return config_answer{.version = image->version(),
+                       .apply_id = change.apply_id,
+                       .operator_name = change.operator_name,
+                       .text = WriteDeclaration(image->Assemble())};
+}
+
+// Read from the platform: an operator who asks what became of an apply must
+// not be told of a time before it.
+result<std::vector<history_entry>> operator_service::History() {
+  std::vector<history_entry> history;
+  BOOST_OUTCOME_TRY(proposals, publisher_.Proposals());
+  for (const auto& each : proposals)
+    history.push_back(EntryOf(each));
+  const auto present = publisher_.Present();
+  if (!present) {
+    if (present.error().code == result_code::kNoConfiguration)
+      return history;
+    return present.error();
+  }
+  auto changes = present.value()->History();
+  std::reverse(changes.begin(), changes.end());
+  for (const auto& each : changes)
+    history.push_back(EntryOf(each));
+  return history;
+}
+
+result<apply_answer> operator_service::Witness(const witness_request& request) {
+  return AnswerOf(publisher_.Witness(request.proposal, request.operator_name),
+                  request.proposal, request.operator_name);
+}
+
+result<status_answer> operator_service::Status() {
+  status_answer answer;
+  answer.instance = node_.settings().instance;
+  answer.region = node_.settings().region;
+  answer.config_version = node_.configuration().Tell().version;
+  answer.config_age = std::chrono::duration_cast<milliseconds>(
+      node_.configuration().confirmed_age());
+  for (const auto& each : node_.membership().members())
+    answer.members.push_back(StatusOf(each));
+  answer.details = node_.StatusText();
+  return answer;
+}
+
+result<std::vector<drain>> operator_service::Drains() {
+  const auto image = node_.configuration().image();
+  if (!image)
+    return MakeError(result_code::kNoConfiguration);
+  return image->frame().drains;
+}
+
+result<apply_answer> operator_service::AddDrain(
+    const drain_add_request& request) {
+  return AnswerOf(
+      publisher_.AddDrain(request.drain,
+                          {request.apply_id, request.operator_name, {}}),
+      request.apply_id, request.operator_name);
+}
+
+result<apply_answer> operator_service::RemoveDrain(
+    const drain_remove_request& request) {
+  return AnswerOf(
+      publisher_.RemoveDrain(request.drain_name,
+                             {request.apply_id, request.operator_name, {}}),
+      request.apply_id, request.operator_name);
+}
+
+result<std::vector<ledger_answer>> operator_service::Unresolved() {
+  BOOST_OUTCOME_TRY(report, node_.reservations().Unresolved());
+  if (!report.corrupt_shards.empty()) {
+    return MakeError(result_code::kStoreCorrupt,
+                     "ledger shard " + report.corrupt_shards.front());
+  }
+  std::vector<ledger_answer> answers;
+  for (const auto& each : report.entries)
+    answers.push_back(samphire::AnswerOf(each));
+  return answers;
+}
+
+result<ledger_answer> operator_service::ShowLedger(const ledger_query& query) {
+  BOOST_OUTCOME_TRY(record,
+                    node_.reservations().Show(query.service, query.key));
+  auto answer = samphire::AnswerOf(record.entry);
+  if (record.in_doubt)
+    answer.state = NameOf(kReservationStateNames, reservation_state::kUnknown);
+  return answer;
+}
+
+result<ledger_answer> operator_service::ResolveLedger(
+    const ledger_resolve_request& request) {
+  const auto as = request.as == ledger_resolution::kDone
+                      ? resolution::kDone
+                      : resolution::kReleased;
+  BOOST_OUTCOME_TRYV(
+      node_.reservations().Resolve(request.which.service, request.which.key, as,
+                                   request.operator_name, request.reason));
+  return ShowLedger(request.which);
+}
+
+}  // namespace samphire
--- a/src/libsamphire/gateway/fleet_view.h
+++ b/src/libsamphire/gateway/fleet_view.h
@@ -10,7 +10,7 @@
 #include "gateway/node_state.h"
 #include "gateway/peer_directory.h"
 #include "membership/membership_service.h"
-#include "steering/snapshot_holder.h"
+#include "steering/shared_snapshot.h"
 
 namespace samphire {
 
@@ -43,7 +43,7 @@
 
   const std::string own_region_;
   node_state& state_;
-  snapshot_holder<copy> copy_;
+  shared_snapshot<copy> copy_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/gateway/node_state.h
+++ b/src/libsamphire/gateway/node_state.h
@@ -6,16 +6,16 @@
 
 #include "gateway/deployment.h"
 #include "steering/entry_directory.h"
-#include "steering/snapshot_holder.h"
+#include "steering/shared_snapshot.h"
 
 namespace samphire {
 
 // What the request threads of one entry read without a lock.
 struct node_state {
   // Null until a version is confirmed.
-  snapshot_holder<deployment> deployments;
+  shared_snapshot<deployment> deployments;
   // The entries that look-ups name.
-  snapshot_holder<entry_directory> entries;
+  shared_snapshot<entry_directory> entries;
   // Set by a planned stop: look-ups leave this entry out, requests go on.
   std::atomic<bool> leaving = false;
   // Whether the configuration was confirmed lately enough to run what may not
--- a/tests/ctl/fake_operator_api.cc
+++ b/tests/ctl/fake_operator_api.cc
@@ -14,7 +14,7 @@
   return Success();
 }
 
-result<apply_answer> fake_operator_api::Apply(const apply_request& request) {
+result<apply_answer> fake_operator_api::Apply(const apply_call& request) {
   Note("apply " + request.operator_name + " " +
        (request.expect ? std::to_string(*request.expect) : "any") + " " +
        request.text);
--- a/tests/ctl/fake_operator_api.h
+++ b/tests/ctl/fake_operator_api.h
@@ -16,7 +16,7 @@
 class fake_operator_api final : public operator_api {
  public:
   result<void> Check(const std::string& text) override;
-  result<apply_answer> Apply(const apply_request& request) override;
+  result<apply_answer> Apply(const apply_call& request) override;
   result<config_answer> Config() override;
   result<std::vector<history_entry>> History() override;
   result<apply_answer> Witness(const witness_request& request) override;
