Tell when a given-up seat is idle

Cause: work runs on when a seat is handed over. Before: nothing told when the next owner may start. After: the sum of slots used beyond those owned.

--- a/scripts/demo-lib/deployment.sh
+++ b/scripts/demo-lib/deployment.sh
@@ -28,7 +28,7 @@
     i=$((n < 4 ? 0 : n < 7 ? 1 : 2))
     write_settings "$name" "$n" "${regions[i]}"
     http PUT "$platform" "/v1/instances/$name-entry-$n" \
-      "{\"name\":\"$name-entry-$n\",\"role\":\"entry\",\"address\":\"${entries[n]}\",\"region\":\"${regions[i]}\",\"failure_domain\":\"${regions[i]}-$(domain_letter "$n")\",\"state\":\"live\"}" >/dev/null
+      "{\"name\":\"$name-entry-$n\",\"role\":\"entry\",\"address\":\"${peers[n]}\",\"region\":\"${regions[i]}\",\"failure_domain\":\"${regions[i]}-$(domain_letter "$n")\",\"state\":\"live\"}" >/dev/null
     start "$name-entry-$n" samphire-entry --settings="$work/$name-entry-$n.json"
     entry_pids+=("$last_pid")
   done
--- a/src/libsamphire/decision/service_dispatcher.h
+++ b/src/libsamphire/decision/service_dispatcher.h
@@ -94,6 +94,9 @@
                                    time_point now);
 
   dispatcher_status status(time_point now) const;
+  // Slots that are in use or lent beyond those owned, since a seat was given
+  // up while they were.
+  std::uint32_t over_owned() const;
 
  private:
   struct running_work {
--- a/src/libsamphire/gateway/answer_relay.cc
+++ b/src/libsamphire/gateway/answer_relay.cc
@@ -87,12 +87,12 @@
     body.append(piece.data(), got.value());
   }
   end.target_time = std::chrono::steady_clock::now() - started;
-  Stream(exchange, *head.value(), std::move(body), end);
+  Stream(exchange, *head.value(), body, end);
 }
 
 void answer_relay::Stream(http_exchange& exchange,
                           const Poco::Net::HTTPResponse& head,
-                          std::string first,
+                          std::string_view first,
                           relay_end& end) {
   end.relayed = true;
   sink_.Begin(head, exchange.framing(), note_);
--- a/src/libsamphire/gateway/answer_relay.h
+++ b/src/libsamphire/gateway/answer_relay.h
@@ -1,6 +1,8 @@
 #ifndef GATEWAY_ANSWER_RELAY_H_
 #define GATEWAY_ANSWER_RELAY_H_
 
+#include <string_view>
+
 #include "gateway/answer_sink.h"
 #include "gateway/outgoing_request.h"
 #include "gateway/relay_end.h"
@@ -27,7 +29,7 @@
   void ReadAnswer(http_exchange& exchange, relay_end& end);
   void Stream(http_exchange& exchange,
               const Poco::Net::HTTPResponse& head,
-              std::string first,
+              std::string_view first,
               relay_end& end);
 
   connection_pool& pool_;
--- a/src/libsamphire/gateway/deployment_keeper.cc
+++ b/src/libsamphire/gateway/deployment_keeper.cc
@@ -61,7 +61,7 @@
   for (const auto& whole : present.declared().services) {
     auto closed = present.DrainedTargets(whole, now);
     for (const auto& each : whole.targets) {
-      if (listed_closed_.contains(whole.name + "/" + each.name))
+      if (listed_closed_.contains(whole.name + "." + each.name))
         closed.insert(each.name);
     }
     const auto gate = gates_.Find(whole.name);
--- a/src/libsamphire/gateway/deployment_keeper.h
+++ b/src/libsamphire/gateway/deployment_keeper.h
@@ -38,7 +38,7 @@
   const clock_source& clock_;
   metrics& metrics_;
   std::mutex lock_;
-  // "SERVICE/TARGET" of targets that the platform lists as leaving or gone.
+  // "SERVICE.TARGET" of targets that the platform lists as leaving or gone.
   std::set<std::string> listed_closed_;
   std::map<std::string, std::set<std::string>> closed_;
 };
--- a/src/libsamphire/gateway/service_gate.cc
+++ b/src/libsamphire/gateway/service_gate.cc
@@ -157,6 +157,11 @@
   return dispatcher_.status(clock_.now());
 }
 
+std::uint32_t service_gate::over_owned() const {
+  std::lock_guard guard(lock_);
+  return dispatcher_.over_owned();
+}
+
 std::size_t service_gate::lent_out() const {
   std::lock_guard guard(lock_);
   return loans_.lent_out();
--- a/src/libsamphire/gateway/service_gate.h
+++ b/src/libsamphire/gateway/service_gate.h
@@ -56,6 +56,8 @@
 
   dispatcher_status status() const;
   std::size_t lent_out() const;
+  // See service_dispatcher.
+  std::uint32_t over_owned() const;
 
  private:
   struct waiter {
