--- a/src/libsamphire/decision/service_dispatcher.h
+++ b/src/libsamphire/decision/service_dispatcher.h
@@ -94,6 +94,9 @@
                                    time_point now);
 
   dispatcher_status status(time_point now) const;
+  // Slots that are in use or lent beyond those owned, since a seat was given
+  // up while they were.
+  std::uint32_t over_owned() const;
 
  private:
   struct running_work {
@@ -146,7 +149,7 @@
   bool IsTooLate(const waiter& entry, time_point now) const;
   bool HasStartable(time_point now) const;
   void NoteInteractiveLoad(time_point now);
-  void NoteInteractiveStart(duration waited, time_point now);
+  void NoteInteractiveStart(priority rank, duration waited, time_point now);
 
   static std::size_t IndexOf(request_kind kind) {
     return static_cast<std::size_t>(kind);
