--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -21,6 +21,8 @@
 constexpr int kFastTicksPerSlow = 100;
 constexpr int kSlowTicksPerConfirmation = 8;
 
+constexpr milliseconds kDrainCheck{20};
+
 // The watch is held by a few of each region; see distribution.
 constexpr std::size_t kWatchers = kWatchersPerRegion;
 
@@ -42,6 +44,31 @@
   return limits;
 }
 
+seat_limits SeatLimits() {
+  seat_limits limits;
+  limits.jitter = Jitter();
+  return limits;
+}
+
+// How long the loans and requests of a seat's owner before may go on.
+duration SeatQuarantine(const declaration& declared) {
+  milliseconds longest{0};
+  for (const auto& service : declared.services) {
+    for (const auto& each : service.classes)
+      longest = std::max({longest, each.deadline, each.max_deadline});
+  }
+  const auto& limits = declared.limits;
+  return limits.loan_ttl + limits.clock_drift + longest;
+}
+
+std::uint32_t SeatCount(const declaration& declared, const std::string& name) {
+  for (const auto& region : declared.regions) {
+    if (region.name == name)
+      return region.seats;
+  }
+  return 0;
+}
+
 member SelfMember(const entry_settings& settings, std::uint64_t incarnation) {
   member self;
   self.name = settings.instance;
@@ -94,6 +121,17 @@
           clock_,
           [this](const crash_notice& notice) { messenger_.Tell(notice); }),
       keeper_(state_, gates_, clock_, metrics_),
+      shares_(settings_.region, gates_, metrics_),
+      seats_(store_,
+             clock_,
+             metrics_,
+             settings_.region,
+             seat_keeper_state(settings_.instance,
+                               settings_.region,
+                               incarnation_,
+                               SeatLimits(),
+                               clock_.now()),
+             shares_),
       signer_(secrets_.keys, {settings_.instance, incarnation_}, clock_),
       peer_caller_(pool_, signer_, [this] { return fleet_.OwnRegionPeers(); }),
       follower_(store_,
@@ -150,6 +188,7 @@
 
 entry_node::~entry_node() {
   ticker_ = {};
+  seats_.Stop();
   instances_.Stop();
   follower_.Stop();
 }
@@ -160,6 +199,7 @@
   membership_.Start();
   follower_.Start();
   instances_.Start();
+  seats_.Start();
   ledger_retry_ = std::make_unique<ledger_retry_thread>(ledger_);
   ticker_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
   peer_front_.Start();
@@ -202,6 +242,7 @@
   }
   fleet_.Refresh(membership_, regions);
   keeper_.Tick();
+  FollowMembers();
   reporter_.SetGauges();
   const bool watching = membership_.IsWatcher(kWatchers);
   follower_.SetWatching(watching);
@@ -229,6 +270,36 @@
 
 void entry_node::OnImage(const image_ptr& image) {
   keeper_.OnImage(image);
+  const auto present = state_.deployments.Get();
+  shares_.Follow(present);
+  seats_.SetSeats(SeatCount(present->declared(), settings_.region),
+                  SeatQuarantine(present->declared()));
+}
+
+// Who shares the region's seats and lends its slots.
+void entry_node::FollowMembers() {
+  std::vector<std::string> names;
+  std::vector<member> others;
+  for (const auto& each : membership_.members()) {
+    if (each.state == member_state::kDead)
+      continue;
+    if (each.state != member_state::kLeaving)
+      names.push_back(each.name);
+    if (each.name != settings_.instance)
+      others.push_back(each);
+  }
+  seats_.SetMembers(names);
+  for (const auto& [service, gate] : gates_.All()) {
+    const auto id = ServiceId(service);
+    std::vector<lender_digest> lenders;
+    for (const auto& each : others) {
+      for (const auto& load : each.digest.loads) {
+        if (load.service_id == id)
+          lenders.push_back({each.name, load.free_slots});
+      }
+    }
+    gate->SetLenders(std::move(lenders));
+  }
 }
 
 void entry_node::OnInstances(const std::vector<instance_info>& instances) {
@@ -309,8 +380,10 @@
   std::this_thread::sleep_for(ttl);
   caller_front_.StopAccepting();
   peer_front_.StopAccepting();
-  while (caller_front_.connections() + peer_front_.connections() > 0)
-    std::this_thread::sleep_for(milliseconds{20});
+  seats_.Leave();
+  while (caller_front_.connections() + peer_front_.connections() > 0 ||
+         seats_.held() > 0)
+    std::this_thread::sleep_for(kDrainCheck);
   Log(log_level::kInfo, "drained",
       {{"seconds",
         std::chrono::duration<double>(clock_.now() - started).count()}});
--- a/src/libsamphire/gateway/entry_node.h
+++ b/src/libsamphire/gateway/entry_node.h
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "allowance/seat_keeper.h"
 #include "base/system_clock_source.h"
 #include "config/entry_settings.h"
 #include "distribution/config_follower.h"
@@ -27,6 +28,7 @@
 #include "gateway/peer_messenger.h"
 #include "gateway/peer_server.h"
 #include "gateway/request_router.h"
+#include "gateway/seat_share.h"
 #include "gateway/service_handler.h"
 #include "ledger/ledger_retry_thread.h"
 #include "ledger/local_shard_router.h"
@@ -68,6 +70,7 @@
   void OnInstances(const std::vector<instance_info>& instances);
   void OnPeerVersion(std::uint64_t version, const std::string& peer);
   std::string CountersText();
+  void FollowMembers();
   ledger_options LedgerOptions() const;
 
   const entry_settings settings_;
@@ -84,6 +87,8 @@
   gate_set gates_;
   guarded_quarantine quarantine_;
   deployment_keeper keeper_;
+  seat_share shares_;
+  seat_keeper seats_;
   connection_pool pool_;
   peer_signer signer_;
   peer_caller peer_caller_;
--- /dev/null
+++ b/src/libsamphire/gateway/seat_share.cc
@@ -0,0 +1,83 @@
+#include "gateway/seat_share.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "allowance/seat_slot_map.h"
+
+namespace samphire {
+
+namespace {
+
+std::uint32_t SeatCountOf(const declaration& declared,
+                          const std::string& name) {
+  const auto found =
+      std::find_if(declared.regions.begin(), declared.regions.end(),
+                   [&](const auto& each) { return each.name == name; });
+  return found == declared.regions.end() ? 0 : found->seats;
+}
+
+std::vector<owned_slots> SlotsOf(const service& part,
+                                 const std::vector<std::uint32_t>& seats,
+                                 std::uint32_t seat_count) {
+  const auto counts = SlotsOfSeats(part.name, part.targets, seats, seat_count);
+  std::vector<owned_slots> owned;
+  for (std::size_t i = 0; i < part.targets.size(); ++i)
+    owned.push_back({part.targets[i].name, counts[i]});
+  return owned;
+}
+
+}  // namespace
+
+seat_share::seat_share(std::string region, gate_set& gates, metrics& counters)
+    : region_(std::move(region)), gates_(gates), metrics_(counters) {}
+
+void seat_share::Follow(const deployment_ptr& present) {
+  std::lock_guard guard(lock_);
+  present_ = present;
+  Share();
+}
+
+void seat_share::OnSeats(const std::vector<std::uint32_t>& usable) {
+  std::lock_guard guard(lock_);
+  seats_ = usable;
+  metrics_.Set("seats", "", static_cast<double>(usable.size()));
+  Share();
+}
+
+void seat_share::Share() {
+  if (!present_)
+    return;
+  const auto& declared = present_->declared();
+  const auto seat_count = SeatCountOf(declared, region_);
+  std::vector<shift_cap> caps;
+  for (const auto& cap : declared.shift_caps) {
+    if (cap.to == region_)
+      caps.push_back(cap);
+  }
+  for (const auto& whole : declared.services) {
+    const auto gate = gates_.Find(whole.name);
+    if (!gate)
+      continue;
+    gate->SetOwnedSlots(
+        SlotsOf(present_->PartOf(whole, region_), seats_, seat_count));
+    gate->SetShiftCaps(caps, {seats_, seat_count});
+  }
+}
+
+// Work is not told apart by seat, so a seat counts as idle when nothing at all
+// runs beyond the slots that are left: a little later than need be, but never
+// too early.
+bool seat_share::IsIdle(std::uint32_t /*seat*/) {
+  const auto gates = gates_.All();
+  return std::all_of(gates.begin(), gates.end(), [](const auto& each) {
+    return each.second->over_owned() == 0;
+  });
+}
+
+std::vector<std::uint32_t> seat_share::seats() const {
+  std::lock_guard guard(lock_);
+  return seats_;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/gateway/seat_share.h
@@ -0,0 +1,43 @@
+#ifndef GATEWAY_SEAT_SHARE_H_
+#define GATEWAY_SEAT_SHARE_H_
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "allowance/seat_user.h"
+#include "gateway/deployment.h"
+#include "gateway/gate_set.h"
+#include "metrics/metrics.h"
+
+namespace samphire {
+
+// Turns the seats of this entry into slots and shares of the shift caps at its
+// gates.
+class seat_share final : public seat_user {
+ public:
+  seat_share(std::string region, gate_set& gates, metrics& counters);
+
+  // A configuration may change slots, targets, caps and the number of seats.
+  void Follow(const deployment_ptr& present);
+
+  void OnSeats(const std::vector<std::uint32_t>& usable) override;
+  bool IsIdle(std::uint32_t seat) override;
+
+  std::vector<std::uint32_t> seats() const;
+
+ private:
+  void Share();
+
+  const std::string region_;
+  gate_set& gates_;
+  metrics& metrics_;
+  mutable std::mutex lock_;
+  deployment_ptr present_;
+  std::vector<std::uint32_t> seats_;
+};
+
+}  // namespace samphire
+
+#endif  // GATEWAY_SEAT_SHARE_H_
