--- a/src/libsamphire/distribution/stoppable_thread.cc
+++ b/src/libsamphire/base/stoppable_thread.cc
@@ -1,4 +1,4 @@
-#include "distribution/stoppable_thread.h"
+#include "base/stoppable_thread.h"
 
 #include <utility>
 
--- a/src/libsamphire/distribution/stoppable_thread.h
+++ b/src/libsamphire/base/stoppable_thread.h
@@ -1,5 +1,5 @@
-#ifndef DISTRIBUTION_STOPPABLE_THREAD_H_
-#define DISTRIBUTION_STOPPABLE_THREAD_H_
+#ifndef BASE_STOPPABLE_THREAD_H_
+#define BASE_STOPPABLE_THREAD_H_
 
 #include <condition_variable>
 #include <functional>
@@ -37,4 +37,4 @@
 
 }  // namespace samphire
 
-#endif  // DISTRIBUTION_STOPPABLE_THREAD_H_
+#endif  // BASE_STOPPABLE_THREAD_H_
--- a/src/libsamphire/distribution/config_follower.h
+++ b/src/libsamphire/distribution/config_follower.h
@@ -5,11 +5,11 @@
 #include <mutex>
 #include <string>
 
+#include "base/stoppable_thread.h"
 #include "distribution/config_peer_source.h"
 #include "distribution/follower_state.h"
 #include "distribution/image_loader.h"
 #include "distribution/image_shelf.h"
-#include "distribution/stoppable_thread.h"
 #include "metrics/metrics.h"
 #include "store/object_store.h"
 
--- a/src/libsamphire/distribution/instance_follower.h
+++ b/src/libsamphire/distribution/instance_follower.h
@@ -5,9 +5,9 @@
 #include <functional>
 #include <mutex>
 
+#include "base/stoppable_thread.h"
 #include "distribution/config_peer_source.h"
 #include "distribution/follower_limits.h"
-#include "distribution/stoppable_thread.h"
 #include "metrics/metrics.h"
 #include "store/object_store.h"
 
