Leave without waiting for a dead platform; let unrepeatable work run out

Cause: an entry whose platform stopped first waited for its seats for ever (25 s in the demo, until killed); a caller that left cancelled its request at the target, which for one that may not be repeated left it in doubt. Ruled out: giving seats up by a time-out (two owners); marking cancelled work as not run (it may have run).

--- a/scripts/demo-lib/processes.sh
+++ b/scripts/demo-lib/processes.sh
@@ -11,23 +11,36 @@
   last_pid=$!
 }
 
-# Ends everything that start() started, the last one first. Entries stop before
-# the platform and the targets, as planned stops need both.
+# Ends everything that start() started. Entries stop before the platform and
+# the targets, as planned stops need both.
 stop_all() {
-  local i pid
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    kill -TERM "${pids[i]}" 2>/dev/null || true
+  local pid entries=() others=()
+  for pid in "${pids[@]}"; do
+    if [[ "$(ps -o comm= -p "$pid" 2>/dev/null)" == samphire-entry ]]; then
+      entries+=("$pid")
+    else
+      others+=("$pid")
+    fi
   done
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    pid=${pids[i]}
-    for _ in $(seq 150); do
+  end_each "${entries[@]}"
+  end_each "${others[@]}"
+  pids=()
+}
+
+# Ends these processes, by force if they don't end by themselves.
+end_each() {
+  local pid
+  for pid in "$@"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "$@"; do
+    for _ in $(seq 200); do
       kill -0 "$pid" 2>/dev/null || break
       sleep 0.1
     done
     kill -KILL "$pid" 2>/dev/null || true
     wait "$pid" 2>/dev/null || true
   done
-  pids=()
 }
 
 # http METHOD IP:PORT PATH [BODY] : prints the answer with its headers. A bare
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -22,6 +22,9 @@
 constexpr int kSlowTicksPerConfirmation = 8;
 
 constexpr milliseconds kDrainCheck{20};
+constexpr milliseconds kHandOverTime{5000};
+// How long others may go on naming this entry after it said that it leaves.
+constexpr milliseconds kRumourTime{1500};
 
 // The watch is held by a few of each region; see distribution.
 constexpr std::size_t kWatchers = kWatchersPerRegion;
@@ -369,24 +372,31 @@
       follower_.platform_failing(), ledger_.pending(), members, services);
 }
 
+// Callers learn of the leaving by their next look-up, so requests go on being
+// served for as long as a look-up's answer may be kept. Seats are handed over
+// last, and not at any price: with the platform down they can't be, and the
+// platform's list will show in time that this instance has gone.
 void entry_node::Drain() {
   Log(log_level::kInfo, "leaving");
   const auto started = clock_.now();
   state_.leaving = true;
   membership_.AnnounceLeaving();
   const auto present = state_.deployments.Get();
-  const auto ttl =
-      present ? present->declared().limits.lookup_ttl : milliseconds{0};
-  std::this_thread::sleep_for(ttl);
+  std::this_thread::sleep_for(
+      present ? kRumourTime + present->declared().limits.lookup_ttl
+              : milliseconds{0});
   caller_front_.StopAccepting();
   peer_front_.StopAccepting();
   seats_.Leave();
-  while (caller_front_.connections() + peer_front_.connections() > 0 ||
-         seats_.held() > 0)
+  while (caller_front_.connections() + peer_front_.connections() > 0)
+    std::this_thread::sleep_for(kDrainCheck);
+  const auto give_up = clock_.now() + kHandOverTime;
+  while (seats_.held() > 0 && clock_.now() < give_up)
     std::this_thread::sleep_for(kDrainCheck);
   Log(log_level::kInfo, "drained",
       {{"seconds",
-        std::chrono::duration<double>(clock_.now() - started).count()}});
+        std::chrono::duration<double>(clock_.now() - started).count()},
+       {"seats_kept", seats_.held()}});
 }
 
 }  // namespace samphire
--- a/src/libsamphire/gateway/local_server.cc
+++ b/src/libsamphire/gateway/local_server.cc
@@ -169,10 +169,15 @@
   }
 }
 
+// A caller that leaves cancels its work, except where that work may not be
+// repeated: cut off in the middle, nobody could tell whether it ran, and an
+// operator would have to settle it. Let run to its end, it is recorded, and the
+// caller that sends it again gets the answer.
 relay_end local_server::RunOn(progress& state, const slot_grant& grant) {
+  static const caller_watch kNobody;
   const auto& request = state.request;
   quarantine_.Started(request.fingerprint, grant.target);
-  answer_relay relay(pool_, state.caller, state.sink,
+  answer_relay relay(pool_, state.ticket ? kNobody : state.caller, state.sink,
                      Note(state, result_code::kOk, run_state::kRan));
   auto end = relay.Run(MakeTargetRequest(request, grant.address, clock_.now()));
   quarantine_.Finished(request.fingerprint, grant.target, end.outcome);
@@ -237,13 +242,9 @@
                    clock_.now() - state.request.arrived);
   if (!state.ticket)
     return answered{};
-  // A long answer that broke off on the way still ran.
-  const bool whole = end.outcome == attempt_outcome::kOk ||
-                     end.outcome == attempt_outcome::kTargetError;
-  if (whole)
-    ledger_.Complete(*state.ticket, RecordOf(end));
-  else
-    ledger_.MarkUnknown(*state.ticket);
+  // An answer of which at least the head came proves that the request ran, even
+  // if the rest was lost on the way to the caller.
+  ledger_.Complete(*state.ticket, RecordOf(end));
   return answered{};
 }
 
