Settle a lost witness by an accepted change only

Cause: the entry gives a proposal its apply id, so the waiting proposal itself was found for a witness whose answer was lost, and the command said 1 (not in force) although the consent could still be on its way. Ruled out: telling the two by different ids, since history shows one for both. Before: exit 1 at once. After: the kind of change says what counts, and the command goes on asking, then ends with 3.

--- a/src/ctl/change_commands.cc
+++ b/src/ctl/change_commands.cc
@@ -12,8 +12,8 @@
 
 std::map<std::string, std::string> ChangeParameters(
     const command_context& context,
-    const std::string& apply_id) {
-  return {{"apply_id", apply_id}, {"operator", context.options.operator_name}};
+    const change_id& id) {
+  return {{"apply_id", id.text}, {"operator", context.options.operator_name}};
 }
 
 std::string DrainText(const command_context& context) {
@@ -70,7 +70,7 @@
                      "/v1/witness/" + PathSegment(proposal),
                      {{"operator", context.options.operator_name}},
                      ""},
-                    proposal);
+                    {change_kind::kWitness, proposal});
 }
 
 }  // namespace samphire
--- a/src/ctl/change_settler.cc
+++ b/src/ctl/change_settler.cc
@@ -27,12 +27,13 @@
 }
 
 // A proposal that is still waiting says nothing of a witness whose answer was
-// lost: the consent may be on its way into the platform. So a proposal's id
-// stands for the consent only once the change is accepted.
-bool IsMeant(const Object& entry, const std::string& id) {
-  return entry.optValue<std::string>("apply_id", "") == id ||
-         (entry.optValue<std::string>("proposal", "") == id &&
-          VersionOf(entry, "version") > 0);
+// lost: the consent may be on its way into the platform. So for a witness only
+// an accepted change counts.
+bool IsMeant(const Object& entry, const change_id& id) {
+  const bool named = entry.optValue<std::string>("apply_id", "") == id.text ||
+                     entry.optValue<std::string>("proposal", "") == id.text;
+  return named &&
+         (id.kind == change_kind::kApply || VersionOf(entry, "version") > 0);
 }
 
 // What the history knows of a change: its entry, if it is there; and whether
@@ -44,7 +45,7 @@
 };
 
 history_finding FindIn(const Object& history,
-                       const std::string& id,
+                       const change_id& id,
                        std::optional<std::uint64_t> expect) {
   history_finding found;
   const auto entries = history.getArray("history");
@@ -60,7 +61,7 @@
 
 // Entries learn of a change within seconds, and the one that took it may still
 // be writing; so the history is asked again for a while before giving up.
-history_finding Settle(const command_context& context, const std::string& id) {
+history_finding Settle(const command_context& context, const change_id& id) {
   const auto deadline =
       std::chrono::steady_clock::now() + context.options.settle;
   history_finding found;
@@ -126,10 +127,10 @@
       body);
 }
 
-exit_code Settled(const command_context& context, const std::string& id) {
+exit_code Settled(const command_context& context, const change_id& id) {
   const auto found = Settle(context, id);
   if (found.entry && VersionOf(*found.entry, "version") > 0) {
-    return Accepted(context, VersionOf(*found.entry, "version"), id,
+    return Accepted(context, VersionOf(*found.entry, "version"), id.text,
                     found.entry);
   }
   if (found.entry) {
@@ -142,19 +143,20 @@
                   "the answer was lost, and another change was accepted"));
   }
   return context.out.Unknown(
-      MakeError(result_code::kApplyOutcomeUnknown, "id " + id),
-      "samphirectl config history, and look for id " + id);
+      MakeError(result_code::kApplyOutcomeUnknown, "id " + id.text),
+      "samphirectl config history, and look for id " + id.text);
 }
 
 }  // namespace
 
-std::string NewApplyId() {
-  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+change_id NewApplyId() {
+  return {change_kind::kApply,
+          Poco::UUIDGenerator::defaultGenerator().createRandom().toString()};
 }
 
 exit_code MakeChange(command_context& context,
                      const ctl_call& call,
-                     const std::string& id) {
+                     const change_id& id) {
   const auto answer = context.client.Change(call);
   if (IsInDoubt(answer))
     return Settled(context, id);
@@ -164,7 +166,8 @@
   }
   if (answer.failure || answer.outcome.code != result_code::kOk)
     return context.out.Refused(answer.outcome, answer.body);
-  return Accepted(context, VersionOf(*answer.body, "version"), id, answer.body);
+  return Accepted(context, VersionOf(*answer.body, "version"), id.text,
+                  answer.body);
 }
 
 }  // namespace samphire
--- a/src/ctl/change_settler.h
+++ b/src/ctl/change_settler.h
@@ -1,22 +1,20 @@
 #ifndef CTL_CHANGE_SETTLER_H_
 #define CTL_CHANGE_SETTLER_H_
 
-#include <string>
-
+#include "ctl/change_id.h"
 #include "ctl/command_context.h"
 #include "ctl/exit_code.h"
 
 namespace samphire {
 
 // Makes a change of the configuration and says what came of it. A lost answer
-// is settled by `id` in the history that any entry shows: the apply id, or for
-// a witness the proposal's.
+// is settled by `id` in the history that any entry shows.
 exit_code MakeChange(command_context& context,
                      const ctl_call& call,
-                     const std::string& id);
+                     const change_id& id);
 
 // A fresh apply id.
-std::string NewApplyId();
+change_id NewApplyId();
 
 }  // namespace samphire
 
