--- a/tests/config/config_properties_test.cc
+++ b/tests/config/config_properties_test.cc
@@ -1,12 +1,16 @@
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "config/class_matcher.h"
+#include "config/client_block_text.h"
 #include "config/config_test_support.h"
 #include "config/declaration_writer.h"
 #include "config/entry_settings_reader.h"
+#include "config/ip_address.h"
 
 using namespace samphire;
 
@@ -111,6 +115,43 @@
   }));
 }
 
+// A caller spells the path of an acknowledgement with any of its letters
+// encoded. The class, and with it "runs at most once", must stay the same.
+TEST_CASE("encoding any letter of a path leaves its class the same") {
+  const auto declared = Example("nivel-claro").services[1];
+  const std::string plain = "/gates/comporta-7/acknowledgement";
+  const auto* expected = MatchClass(declared, "POST", plain);
+  REQUIRE(expected != nullptr);
+  REQUIRE_FALSE(expected->repeatable);
+  CHECK(rc::check([&] {
+    std::string spelt;
+    for (const char letter : plain) {
+      const bool encode = letter != '/' && *rc::gen::arbitrary<bool>();
+      spelt += encode ? fmt::format("%{:02x}", static_cast<int>(letter))
+                      : std::string(1, letter);
+    }
+    RC_ASSERT(MatchClass(declared, "POST", spelt) == expected);
+  }));
+}
+
+TEST_CASE("small texts of any bytes are read or refused, never worse") {
+  CHECK(rc::check([] {
+    const auto letters = std::string("0123456789abf.:/[]TZ-%*\xff ") + '\0';
+    const auto text =
+        *rc::gen::container<std::string>(rc::gen::elementOf(letters));
+    if (const auto block = ParseClientBlock(text))
+      RC_ASSERT(ParseClientBlock(FormatClientBlock(*block)) == block);
+    if (const auto address = ParseIpAddress(text))
+      RC_ASSERT(ParseIpAddress(FormatIpAddress(*address)) == address);
+    if (const auto time = ParseWallTime(text))
+      RC_ASSERT(ParseWallTime(FormatWallTime(*time)) == time);
+    RC_ASSERT(!IsSocketAddress(text) || text.find(':') != std::string::npos);
+    const auto* matched =
+        MatchClass(Example("consortium").services[0], "GET", text);
+    RC_ASSERT(matched == nullptr || text.starts_with('/'));
+  }));
+}
+
 TEST_CASE("damaged settings and drains are read or refused by number") {
   const std::string settings =
       R"({"instance":"e","region":"r","failure_domain":"f",
