--- a/src/libsamphire/distribution/config_image.h
+++ b/src/libsamphire/distribution/config_image.h
@@ -50,7 +50,9 @@
   // The whole declaration, client blocks and all.
   declaration Assemble() const;
 
-  // The changes that led here, the newest last.
+  // Whether the image was loaded with its history.
+  bool has_history() const { return FindChunk(root_.history) != nullptr; }
+  // The changes that led here, the newest last; none without the history.
   std::vector<config_change> History() const;
 
  private:
--- a/src/libsamphire/distribution/config_publisher.cc
+++ b/src/libsamphire/distribution/config_publisher.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "config/declaration_checker.h"
 #include "config/wall_time_text.h"
 #include "distribution/declaration_lines.h"
 #include "distribution/image_loader.h"
@@ -17,11 +16,6 @@
 
 namespace {
 
-// Two operators who declare drains in the same moment both mean it, and their
-// drains don't touch: each is tried on the newer version. More rivals than
-// this in a row would be a script gone wild.
-constexpr int kEditAttempts = 5;
-
 // What every entry will have to read is read here first. A declaration that a
 // caller let through unchecked would be accepted and then load nowhere, so
 // that each later change to mend it found no version to build on.
@@ -63,53 +57,6 @@
                 request);
 }
 
-result<apply_receipt> config_publisher::AddDrain(const drain& added,
-                                                 const apply_request& request) {
-  return EditFrame(request, [&](declaration& frame) -> result<void> {
-    std::erase_if(frame.drains,
-                  [&](const drain& one) { return one.name == added.name; });
-    frame.drains.push_back(added);
-    return Success();
-  });
-}
-
-result<apply_receipt> config_publisher::RemoveDrain(
-    const std::string& name,
-    const apply_request& request) {
-  return EditFrame(request, [&](declaration& frame) -> result<void> {
-    const auto removed = std::erase_if(
-        frame.drains, [&](const drain& one) { return one.name == name; });
-    if (removed == 0)
-      return MakeError(result_code::kUnknownDrain, name);
-    return Success();
-  });
-}
-
-result<apply_receipt> config_publisher::EditFrame(const apply_request& request,
-                                                  const frame_edit& edit) {
-  std::lock_guard guard(changing_);
-  for (int n = 0;; ++n) {
-    BOOST_OUTCOME_TRY(from, ReadBase());
-    if (!from.image)
-      return MakeError(result_code::kNoConfiguration);
-    // A repeat must not fail because its first try did what it asks for.
-    if (const auto done = FindChange(from.image, request.apply_id))
-      return apply_receipt{done->version};
-    auto wanted = from.image->frame();
-    BOOST_OUTCOME_TRYV(edit(wanted));
-    BOOST_OUTCOME_TRYV(CheckDeclaration(wanted));
-    BOOST_OUTCOME_TRYV(
-        CheckNewDrains(wanted, clock_.wall_now(), &from.image->frame()));
-    auto changed =
-        Change(from, wanted, {FrameLines(wanted), std::nullopt}, request);
-    const bool rival =
-        !changed && changed.error().code == result_code::kVersionConflict;
-    if (!rival || request.expect || n + 1 >= kEditAttempts)
-      return changed;
-    metrics_.CountRetry(result_code::kVersionConflict);
-  }
-}
-
 result<apply_receipt> config_publisher::Change(const base& from,
                                                const declaration& wanted,
                                                changed_lines lines,
@@ -155,6 +102,7 @@
         fmt::format("reason=\"{}\"", NameOf(committed.error().code)));
     return committed.error();
   }
+  KeepImage(from, built);
   metrics_.Count("config_applies_total");
   Log(log_level::kInfo, "config-applied",
       {{"version", change.version},
@@ -165,6 +113,21 @@
   return apply_receipt{change.version};
 }
 
+// What was written is known here, so the next change need not read it back.
+void config_publisher::KeepImage(const base& from, const built_change& built) {
+  chunk_map written;
+  for (const auto* chunks : {&built.fresh, &built.proposed}) {
+    for (const auto& chunk : *chunks)
+      written[DigestOf(chunk->ref)] = chunk;
+  }
+  auto image = LoadImage(
+      WriteRoot(built.root), from.image, written,
+      [&](const std::vector<std::string>& refs) { return chunks_.Fetch(refs); },
+      history_use::kLoad);
+  if (image)
+    OfferImage(std::move(image.value()));
+}
+
 result<void> config_publisher::WriteChange(const base& from,
                                            const built_change& built) {
   for (const auto& chunk : built.fresh) {
@@ -252,19 +215,24 @@
     std::lock_guard guard(lock_);
     known = known_;
   }
-  if (known && known->root_text() == root_text)
+  if (known && known->root_text() == root_text && known->has_history())
     return known;
-  BOOST_OUTCOME_TRY(image, LoadImage(root_text, known, {},
-                                     [&](const std::vector<std::string>& refs) {
-                                       return chunks_.Fetch(refs);
-                                     }));
+  BOOST_OUTCOME_TRY(image, LoadImage(
+                               root_text, known, {},
+                               [&](const std::vector<std::string>& refs) {
+                                 return chunks_.Fetch(refs);
+                               },
+                               history_use::kLoad));
   OfferImage(image);
   return image;
 }
 
 void config_publisher::OfferImage(image_ptr image) {
   std::lock_guard guard(lock_);
-  if (!known_ || known_->version() < image->version())
+  const bool newer = !known_ || known_->version() < image->version();
+  const bool fuller =
+      known_ && known_->version() == image->version() && image->has_history();
+  if (newer || fuller)
     known_ = std::move(image);
 }
 
--- a/src/libsamphire/distribution/config_publisher.h
+++ b/src/libsamphire/distribution/config_publisher.h
@@ -77,6 +77,7 @@
                                built_change built,
                                config_change change);
   result<void> WriteChange(const base& from, const built_change& built);
+  void KeepImage(const base& from, const built_change& built);
   void CollectOrphans();
   std::vector<config_change> CollectOld(const image_ptr& image);
   result<bool> Collect(const config_change& change);
--- /dev/null
+++ b/src/libsamphire/distribution/config_publisher_drain.cc
@@ -0,0 +1,63 @@
+#include "config/declaration_checker.h"
+#include "distribution/config_publisher.h"
+#include "distribution/declaration_lines.h"
+
+namespace samphire {
+
+namespace {
+
+// Two operators who declare drains in the same moment both mean it, and their
+// drains don't touch: each is tried on the newer version. More rivals than
+// this in a row would be a script gone wild.
+constexpr int kEditAttempts = 5;
+
+}  // namespace
+
+result<apply_receipt> config_publisher::AddDrain(const drain& added,
+                                                 const apply_request& request) {
+  return EditFrame(request, [&](declaration& frame) -> result<void> {
+    std::erase_if(frame.drains,
+                  [&](const drain& one) { return one.name == added.name; });
+    frame.drains.push_back(added);
+    return Success();
+  });
+}
+
+result<apply_receipt> config_publisher::RemoveDrain(
+    const std::string& name,
+    const apply_request& request) {
+  return EditFrame(request, [&](declaration& frame) -> result<void> {
+    const auto removed = std::erase_if(
+        frame.drains, [&](const drain& one) { return one.name == name; });
+    if (removed == 0)
+      return MakeError(result_code::kUnknownDrain, name);
+    return Success();
+  });
+}
+
+result<apply_receipt> config_publisher::EditFrame(const apply_request& request,
+                                                  const frame_edit& edit) {
+  std::lock_guard guard(changing_);
+  for (int n = 0;; ++n) {
+    BOOST_OUTCOME_TRY(from, ReadBase());
+    if (!from.image)
+      return MakeError(result_code::kNoConfiguration);
+    // A repeat must not fail because its first try did what it asks for.
+    if (const auto done = FindChange(from.image, request.apply_id))
+      return apply_receipt{done->version};
+    auto wanted = from.image->frame();
+    BOOST_OUTCOME_TRYV(edit(wanted));
+    BOOST_OUTCOME_TRYV(CheckDeclaration(wanted));
+    BOOST_OUTCOME_TRYV(
+        CheckNewDrains(wanted, clock_.wall_now(), &from.image->frame()));
+    auto changed =
+        Change(from, wanted, {FrameLines(wanted), std::nullopt}, request);
+    const bool rival =
+        !changed && changed.error().code == result_code::kVersionConflict;
+    if (!rival || request.expect || n + 1 >= kEditAttempts)
+      return changed;
+    metrics_.CountRetry(result_code::kVersionConflict);
+  }
+}
+
+}  // namespace samphire
--- a/src/libsamphire/distribution/config_update.cc
+++ b/src/libsamphire/distribution/config_update.cc
@@ -110,7 +110,7 @@
   update_maker maker(*base, present);
   maker.Trees(base->root().frame, present.root().frame);
   maker.Trees(base->root().blocks, present.root().blocks);
-  maker.Chunks(base->root().history, present.root().history, 0);
+
   update.deltas = maker.Take();
   return update;
 }
--- a/src/libsamphire/distribution/image_loader.cc
+++ b/src/libsamphire/distribution/image_loader.cc
@@ -24,14 +24,15 @@
  public:
   image_loader(const image_ptr& base,
                const chunk_map& offered,
-               const chunk_fetch& fetch)
-      : base_(base), offered_(offered), fetch_(fetch) {}
+               const chunk_fetch& fetch,
+               history_use history)
+      : base_(base), offered_(offered), fetch_(fetch), history_(history) {}
 
   result<image_ptr> Load(const std::string& root_text) {
     BOOST_OUTCOME_TRY(root, ReadRoot(root_text));
     BOOST_OUTCOME_TRYV(LoadTree(root.frame, false));
     BOOST_OUTCOME_TRYV(LoadTree(root.blocks, true));
-    if (!root.history.empty()) {
+    if (history_ == history_use::kLoad && !root.history.empty()) {
       BOOST_OUTCOME_TRYV(LoadTree({root.history, 0}, false));
     }
     BOOST_OUTCOME_TRY(frame, Frame(root.frame));
@@ -148,6 +149,7 @@
   const image_ptr& base_;
   const chunk_map& offered_;
   const chunk_fetch& fetch_;
+  const history_use history_;
   chunk_map used_;
 };
 
@@ -156,8 +158,9 @@
 result<image_ptr> LoadImage(const std::string& root_text,
                             const image_ptr& base,
                             const chunk_map& offered,
-                            const chunk_fetch& fetch) {
-  return image_loader(base, offered, fetch).Load(root_text);
+                            const chunk_fetch& fetch,
+                            history_use history) {
+  return image_loader(base, offered, fetch, history).Load(root_text);
 }
 
 }  // namespace samphire
--- a/tests/distribution/distribution_rig.h
+++ b/tests/distribution/distribution_rig.h
@@ -78,7 +78,8 @@
     const auto root = store.Get(kConfigRootKey);
     if (!root)
       return root.error();
-    return LoadImage(root.value().value, nullptr, {}, Fetch());
+    return LoadImage(root.value().value, nullptr, {}, Fetch(),
+                     history_use::kLoad);
   }
   chunk_fetch Fetch() {
     return [this](const std::vector<std::string>& refs)
