--- a/src/libsamphire/decision/dispatcher_status.h
+++ b/src/libsamphire/decision/dispatcher_status.h
@@ -8,6 +8,7 @@
 #include "base/clock_source.h"
 #include "decision/class_status.h"
 #include "decision/refusal_count.h"
+#include "decision/shift_status.h"
 
 namespace samphire {
 
@@ -30,6 +31,8 @@
   std::vector<class_status> classes;
   std::vector<refusal_count> refusals;
   std::vector<std::string> ejected;
+  // Regions with a declared cap or work here.
+  std::vector<shift_status> shifts;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/decision/service_dispatcher_loans.cc
+++ b/src/libsamphire/decision/service_dispatcher_loans.cc
@@ -101,6 +101,7 @@
     shown.classes.push_back({name, load->queued, load->service.mean()});
   for (const auto& [reason, count] : refusals_)
     shown.refusals.push_back({reason, count});
+  shown.shifts = shifts_.status(now);
   return shown;
 }
 
--- a/src/libsamphire/decision/shift_budget.cc
+++ b/src/libsamphire/decision/shift_budget.cc
@@ -92,6 +92,13 @@
   return found == shifts_.end() ? 0 : LimitOf(found->second, now);
 }
 
+std::vector<shift_status> shift_budget::status(time_point now) const {
+  std::vector<shift_status> all;
+  for (const auto& [home, each] : shifts_)
+    all.push_back({home, each.in_flight, LimitOf(each, now)});
+  return all;
+}
+
 std::uint32_t shift_budget::LimitOf(const shift& each, time_point now) const {
   if (!each.cap)
     return 0;
--- a/src/libsamphire/decision/shift_budget.h
+++ b/src/libsamphire/decision/shift_budget.h
@@ -11,6 +11,7 @@
 #include "base/clock_source.h"
 #include "config/shift_cap.h"
 #include "decision/shift_share.h"
+#include "decision/shift_status.h"
 
 namespace samphire {
 
@@ -38,6 +39,7 @@
                                     time_point now) const;
 
   std::uint32_t in_flight(const std::string& home_region) const;
+  std::vector<shift_status> status(time_point now) const;
   // This entry's share now.
   std::uint32_t limit(const std::string& home_region, time_point now) const;
 
--- /dev/null
+++ b/src/libsamphire/decision/shift_status.h
@@ -0,0 +1,18 @@
+#ifndef DECISION_SHIFT_STATUS_H_
+#define DECISION_SHIFT_STATUS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace samphire {
+
+// Work of one other region's callers at this entry, and its share of the cap.
+struct shift_status {
+  std::string home_region;
+  std::uint32_t in_flight = 0;
+  std::uint32_t limit = 0;
+};
+
+}  // namespace samphire
+
+#endif  // DECISION_SHIFT_STATUS_H_
