--- a/src/libsamphire/allowance/loan_borrower.cc
+++ b/src/libsamphire/allowance/loan_borrower.cc
@@ -95,7 +95,8 @@
 void loan_borrower::Advance(time_point now) {
   GiveUpLate(now);
   SendBackIdle(now);
-  if (const auto wish = slots_.WantsLoan(now)) {
+  const auto wish = slots_.WantsLoan(now);
+  if (wish && borrowing_) {
     Renew(*wish, now);
     AskFor(*wish, now);
   } else {
--- a/src/libsamphire/allowance/loan_borrower.h
+++ b/src/libsamphire/allowance/loan_borrower.h
@@ -26,6 +26,8 @@
                 std::uint64_t incarnation,
                 std::uint64_t seed);
 
+  // Asks for nothing more; loans held go back as their work ends.
+  void StopBorrowing() { borrowing_ = false; }
   void SetLenders(std::vector<lender_digest> lenders);
 
   void OnGrant(const std::string& from,
@@ -92,6 +94,7 @@
   std::uint64_t incarnation_;
   std::mt19937_64 random_;
   std::vector<lender_digest> lenders_;
+  bool borrowing_ = true;
   std::uint64_t next_ask_ = 1;
   std::map<std::uint64_t, open_ask> asks_;
   // By the number of the ask that brought it.
--- a/src/libsamphire/allowance/loan_ledger.cc
+++ b/src/libsamphire/allowance/loan_ledger.cc
@@ -87,6 +87,11 @@
   return std::min(lender_.NextDue(), borrower_.NextDue());
 }
 
+void loan_ledger::Leave() {
+  lender_.StopLending();
+  borrower_.StopBorrowing();
+}
+
 loan_counts loan_ledger::counts() const {
   loan_counts all = borrower_.counts();
   all.lent = lender_.counts().lent;
--- a/src/libsamphire/allowance/loan_ledger.h
+++ b/src/libsamphire/allowance/loan_ledger.h
@@ -42,6 +42,10 @@
   loan_step Advance(time_point now);
   time_point NextDue() const;
 
+  // The entry is leaving: nothing is lent or borrowed any more. Its seats may
+  // be handed over once lent_out is 0.
+  void Leave();
+
   loan_counts counts() const;
   // Slots lent and not yet back: a leaving entry waits for these.
   std::size_t lent_out() const { return lender_.outstanding(); }
--- a/src/libsamphire/allowance/loan_lender.cc
+++ b/src/libsamphire/allowance/loan_lender.cc
@@ -62,7 +62,7 @@
         each.ask.borrower_incarnation == ask.borrower_incarnation)
       return;
   }
-  if (!IsSound(ask) || !IsLength(ask.waited_us, kLongestWork) ||
+  if (!lending_ || !IsSound(ask) || !IsLength(ask.waited_us, kLongestWork) ||
       of_borrower >= kMaxWaitingOfBorrower || asks_.size() >= kMaxWaiting) {
     Refuse(from, ask.service, ask.borrower_incarnation, ask.ask_id);
     return;
@@ -114,7 +114,8 @@
       message.lender_incarnation == incarnation_;
   // A borrower that is never without waiters would otherwise keep the slot for
   // ever, while those who own it wait.
-  const bool needed_here = slots_.WantsLoan(now).has_value() || !asks_.empty();
+  const bool needed_here =
+      !lending_ || slots_.WantsLoan(now).has_value() || !asks_.empty();
   if (!known || needed_here || !IsSound(message)) {
     Refuse(from, message.service, message.borrower_incarnation, message.ask_id);
     return;
@@ -165,7 +166,7 @@
 
 void loan_lender::RefuseDue(time_point now) {
   std::erase_if(asks_, [&](const waiting_ask& each) {
-    if (each.answer_by > now)
+    if (lending_ && each.answer_by > now)
       return false;
     Refuse(each.borrower, each.ask.service, each.ask.borrower_incarnation,
            each.ask.ask_id);
--- a/src/libsamphire/allowance/loan_lender.h
+++ b/src/libsamphire/allowance/loan_lender.h
@@ -36,6 +36,8 @@
   void OnRenewal(const std::string& from,
                  const loan_renewal& message,
                  time_point now);
+  // Refuses all asks from now on, those that wait included.
+  void StopLending() { lending_ = false; }
   // Lends, refuses and reclaims what is due.
   void Advance(time_point now);
   time_point NextDue() const;
@@ -80,6 +82,7 @@
   std::string service_;
   loan_terms terms_;
   std::uint64_t incarnation_;
+  bool lending_ = true;
   std::uint64_t next_loan_ = 1;
   std::map<std::uint64_t, loan> loans_;
   // Longest waiting first.
--- a/src/libsamphire/decision/service_dispatcher_queue.cc
+++ b/src/libsamphire/decision/service_dispatcher_queue.cc
@@ -143,7 +143,7 @@
   if (const auto loan = pool_.loans().next_expiry())
     next = std::min(next, *loan);
   if (queue_.empty())
-    return next;
+    return std::max(next, now);
   if (const auto change = pool_.NextChange(now))
     next = std::min(next, *change);
   for (const auto& lane : queue_.lanes()) {
--- a/tests/loans/loan_ledger_test.cc
+++ b/tests/loans/loan_ledger_test.cc
@@ -240,6 +240,21 @@
   CHECK(pair.lender.Finish(second).size() == 1);
 }
 
+// An entry is told to stop. A seat handed over while one of its slots is lent
+// would have two users for that slot.
+TEST_CASE("a leaving entry lends no more and knows what is still out") {
+  loan_pair pair;
+  const auto grant = pair.ToLender(pair.Ask()).messages.at(0).message;
+  pair.lender_loans.Leave();
+  CHECK(pair.lender_loans.lent_out() == 1);
+  const auto refused = pair.ToLender(loan_ask{"small", 2, 50, 1000, 1000, 0});
+  REQUIRE(refused.messages.size() == 1);
+  CHECK(std::holds_alternative<loan_refusal>(refused.messages[0].message));
+  const auto& lent = As<loan_grant>(grant);
+  pair.ToLender(loan_return{"small", 2, lent.ask_id, 1, lent.loan_id});
+  CHECK(pair.lender_loans.lent_out() == 0);
+}
+
 TEST_CASE("each message survives its encoding") {
   const loan_message sent = loan_ask{"small", 1, 2, 3, 4, 5};
   std::stringstream bytes;
