--- /dev/null
+++ b/bench/membership.cc
@@ -0,0 +1,369 @@
+// What membership costs a node, and how fast news spreads, from a small site
+// to a large fleet. Simulated time on one thread; only the processor time is
+// the machine's, and it has no bound here. Prints JSON; exits 1 when a bound
+// on bytes or on simulated time is broken.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "line_fit.h"
+#include "membership/membership_core.h"
+#include "peer/envelope_codec.h"
+
+ABSL_FLAG(int, max_nodes, 2800, "leaves larger fleets out");
+ABSL_FLAG(int, settle_s, 120, "simulated time before the measurement");
+ABSL_FLAG(int, measure_s, 60, "simulated time of the measurement");
+
+namespace samphire {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr milliseconds kTick{100};
+// Digest, sender, numbers, kind and length of an envelope; IP and UDP headers.
+constexpr std::uint64_t kDatagramOverhead = 32 + 1 + 11 + 24 + 1 + 2 + 28;
+constexpr double kMostBytesPerSecond = 2048;
+
+double CpuSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+struct node {
+  std::unique_ptr<membership_core> core;
+  std::string name;
+  std::string address;
+  int region = 0;
+  bool up = true;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_bytes = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t config = 1;
+};
+
+struct datagram {
+  time_point due;
+  std::uint64_t order = 0;
+  std::size_t from = 0;
+  std::size_t to = 0;
+  message_kind kind = message_kind::kProbe;
+  std::string payload;
+
+  bool operator>(const datagram& other) const {
+    return std::pair(due, order) > std::pair(other.due, other.order);
+  }
+};
+
+class fleet {
+ public:
+  fleet(int count, int regions) {
+    for (int i = 0; i < count; ++i)
+      AddNode(i, regions);
+  }
+
+  void Run(duration time) {
+    const auto end = now_ + time;
+    while (now_ < end) {
+      now_ += kTick;
+      Deliver();
+      ++ticks_;
+      for (std::size_t i = 0; i < nodes_.size(); ++i)
+        TickNode(i);
+    }
+  }
+  template <typename F>
+  double RunUntil(F&& reached, duration limit) {
+    const auto start = now_;
+    while (!reached() && now_ - start < limit)
+      Run(kTick);
+    return std::chrono::duration<double>(now_ - start).count();
+  }
+
+  std::vector<node>& nodes() { return nodes_; }
+  time_point now() const { return now_; }
+  void ResetCounts() {
+    for (auto& each : nodes_)
+      each.sent_bytes = each.received_bytes = each.messages = 0;
+  }
+  // How many in the region of `subject` hold it for dead.
+  bool KnownDead(std::size_t subject) const {
+    return std::ranges::all_of(nodes_, [&](const node& each) {
+      if (!each.up || each.region != nodes_[subject].region)
+        return true;
+      const auto* known = each.core->table().Find(nodes_[subject].name);
+      return known == nullptr || known->state == member_state::kDead;
+    });
+  }
+  void SetConfig(std::size_t subject, std::uint64_t version) {
+    nodes_[subject].config = version;
+    Describe(nodes_[subject]);
+  }
+  bool AllHaveConfig(std::uint64_t version) const {
+    return std::ranges::all_of(nodes_, [version](const node& each) {
+      return !each.up || each.config >= version;
+    });
+  }
+
+ private:
+  void AddNode(int number, int regions) {
+    node added;
+    added.name = fmt::format("entry-{:05}", number);
+    added.address = fmt::format("10.0.{}.{}:7000", number / 250, number % 250);
+    added.region = number % regions;
+    member self;
+    self.name = added.name;
+    self.region = fmt::format("region-{:02}", added.region);
+    self.failure_domain = fmt::format("{}-a", self.region);
+    self.caller_address = self.operator_address = self.peer_address =
+        added.address;
+    self.incarnation = 1;
+    added.core = std::make_unique<membership_core>(
+        self, membership_options{}, now_,
+        wall_time(now_.time_since_epoch() + std::chrono::hours(500000)),
+        static_cast<std::uint64_t>(number));
+    // One seed near the start, and the predecessor in the own region.
+    added.core->AddSeeds({"10.0.0.0:7000"});
+    if (number >= regions)
+      added.core->AddSeeds(
+          {nodes_[static_cast<std::size_t>(number % regions)].address});
+    by_address_[added.address] = nodes_.size();
+    nodes_.push_back(std::move(added));
+  }
+
+  void Describe(node& each) {
+    member_digest digest;
+    digest.config_version = each.config;
+    for (std::uint32_t service = 0; service < 4; ++service)
+      digest.loads.push_back({service, static_cast<std::uint16_t>(ticks_), 3});
+    each.core->SetSelf(digest, each.config);
+  }
+
+  void TickNode(std::size_t index) {
+    auto& each = nodes_[index];
+    if (!each.up)
+      return;
+    // Once a second, not all at once.
+    if ((ticks_ + index) % 10 == 0)
+      Describe(each);
+    each.core->Tick(now_);
+    Flush(index);
+  }
+
+  void Deliver() {
+    while (!in_flight_.empty() && in_flight_.top().due <= now_) {
+      const auto due = in_flight_.top();
+      in_flight_.pop();
+      auto& to = nodes_[due.to];
+      if (!to.up)
+        continue;
+      const auto& from = nodes_[due.from];
+      to.received_bytes += due.payload.size() + kDatagramOverhead;
+      to.core->Receive(due.kind, {from.name, 1, from.address, due.payload},
+                       due.due);
+      Flush(due.to);
+    }
+  }
+
+  void Flush(std::size_t index) {
+    auto& each = nodes_[index];
+    for (auto& message : each.core->TakeOutgoing()) {
+      each.sent_bytes += message.payload.size() + kDatagramOverhead;
+      ++each.messages;
+      const auto to = by_address_.find(message.address);
+      if (to == by_address_.end())
+        continue;
+      const bool near = nodes_[to->second].region == each.region;
+      in_flight_.push({now_ + milliseconds(near ? 1 : 30), ++order_, index,
+                       to->second, message.kind, std::move(message.payload)});
+    }
+    for (const auto& event : each.core->TakeEvents()) {
+      const auto* heard = std::get_if<config_heard>(&event);
+      if (heard != nullptr && heard->version > each.config) {
+        each.config = heard->version;
+        Describe(each);
+      }
+    }
+  }
+
+  std::vector<node> nodes_;
+  std::unordered_map<std::string, std::size_t> by_address_;
+  std::priority_queue<datagram, std::vector<datagram>, std::greater<>>
+      in_flight_;
+  time_point now_{std::chrono::hours(1)};
+  std::uint64_t order_ = 0;
+  std::uint64_t ticks_ = 0;
+};
+
+struct point {
+  int nodes = 0;
+  int regions = 0;
+  double sent = 0;
+  double sent_most = 0;
+  double received_most = 0;
+  double messages = 0;
+  double cpu_percent = 0;
+  double members_missing = 0;
+  double regions_missing = 0;
+  double region_age_mean_s = 0;
+  double region_age_most_s = 0;
+  double detect_s = 0;
+  double config_from_watchers_s = 0;
+  double config_from_one_s = 0;
+};
+
+void MeasureTraffic(fleet& all, point& result) {
+  const auto time = seconds(absl::GetFlag(FLAGS_measure_s));
+  all.ResetCounts();
+  const double cpu = CpuSeconds();
+  all.Run(time);
+  const auto spent = CpuSeconds() - cpu;
+  const auto length = static_cast<double>(time.count());
+  for (const auto& each : all.nodes()) {
+    const auto sent = static_cast<double>(each.sent_bytes) / length;
+    const auto received = static_cast<double>(each.received_bytes) / length;
+    result.sent += sent / result.nodes;
+    result.messages +=
+        static_cast<double>(each.messages) / length / result.nodes;
+    result.sent_most = std::max(result.sent_most, sent);
+    result.received_most = std::max(result.received_most, received);
+  }
+  result.cpu_percent = 100 * spent / length / result.nodes;
+}
+
+void MeasureKnowledge(fleet& all, point& result) {
+  double ages = 0;
+  int known = 0;
+  for (const auto& each : all.nodes()) {
+    const auto expected =
+        (result.nodes - each.region + result.regions - 1) / result.regions;
+    result.members_missing +=
+        expected - static_cast<double>(each.core->table().Working().size());
+    result.regions_missing +=
+        result.regions - 1 -
+        static_cast<double>(each.core->regions().digests().size());
+    for (const auto& [region, digest] : each.core->regions().digests()) {
+      const auto age =
+          static_cast<double>(each.core->WallMs(all.now()) - digest.as_of) /
+          1000;
+      ages += age;
+      ++known;
+      result.region_age_most_s = std::max(result.region_age_most_s, age);
+    }
+  }
+  result.region_age_mean_s = known == 0 ? 0 : ages / known;
+}
+
+point Measure(int nodes, int regions) {
+  fleet all(nodes, regions);
+  point result{nodes, regions};
+  all.Run(seconds(absl::GetFlag(FLAGS_settle_s)));
+  MeasureTraffic(all, result);
+  MeasureKnowledge(all, result);
+  // Nodes go round the regions: these are two of each.
+  const auto watchers = std::min(2 * regions, nodes);
+  for (std::size_t i = 0; i < static_cast<std::size_t>(watchers); ++i)
+    all.SetConfig(i, 2);
+  result.config_from_watchers_s =
+      all.RunUntil([&] { return all.AllHaveConfig(2); }, seconds(300));
+  all.SetConfig(all.nodes().size() - 1, 3);
+  result.config_from_one_s =
+      all.RunUntil([&] { return all.AllHaveConfig(3); }, seconds(300));
+  constexpr int kCrashes = 3;
+  for (int crash = 0; crash < kCrashes; ++crash) {
+    const auto subject =
+        static_cast<std::size_t>((crash + 1) * std::max(1, nodes / 5));
+    all.nodes()[subject].up = false;
+    result.detect_s +=
+        all.RunUntil([&] { return all.KnownDead(subject); }, seconds(300)) /
+        kCrashes;
+  }
+  return result;
+}
+
+void Print(const point& p) {
+  fmt::print(
+      R"({{"nodes":{},"regions":{},"sent_bytes_per_s":{:.0f},)"
+      R"("sent_bytes_per_s_most":{:.0f},"received_bytes_per_s_most":{:.0f},)"
+      R"("messages_per_s":{:.2f},"cpu_percent_of_core":{:.4f},)"
+      R"("members_missing":{:.0f},"regions_missing":{:.0f},)"
+      R"("region_age_mean_s":{:.1f},"region_age_most_s":{:.1f},)"
+      R"("detect_s":{:.1f},"config_from_watchers_s":{:.1f},)"
+      R"("config_from_one_s":{:.1f}}})"
+      "\n",
+      p.nodes, p.regions, p.sent, p.sent_most, p.received_most, p.messages,
+      p.cpu_percent, p.members_missing, p.regions_missing, p.region_age_mean_s,
+      p.region_age_most_s, p.detect_s, p.config_from_watchers_s,
+      p.config_from_one_s);
+  std::fflush(stdout);
+}
+
+// What sealing and opening a datagram of usual size costs, which the
+// simulation leaves out.
+double SealAndOpenMicroseconds() {
+  const auto keys =
+      peer_keys::Parse("0123456789abcdef0123456789abcdef").value();
+  peer_envelope envelope;
+  envelope.sender = "entry-00000";
+  envelope.payload.assign(350, 'x');
+  constexpr int kRounds = 20'000;
+  const double cpu = CpuSeconds();
+  int opened = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    const auto datagram = Seal(envelope, "10.0.0.1:7000", keys);
+    opened += Open(datagram.value(), "10.0.0.1:7000", keys) ? 1 : 0;
+  }
+  return opened == kRounds ? (CpuSeconds() - cpu) * 1e6 / kRounds : 0;
+}
+
+int Main() {
+  bool sound = true;
+  std::vector<std::pair<double, double>> bytes;
+  std::vector<std::pair<double, double>> cpu;
+  constexpr std::pair<int, int> kFleets[] = {{10, 3},  {40, 3},    {120, 3},
+                                             {300, 6}, {1000, 12}, {2800, 24}};
+  for (const auto& [nodes, regions] : kFleets) {
+    if (nodes > absl::GetFlag(FLAGS_max_nodes))
+      continue;
+    const auto p = Measure(nodes, regions);
+    Print(p);
+    bytes.emplace_back(nodes, p.sent);
+    cpu.emplace_back(nodes, p.cpu_percent);
+    sound = sound && p.sent_most < kMostBytesPerSecond &&
+            p.received_most < kMostBytesPerSecond && p.members_missing == 0 &&
+            p.regions_missing == 0 && p.config_from_watchers_s < 9 &&
+            p.detect_s < 30;
+  }
+  fmt::print(R"({{"seal_and_open_us":{:.1f}}})"
+             "\n",
+             SealAndOpenMicroseconds());
+  for (const auto& [name, points] :
+       {std::pair("sent_bytes_per_s by nodes", &bytes),
+        std::pair("cpu_percent by nodes", &cpu)}) {
+    const auto fit = FitLine(*points);
+    fmt::print(
+        R"({{"fit":"{}","slope":{:.6f},"start":{:.4f},"worst_residual":{:.2f}}})"
+        "\n",
+        name, fit.slope, fit.start, fit.worst_residual);
+  }
+  return sound ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace samphire
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  return samphire::Main();
+}
--- a/src/libsamphire/membership/gossip_queue.cc
+++ b/src/libsamphire/membership/gossip_queue.cc
@@ -8,10 +8,16 @@
 
 namespace {
 
-// News told this often for each doubling of the members reaches all of them
-// with near certainty; what is missed the comparison of checksums finds.
-constexpr int kTellsPerDoubling = 3;
+// For each doubling of the members. A rumour told this often reaches all with
+// near certainty, before the time of a suspicion is over. A record is five
+// times as long and not as urgent: what is missed the checksums find.
+constexpr int kRumourTells = 3;
+constexpr int kRecordTells = 1;
 constexpr int kLoadTells = 2;
+// A changed region has to reach everyone. A refreshed one is passed on twice,
+// the least by which news still spreads.
+constexpr int kRegionChangeTells = 4;
+constexpr int kRegionRefreshTells = 2;
 
 bool Take(std::size_t size, std::size_t& budget) {
   if (size > budget)
@@ -28,9 +34,11 @@
   news.told = 0;
 }
 
-void gossip_queue::AddRegion(const std::string& region, int repeats) {
-  auto& left = regions_[region];
-  left = std::max(left, repeats);
+void gossip_queue::AddRegion(const std::string& region, bool changed) {
+  auto& news = regions_[region];
+  const auto tells = changed ? kRegionChangeTells : kRegionRefreshTells;
+  news.left = std::max(news.left, tells);
+  news.changed = news.changed || changed;
 }
 
 // The budget keeps a message's size, and so each node's bytes, the same
@@ -39,16 +47,19 @@
                         const membership_table& table,
                         const region_directory& regions,
                         std::size_t budget) {
+  // In every other message a region goes first: it takes most of one, and
+  // after many members have come at once it would wait for minutes otherwise.
+  region_turn_ = !region_turn_;
+  if (region_turn_)
+    FillRegion(block, regions, budget);
   FillMembers(block, table, budget);
-  FillRegion(block, regions, budget);
   FillLoads(block, table, budget);
 }
 
 void gossip_queue::FillMembers(gossip_block& block,
                                const membership_table& table,
                                std::size_t& budget) {
-  const auto limit =
-      kTellsPerDoubling *
+  const auto doublings =
       static_cast<int>(std::bit_width(table.others().size() + 2));
   std::vector<std::pair<int, std::string>> order;
   order.reserve(members_.size());
@@ -58,6 +69,7 @@
   for (const auto& [told, name] : order) {
     auto& news = members_[name];
     const auto* known = table.Find(name);
+    const auto limit = doublings * (news.in_full ? kRecordTells : kRumourTells);
     if (known == nullptr || told >= limit) {
       members_.erase(name);
       continue;
@@ -65,7 +77,7 @@
     const auto rumour = RumourOf(*known);
     const auto size = news.in_full ? WireSize(*known) : WireSize(rumour);
     if (!Take(size, budget))
-      break;
+      continue;
     ++news.told;
     if (news.in_full)
       block.records.push_back(*known);
@@ -77,17 +89,36 @@
 void gossip_queue::FillRegion(gossip_block& block,
                               const region_directory& regions,
                               std::size_t& budget) {
-  const auto most = std::ranges::max_element(
-      regions_, {}, [](const auto& entry) { return entry.second; });
-  if (most == regions_.end())
+  const auto next = NextRegion();
+  if (next == regions_.end())
     return;
-  const auto* digest = regions.Find(most->first);
-  if (digest != nullptr && !Take(WireSize(*digest), budget))
+  auto& news = next->second;
+  const auto* digest = regions.Find(next->first);
+  if (digest == nullptr) {
+    regions_.erase(next);
+    return;
+  }
+  if (!Take(WireSize(*digest), budget))
     return;
-  if (digest != nullptr)
-    block.regions.push_back(*digest);
-  if (digest == nullptr || --most->second <= 0)
-    regions_.erase(most);
+  block.regions.push_back(*digest);
+  region_cursor_ = next->first;
+  if (--news.left <= 0)
+    regions_.erase(next);
+}
+
+// The next one round by name, and one that changed before any other.
+gossip_queue::region_news_map::iterator gossip_queue::NextRegion() {
+  auto found = regions_.end();
+  auto it = regions_.upper_bound(region_cursor_);
+  for (std::size_t i = 0; i < regions_.size(); ++i, ++it) {
+    if (it == regions_.end())
+      it = regions_.begin();
+    if (it->second.changed)
+      return it;
+    if (found == regions_.end())
+      found = it;
+  }
+  return found;
 }
 
 void gossip_queue::FillLoads(gossip_block& block,
--- a/src/libsamphire/membership/membership_core.cc
+++ b/src/libsamphire/membership/membership_core.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds kPause{700};
 // Knocking at seeds while all is well only finds parts of the fleet that have
 // never heard of each other.
-constexpr int kQuietKnocks = 12;
+constexpr int kQuietKnocks = 60;
 constexpr std::size_t kJoinSeeds = 3;
 constexpr milliseconds kDarkRegion{120'000};
 constexpr std::size_t kRecordBytes = 1000;
--- a/src/libsamphire/membership/membership_core_receive.cc
+++ b/src/libsamphire/membership/membership_core_receive.cc
@@ -14,10 +14,6 @@
 constexpr int kMismatchesToSync = 3;
 constexpr std::size_t kContradictions = 8;
 constexpr std::int64_t kStaleRegionMs = 60'000;
-// How often a changed region is told inside this one, and a refreshed one:
-// the first must reach all, the second is worth no more than spare bytes.
-constexpr int kRegionChangeTells = 4;
-constexpr int kRegionRefreshTells = 1;
 
 }  // namespace
 
@@ -100,8 +96,8 @@
     return;
   }
   const auto& joiner = join->self;
-  SendRegions(message.from, now);
   if (joiner.region == table_.self().region) {
+    SendRegions(message.from, now);
     Note(joiner.name, table_.MergeRecord(joiner, now), true);
     std::vector<const member*> all{&table_.self()};
     for (const auto& [name, known] : table_.others())
@@ -109,9 +105,16 @@
     SendRecords(message.from, all);
     return;
   }
+  // Every delegate of the fleet may knock at the same few seeds, so what one
+  // knock is answered with is bounded: this region, and the joiner's own,
+  // where it will be told the rest.
+  records_message answer{{}, {speaker_.Describe(table_, WallMs(now))}};
+  const auto* known = regions_.Find(joiner.region);
+  if (known != nullptr)
+    answer.regions.push_back(*known);
+  Send(message.from, message_kind::kRegionDigest, answer);
   // The first to be heard of a region, or of one long silent: better than
   // nothing until its delegates speak.
-  const auto* known = regions_.Find(joiner.region);
   if (known != nullptr && WallMs(now) - known->as_of < kStaleRegionMs)
     return;
   region_digest first;
@@ -210,9 +213,8 @@
     const auto merged = regions_.Merge(digest, WallMs(now));
     if (merged == region_directory::effect::kNone)
       continue;
-    queue_.AddRegion(digest.region, merged == region_directory::effect::kChanged
-                                        ? kRegionChangeTells
-                                        : kRegionRefreshTells);
+    queue_.AddRegion(digest.region,
+                     merged == region_directory::effect::kChanged);
     if (digest.config_version > table_.self().digest.config_version &&
         !digest.contacts.empty()) {
       events_.emplace_back(config_heard{digest.config_version, 0,
--- a/src/libsamphire/membership/membership_service.cc
+++ b/src/libsamphire/membership/membership_service.cc
@@ -40,9 +40,11 @@
   }
 }
 
-// The transport outlives this object and may be delivering: the handlers are
-// not taken back, so the transport has to be stopped first.
-membership_service::~membership_service() = default;
+// The transport outlives this object and may be delivering.
+membership_service::~membership_service() {
+  for (const auto kind : kHandledKinds)
+    transport_.OnMessage(kind, nullptr);
+}
 
 void membership_service::Start() {
   thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
--- a/src/libsamphire/peer/peer_transport.h
+++ b/src/libsamphire/peer/peer_transport.h
@@ -23,7 +23,9 @@
                             message_kind kind,
                             const std::string& payload) = 0;
 
-  // One handler a kind. It runs on the receiving thread and must not block.
+  // One handler a kind; an empty one takes it back, and returns when none is
+  // running. A handler runs on the receiving thread, must not block and must
+  // not call this.
   virtual void OnMessage(message_kind kind, handler receive) = 0;
 };
 
--- a/src/libsamphire/peer/udp_peer_transport.cc
+++ b/src/libsamphire/peer/udp_peer_transport.cc
@@ -72,6 +72,7 @@
 }
 
 void udp_peer_transport::OnMessage(message_kind kind, handler receive) {
+  std::lock_guard guard(handlers_lock_);
   handlers_[static_cast<std::size_t>(kind)] = std::move(receive);
 }
 
@@ -115,6 +116,9 @@
   const auto label =
       fmt::format("kind=\"{}\"", NameOf(kMessageKindNames, envelope.kind));
   metrics_.Count("peer_received_total", label);
+  // Held while the handler runs: whoever takes a handler back, since it is
+  // about to be destroyed, has to wait for a delivery that is under way.
+  std::lock_guard guard(handlers_lock_);
   const auto& receive = handlers_[static_cast<std::size_t>(envelope.kind)];
   if (receive) {
     receive({std::move(envelope.sender), envelope.incarnation, std::move(from),
--- a/src/libsamphire/peer/udp_peer_transport.h
+++ b/src/libsamphire/peer/udp_peer_transport.h
@@ -35,7 +35,6 @@
   result<void> Send(const std::string& address,
                     message_kind kind,
                     const std::string& payload) override;
-  // Before Start only.
   void OnMessage(message_kind kind, handler receive) override;
 
   void Start();
@@ -59,6 +58,7 @@
   const clock_source& clock_;
   metrics& metrics_;
   std::atomic<std::uint64_t> sequence_{0};
+  std::mutex handlers_lock_;
   std::array<handler, kKinds> handlers_;
   // Used by the receiving thread only.
   replay_guard guard_;
