Count shifts for all services of an entry together

Cause: each service's dispatcher held a shift budget of its own, so a cap of N between two regions let through N of every service. Ruled out: a fixed split of the cap by service (wastes what the quiet ones don't use); one lock over all dispatchers (services would wait for each other). A seat counts as idle only when its share of the caps is too.

--- a/src/libsamphire/decision/service_dispatcher.cc
+++ b/src/libsamphire/decision/service_dispatcher.cc
@@ -17,10 +17,21 @@
                                        std::string own_region,
                                        std::uint64_t seed,
                                        queue_order order)
+    : service_dispatcher(declared,
+                         bounds,
+                         new shift_account(std::move(own_region)),
+                         seed,
+                         order) {}
+
+service_dispatcher::service_dispatcher(const service& declared,
+                                       const limits& bounds,
+                                       shift_account_ptr shifts,
+                                       std::uint64_t seed,
+                                       queue_order order)
     : bounds_(bounds),
       random_(seed),
       pool_(declared, bounds.cold_start_ramp, random_()),
-      shifts_(std::move(own_region)),
+      shifts_(std::move(shifts)),
       bulk_(bounds.bulk_percent),
       queue_(order),
       kind_service_{service_time(kPriorService), service_time(kPriorService)} {
@@ -63,7 +74,7 @@
 
 void service_dispatcher::SetShiftCaps(const std::vector<shift_cap>& caps,
                                       const shift_share& share) {
-  shifts_.SetCaps(caps, share);
+  shifts_->SetCaps(caps, share);
 }
 
 void service_dispatcher::SetLoadHint(std::string_view target, double load) {
@@ -77,10 +88,10 @@
   shedder_.OnArrival(load.rules.priority, now);
   if (const auto refused = RefuseAtOnce(request, load, now))
     return *refused;
-  shifts_.OnArrival(request.home_region, now);
+  shifts_->OnArrival(request.home_region, now);
   // A slot that is free while requests wait is one that they can't use, so a
   // newcomer that can passes nobody.
-  if (shifts_.room(request.home_region, now) > 0 &&
+  if (shifts_->room(request.home_region, now) > 0 &&
       !LeavesSlotToPeer(request.arrived, now)) {
     if (auto grant = TryStart(request, load, now)) {
       if (kind == request_kind::kInteractive)
@@ -113,9 +124,13 @@
   wish.isolate = request.isolate;
   wish.may_borrow = !bulk;
   wish.longest = request.deadline - now;
+  if (!shifts_->TryStart(request.home_region, now))
+    return std::nullopt;
   const auto place = pool_.Place(wish, now);
-  if (!place)
+  if (!place) {
+    shifts_->Release(request.home_region, now);
     return std::nullopt;
+  }
   return Start(request, load, *place, now);
 }
 
@@ -138,7 +153,6 @@
     ++bulk_running_;
   else
     ++interactive_running_;
-  shifts_.Start(request.home_region, now);
   NoteInteractiveLoad(now);
   return grant;
 }
@@ -172,7 +186,7 @@
   running_.erase(found);
   const auto kind = work.load->rules.kind;
   --(kind == request_kind::kBulk ? bulk_running_ : interactive_running_);
-  shifts_.Release(work.home_region, now);
+  shifts_->Release(work.home_region, now);
   double slowness = 0;
   // An attempt that timed out took at least as long; one that failed at once
   // tells nothing of speed.
--- a/src/libsamphire/decision/service_dispatcher.h
+++ b/src/libsamphire/decision/service_dispatcher.h
@@ -28,7 +28,7 @@
 #include "decision/loan_wish.h"
 #include "decision/owned_slots.h"
 #include "decision/queue_order.h"
-#include "decision/shift_budget.h"
+#include "decision/shift_account.h"
 #include "decision/start_gap.h"
 #include "decision/target_pool.h"
 #include "decision/wait_queue.h"
@@ -47,6 +47,12 @@
                      std::string own_region,
                      std::uint64_t seed,
                      queue_order order = queue_order::kArrival);
+  // Shares the shift budget with the entry's other services.
+  service_dispatcher(const service& declared,
+                     const limits& bounds,
+                     shift_account_ptr shifts,
+                     std::uint64_t seed,
+                     queue_order order = queue_order::kArrival);
   ~service_dispatcher();
 
   // A changed declaration. Waiting requests keep the rules they came under.
@@ -158,7 +164,7 @@
   limits bounds_;
   std::mt19937_64 random_;
   target_pool pool_;
-  shift_budget shifts_;
+  shift_account_ptr shifts_;
   load_shedder shedder_;
   start_gap interactive_gap_;
   bulk_limit bulk_;
--- a/src/libsamphire/decision/service_dispatcher_admit.cc
+++ b/src/libsamphire/decision/service_dispatcher_admit.cc
@@ -70,7 +70,7 @@
   // back, or to turn elsewhere, at once.
   const auto cap_bound = load.service.mean() * kCapWaitInServices;
   if (cap_wait > cap_bound || cap_wait + needed > left) {
-    const auto ramp = shifts_.UntilRamp(request.home_region, now);
+    const auto ramp = shifts_->UntilRamp(request.home_region, now);
     return Refuse(result_code::kShiftCapReached, ramp.value_or(kRetryAtCap));
   }
   if (wait + needed > left)
@@ -114,7 +114,7 @@
     // Waiters that a shift cap holds up don't stand before anyone else.
     if (lane->home_region != home_region)
       count =
-          std::min<std::size_t>(count, shifts_.room(lane->home_region, now));
+          std::min<std::size_t>(count, shifts_->room(lane->home_region, now));
     ahead += static_cast<std::int64_t>(count);
   }
   return Pace(kind, now) * (ahead + 1);
@@ -125,12 +125,12 @@
                                        time_point now) const {
   const auto waiting =
       queue_.InLane(home_region, load.rules.kind, load.rules.priority);
-  const auto room = shifts_.room(home_region, now);
+  const auto room = shifts_->room(home_region, now);
   if (waiting < room)
     return duration::zero();
-  const auto share = shifts_.limit(home_region, now);
+  const auto share = shifts_->limit(home_region, now);
   if (share == 0)
-    return shifts_.UntilRamp(home_region, now).value_or(kNever);
+    return shifts_->UntilRamp(home_region, now).value_or(kNever);
   const auto turns = static_cast<std::int64_t>(waiting - room + 1);
   return load.service.mean() * turns / share;
 }
--- a/src/libsamphire/decision/service_dispatcher_loans.cc
+++ b/src/libsamphire/decision/service_dispatcher_loans.cc
@@ -22,7 +22,7 @@
     const auto& home = entry.request.home_region;
     const auto [left, added] = room.try_emplace(home, 0);
     if (added)
-      left->second = shifts_.room(home, now);
+      left->second = shifts_->room(home, now);
     // A slot is no help to a waiter that a shift cap holds up.
     if (left->second > 0) {
       --left->second;
@@ -101,7 +101,7 @@
     shown.classes.push_back({name, load->queued, load->service.mean()});
   for (const auto& [reason, count] : refusals_)
     shown.refusals.push_back({reason, count});
-  shown.shifts = shifts_.status(now);
+  shown.shifts = shifts_->status(now);
   return shown;
 }
 
--- a/src/libsamphire/decision/service_dispatcher_queue.cc
+++ b/src/libsamphire/decision/service_dispatcher_queue.cc
@@ -96,7 +96,7 @@
       too_late.push_back(entry.request.id);
       return false;
     }
-    if (shifts_.room(entry.request.home_region, now) == 0 ||
+    if (shifts_->room(entry.request.home_region, now) == 0 ||
         (kind == request_kind::kInteractive &&
          LeavesSlotToPeer(entry.request.arrived, now)))
       return false;
@@ -132,7 +132,7 @@
 // Whether an interactive request waits for nothing but a slot.
 bool service_dispatcher::HasStartable(time_point now) const {
   return queue_.Find(request_kind::kInteractive, [&](const waiter& entry) {
-    return shifts_.room(entry.request.home_region, now) > 0;
+    return shifts_->room(entry.request.home_region, now) > 0;
   }) != nullptr;
 }
 
@@ -147,7 +147,7 @@
   if (const auto change = pool_.NextChange(now))
     next = std::min(next, *change);
   for (const auto& lane : queue_.lanes()) {
-    if (const auto ramp = shifts_.UntilRamp(lane->home_region, now))
+    if (const auto ramp = shifts_->UntilRamp(lane->home_region, now))
       next = std::min(next, now + std::max(*ramp, kLeastRampWait));
   }
   return std::max(next, now);
--- a/src/libsamphire/decision/shift_budget.cc
+++ b/src/libsamphire/decision/shift_budget.cc
@@ -81,6 +81,12 @@
     shifts_.erase(found);
 }
 
+bool shift_budget::IsOverLimit(time_point now) const {
+  return std::any_of(shifts_.begin(), shifts_.end(), [&](const auto& item) {
+    return item.second.cap && item.second.in_flight > LimitOf(item.second, now);
+  });
+}
+
 std::uint32_t shift_budget::in_flight(const std::string& home_region) const {
   const auto found = shifts_.find(home_region);
   return found == shifts_.end() ? 0 : found->second.in_flight;
--- a/src/libsamphire/decision/shift_budget.h
+++ b/src/libsamphire/decision/shift_budget.h
@@ -38,6 +38,9 @@
   std::optional<duration> UntilRamp(const std::string& home_region,
                                     time_point now) const;
 
+  // Whether more is in flight under any cap than this entry's share of it.
+  bool IsOverLimit(time_point now) const;
+
   std::uint32_t in_flight(const std::string& home_region) const;
   std::vector<shift_status> status(time_point now) const;
   // This entry's share now.
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -124,7 +124,7 @@
           clock_,
           [this](const crash_notice& notice) { messenger_.Tell(notice); }),
       keeper_(state_, gates_, clock_, metrics_),
-      shares_(settings_.region, gates_, metrics_),
+      shares_(settings_.region, gates_, clock_, metrics_),
       seats_(store_,
              clock_,
              metrics_,
--- a/src/libsamphire/gateway/gate_set.cc
+++ b/src/libsamphire/gateway/gate_set.cc
@@ -9,6 +9,7 @@
                    const clock_source& clock,
                    service_gate::message_sink sink)
     : region_(std::move(region)),
+      shifts_(new shift_account(region_)),
       incarnation_(incarnation),
       clock_(clock),
       sink_(std::move(sink)) {}
@@ -26,7 +27,7 @@
     if (gate)
       gate->SetService(part, declared.limits);
     else
-      gate = new service_gate(part, declared.limits, region_, incarnation_,
+      gate = new service_gate(part, declared.limits, shifts_, incarnation_,
                               clock_, sink_);
   }
   for (const auto& [name, gate] : removed) {
--- a/src/libsamphire/gateway/gate_set.h
+++ b/src/libsamphire/gateway/gate_set.h
@@ -27,11 +27,15 @@
   // Makes the gates match a new configuration.
   void Follow(const deployment& present);
 
+  // The shift budget that the gates share.
+  shift_account& shifts() const { return *shifts_; }
+
   gate_ptr Find(const std::string& service) const;
   std::vector<std::pair<std::string, gate_ptr>> All() const;
 
  private:
   const std::string region_;
+  const shift_account_ptr shifts_;
   const std::uint64_t incarnation_;
   const clock_source& clock_;
   const service_gate::message_sink sink_;
--- a/src/libsamphire/gateway/seat_share.cc
+++ b/src/libsamphire/gateway/seat_share.cc
@@ -29,8 +29,14 @@
 
 }  // namespace
 
-seat_share::seat_share(std::string region, gate_set& gates, metrics& counters)
-    : region_(std::move(region)), gates_(gates), metrics_(counters) {}
+seat_share::seat_share(std::string region,
+                       gate_set& gates,
+                       const clock_source& clock,
+                       metrics& counters)
+    : region_(std::move(region)),
+      gates_(gates),
+      clock_(clock),
+      metrics_(counters) {}
 
 void seat_share::Follow(const deployment_ptr& present) {
   std::lock_guard guard(lock_);
@@ -55,13 +61,13 @@
     if (cap.to == region_)
       caps.push_back(cap);
   }
+  gates_.shifts().SetCaps(caps, {seats_, seat_count});
   for (const auto& whole : declared.services) {
     const auto gate = gates_.Find(whole.name);
     if (!gate)
       continue;
     gate->SetOwnedSlots(
         SlotsOf(present_->PartOf(whole, region_), seats_, seat_count));
-    gate->SetShiftCaps(caps, {seats_, seat_count});
   }
 }
 
@@ -69,6 +75,8 @@
 // runs beyond the slots that are left: a little later than need be, but never
 // too early.
 bool seat_share::IsIdle(std::uint32_t /*seat*/) {
+  if (gates_.shifts().IsOverLimit(clock_.now()))
+    return false;
   const auto gates = gates_.All();
   return std::all_of(gates.begin(), gates.end(), [](const auto& each) {
     return each.second->over_owned() == 0;
--- a/src/libsamphire/gateway/seat_share.h
+++ b/src/libsamphire/gateway/seat_share.h
@@ -17,7 +17,10 @@
 // gates.
 class seat_share final : public seat_user {
  public:
-  seat_share(std::string region, gate_set& gates, metrics& counters);
+  seat_share(std::string region,
+             gate_set& gates,
+             const clock_source& clock,
+             metrics& counters);
 
   // A configuration may change slots, targets, caps and the number of seats.
   void Follow(const deployment_ptr& present);
@@ -32,6 +35,7 @@
 
   const std::string region_;
   gate_set& gates_;
+  const clock_source& clock_;
   metrics& metrics_;
   mutable std::mutex lock_;
   deployment_ptr present_;
--- a/src/libsamphire/gateway/service_gate.cc
+++ b/src/libsamphire/gateway/service_gate.cc
@@ -15,13 +15,13 @@
 
 service_gate::service_gate(const service& part,
                            const limits& bounds,
-                           const std::string& region,
+                           shift_account_ptr shifts,
                            std::uint64_t incarnation,
                            const clock_source& clock,
                            message_sink sink)
     : clock_(clock),
       sink_(std::move(sink)),
-      dispatcher_(part, bounds, region, incarnation),
+      dispatcher_(part, bounds, std::move(shifts), incarnation),
       loans_(dispatcher_, part.name, bounds, incarnation, incarnation) {}
 
 template <typename Step>
@@ -123,14 +123,6 @@
   });
 }
 
-void service_gate::SetShiftCaps(const std::vector<shift_cap>& caps,
-                                const shift_share& share) {
-  Run([&](time_point) {
-    dispatcher_.SetShiftCaps(caps, share);
-    return std::vector<wakeup>();
-  });
-}
-
 void service_gate::SetLenders(std::vector<lender_digest> lenders) {
   std::lock_guard guard(lock_);
   loans_.SetLenders(std::move(lenders));
--- a/src/libsamphire/gateway/service_gate.h
+++ b/src/libsamphire/gateway/service_gate.h
@@ -33,7 +33,7 @@
 
   service_gate(const service& part,
                const limits& bounds,
-               const std::string& region,
+               shift_account_ptr shifts,
                std::uint64_t incarnation,
                const clock_source& clock,
                message_sink sink);
@@ -48,8 +48,6 @@
   void SetService(const service& part, const limits& bounds);
   void SetOwnedSlots(const std::vector<owned_slots>& owned);
   void SetClosedTargets(const std::set<std::string>& closed);
-  void SetShiftCaps(const std::vector<shift_cap>& caps,
-                    const shift_share& share);
   void SetLenders(std::vector<lender_digest> lenders);
   void Receive(const std::string& from, const loan_message& message);
   void Tick();
