Send again what a stale connection lost, and blame nobody for it

Cause: a crashed target leaves idle connections broken; the next request on each counts as a loss, and two losses put an innocent request in quarantine (seen in the process test of a request that crashes targets: 10616 refusals of a plain read). Ruled out: counting only requests on new connections as suspects (one that crashes targets on reused connections would go unseen). Conclusion: kept, as the loss is real wherever targets close idle connections.

--- a/src/libsamphire/gateway/answer_relay.cc
+++ b/src/libsamphire/gateway/answer_relay.cc
@@ -47,20 +47,36 @@
                            answer_note note)
     : pool_(pool), caller_(caller), sink_(sink), note_(std::move(note)) {}
 
+// A target that crashes or restarts leaves its idle connections behind broken,
+// and the next request on each is lost though it did nothing wrong. Counted as
+// a loss, it would make the innocent a suspect, and a second one put it in
+// quarantine: a technician asking for a level was refused for an hour because
+// of somebody else's request. So such a loss proves nothing, and the request is
+// sent once more on a new connection.
 relay_end answer_relay::Run(const outgoing_request& request) {
   relay_end end;
   const auto started = std::chrono::steady_clock::now();
+  if (!Exchange(request, request.fresh_connection, end)) {
+    end = relay_end{.was_stale = true};
+    Exchange(request, true, end);
+  }
+  if (!end.relayed)
+    end.target_time = std::chrono::steady_clock::now() - started;
+  return end;
+}
+
+bool answer_relay::Exchange(const outgoing_request& request,
+                            bool fresh,
+                            relay_end& end) {
   http_exchange exchange(pool_, request.address, caller_, request.deadline);
-  if (!exchange.Connect(request.fresh_connection)) {
+  if (!exchange.Connect(fresh)) {
     end.outcome = attempt_outcome::kConnectFailed;
   } else if (auto sent = exchange.Send(request.head, request.body); !sent) {
     end.outcome = OutcomeOf(sent.error().code);
   } else {
     ReadAnswer(exchange, end);
   }
-  if (!end.relayed)
-    end.target_time = std::chrono::steady_clock::now() - started;
-  return end;
+  return !exchange.failed_on_stale_connection();
 }
 
 void answer_relay::ReadAnswer(http_exchange& exchange, relay_end& end) {
--- a/src/libsamphire/gateway/answer_relay.h
+++ b/src/libsamphire/gateway/answer_relay.h
@@ -26,6 +26,8 @@
   relay_end Run(const outgoing_request& request);
 
  private:
+  // False when a stale connection took the request away.
+  bool Exchange(const outgoing_request& request, bool fresh, relay_end& end);
   void ReadAnswer(http_exchange& exchange, relay_end& end);
   void Stream(http_exchange& exchange,
               const Poco::Net::HTTPResponse& head,
--- a/src/libsamphire/gateway/local_server.cc
+++ b/src/libsamphire/gateway/local_server.cc
@@ -179,7 +179,11 @@
   quarantine_.Started(request.fingerprint, grant.target);
   answer_relay relay(pool_, state.ticket ? kNobody : state.caller, state.sink,
                      Note(state, result_code::kOk, run_state::kRan));
-  auto end = relay.Run(MakeTargetRequest(request, grant.address, clock_.now()));
+  auto out = MakeTargetRequest(request, grant.address, clock_.now());
+  out.fresh_connection |= state.fresh_connection || state.admission.isolate;
+  auto end = relay.Run(out);
+  state.fresh_connection |= end.was_stale;
+  state.may_have_run |= end.was_stale;
   quarantine_.Finished(request.fingerprint, grant.target, end.outcome);
   state.gate->Finish(grant, end.outcome, end.target_time);
   metrics_.Count("attempts_total",
--- a/src/libsamphire/gateway/local_server.h
+++ b/src/libsamphire/gateway/local_server.h
@@ -46,6 +46,9 @@
     std::optional<reservation_ticket> ticket;
     std::uint32_t attempts = 0;
     bool may_have_run = false;
+    // A crash can only be laid at the door of a request that was alone on its
+    // connection, so after a stale one it gets a new one each time.
+    bool fresh_connection = false;
   };
 
   // A note if the request ends here without a slot.
--- a/src/libsamphire/gateway/relay_end.h
+++ b/src/libsamphire/gateway/relay_end.h
@@ -18,6 +18,9 @@
   std::optional<held_answer> answer;
   // The head went out to the caller, so nothing else can be said any more.
   bool relayed = false;
+  // A connection that had been idle broke before any byte of an answer, and
+  // the request was sent again on a new one.
+  bool was_stale = false;
   int status = 0;
   // Without the time that the caller took to read.
   duration target_time{0};
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -97,7 +97,9 @@
       head_->read(*input_);
     } while (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
   } catch (const Poco::Exception&) {
-    stale_ = connection_->reused && buffer_->failure() == result_code::kOk;
+    const auto failure = buffer_->failure();
+    stale_ = connection_->reused && (failure == result_code::kOk ||
+                                     failure == result_code::kTargetFailed);
     return FailureOf(result_code::kTargetFailed);
   }
   stage_ = exchange_stage::kReceiving;
