--- a/tests/decision/placing_test.cc
+++ b/tests/decision/placing_test.cc
@@ -74,7 +74,8 @@
   dispatcher_fixture entry(3, 4);
   entry.Run(20);
   int failures = 0;
-  while (Ejected(entry).empty()) {
+  // Bounded: without ejection this would never end.
+  for (int i = 0; i < 1000 && Ejected(entry).empty(); ++i) {
     const auto grant = entry.Grant();
     const bool dead = grant.target == "t0";
     failures += dead ? 1 : 0;
