--- a/tests/decision/admission_test.cc
+++ b/tests/decision/admission_test.cc
@@ -63,7 +63,8 @@
   entry.Run(20, 1ms);
   entry.Grant();
   int waiting = 0;
-  while (std::holds_alternative<queued>(entry.Ask("reading", 1000ms)))
+  while (waiting < 1000 &&
+         std::holds_alternative<queued>(entry.Ask("reading", 1000ms)))
     ++waiting;
   CHECK(waiting == 100);
   CHECK(RefusalOf(entry.Ask("reading", 1000ms)) == result_code::kQueueFull);
--- a/tests/decision/dispatcher_property_test.cc
+++ b/tests/decision/dispatcher_property_test.cc
@@ -48,7 +48,9 @@
   void End() {
     closed_.clear();
     Note(entry_.slots.SetClosedTargets(closed_, entry_.now));
+    const auto longest = entry_.now + 60s;
     while (!running_.empty() || !waiting_.empty()) {
+      RC_ASSERT(entry_.now < longest);
       if (!running_.empty()) {
         Finish();
         continue;
