--- a/tests/ctl/operator_server.cc
+++ b/tests/ctl/operator_server.cc
@@ -1,9 +1,11 @@
 #include "ctl/operator_server.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/StreamCopier.h>
 
+#include <memory>
+
+#include "ctl/function_factory.h"
 #include "entry/operator/operator_handler_factory.h"
 #include "entry/operator/operator_routes.h"
 
@@ -11,46 +13,17 @@
 
 namespace {
 
-using Poco::Net::HTTPRequestHandler;
 using Poco::Net::HTTPRequestHandlerFactory;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
-// Does the call and cuts the connection instead of answering.
-class cutting_handler final : public HTTPRequestHandler {
- public:
-  explicit cutting_handler(operator_api& api) : api_(api) {}
-
-  void handleRequest(HTTPServerRequest& request, HTTPServerResponse&) override {
-    auto call =
-        ParseOperatorCall(request.getMethod(), request.getURI()).value();
-    Poco::StreamCopier::copyToString(request.stream(), call.body);
-    const auto ignored = DispatchOperatorCall(api_, call);
-    dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request)
-        .socket()
-        .shutdown();
-  }
-
- private:
-  operator_api& api_;
-};
-
-class cutting_factory final : public HTTPRequestHandlerFactory {
- public:
-  cutting_factory(operator_api& api, HTTPRequestHandlerFactory::Ptr whole)
-      : api_(api), whole_(std::move(whole)) {}
-
-  HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& request) override {
-    if (request.getMethod() == "GET")
-      return whole_->createRequestHandler(request);
-    return new cutting_handler(api_);
-  }
-
- private:
-  operator_api& api_;
-  HTTPRequestHandlerFactory::Ptr whole_;
-};
+// Does a change and cuts the connection instead of answering.
+void DoAndCut(operator_api& api, HTTPServerRequest& request) {
+  auto call = ParseOperatorCall(request.getMethod(), request.getURI()).value();
+  Poco::StreamCopier::copyToString(request.stream(), call.body);
+  const auto ignored = DispatchOperatorCall(api, call);
+  dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket().shutdown();
+}
 
 HTTPRequestHandlerFactory::Ptr FactoryOf(operator_api& api,
                                          operator_server::answers kept,
@@ -60,7 +33,14 @@
       new operator_handler_factory(api, kTestToken, limits, counters);
   if (kept == operator_server::answers::kAll)
     return whole;
-  return new cutting_factory(api, whole);
+  return new function_factory([&api, whole](HTTPServerRequest& request,
+                                            HTTPServerResponse& response) {
+    if (request.getMethod() != "GET")
+      return DoAndCut(api, request);
+    std::unique_ptr<Poco::Net::HTTPRequestHandler>(
+        HTTPRequestHandlerFactory::Ptr(whole)->createRequestHandler(request))
+        ->handleRequest(request, response);
+  });
 }
 
 }  // namespace
