--- a/bench/distribution.cc
+++ b/bench/distribution.cc
@@ -112,9 +112,9 @@
   const int changes = absl::GetFlag(FLAGS_changes);
   for (int n = 1 - kWarmUp; n <= changes; ++n) {
     // One block moves to another region.
-    declared
-        .client_blocks[blocks / 9 * static_cast<unsigned>((n + kWarmUp) % 9)]
-        .region = (n + kWarmUp) % 18 < 9 ? "galle" : "kandy";
+    const auto turn = static_cast<std::size_t>(n + kWarmUp);
+    declared.client_blocks[blocks / 9 * (turn % 9)].region =
+        turn % 18 < 9 ? "galle" : "kandy";
     store.Take();
     double cpu = CpuSeconds();
     const auto version =
@@ -146,6 +146,7 @@
               const std::vector<change_cost>& costs,
               double (*value)(const change_cost&)) {
   std::vector<std::pair<double, double>> points;
+  points.reserve(costs.size());
   for (const auto& cost : costs)
     points.emplace_back(cost.blocks, value(cost));
   const auto fit = FitLine(points);
