--- a/bench/distribution.cc
+++ b/bench/distribution.cc
@@ -112,7 +112,8 @@
   const int changes = absl::GetFlag(FLAGS_changes);
   for (int n = 1 - kWarmUp; n <= changes; ++n) {
     // One block moves to another region.
-    const auto turn = static_cast<std::size_t>(n + kWarmUp);
+    const int step = n + kWarmUp;
+    const auto turn = static_cast<std::size_t>(step);
     declared.client_blocks[blocks / 9 * (turn % 9)].region =
         turn % 18 < 9 ? "galle" : "kandy";
     store.Take();
--- a/src/libsamphire/allowance/seat_keeper_state.cc
+++ b/src/libsamphire/allowance/seat_keeper_state.cc
@@ -28,8 +28,10 @@
       busy_every_(limits.busy_every) {}
 
 void seat_keeper_state::SetSeats(std::uint32_t count, duration quarantine) {
-  if (count != count_)
+  if (count != count_) {
     fresh_ = false;
+    list_at_ = time_point();
+  }
   count_ = count;
   quarantine_ = quarantine;
 }
--- a/src/libsamphire/distribution/config_follower.cc
+++ b/src/libsamphire/distribution/config_follower.cc
@@ -77,8 +77,13 @@
 }
 
 void config_follower::SetWatching(bool watching) {
-  WithState([&](auto& state) { state.SetWatching(watching); });
-  watcher_.Wake();
+  const bool changed = WithState([&](auto& state) {
+    const bool before = state.watching();
+    state.SetWatching(watching);
+    return before != watching;
+  });
+  if (changed)
+    watcher_.Wake();
 }
 
 void config_follower::OnPeerVersion(const std::string& peer,
--- a/src/libsamphire/distribution/instance_follower.cc
+++ b/src/libsamphire/distribution/instance_follower.cc
@@ -30,8 +30,9 @@
 }
 
 void instance_follower::SetWatching(bool watching) {
-  watching_ = watching;
-  thread_.Wake();
+  // Told at every tick: only a change is worth a read of the list.
+  if (watching_.exchange(watching) != watching)
+    thread_.Wake();
 }
 
 std::optional<instance_list> instance_follower::Answer(
--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -260,6 +260,13 @@
   entry.Step();
   CHECK(rig.store.reads() == reads + 1);
   CHECK(told == 3);
+  // An entry tells its role at every tick; only a change may cost a read.
+  const int quiet = rig.store.reads();
+  entry.Start();
+  for (int n = 0; n < 1000; ++n)
+    entry.SetWatching(true);
+  entry.Stop();
+  CHECK(rig.store.reads() <= quiet + 20);
   CHECK_FALSE(
       entry.Answer(MakeInstanceList({{"e1", "entry", "", "r", "d"}}).digest));
 }
--- a/tests/seats/seat_keeper_test.cc
+++ b/tests/seats/seat_keeper_test.cc
@@ -215,6 +215,20 @@
   CHECK(rig->Usable("e1") + rig->Usable("e2") == kSeats);
 }
 
+TEST_CASE("a changed number of seats is followed at once") {
+  const auto rig = Settled(2);
+  rig->Run(5s);
+  for (auto& [name, one] : rig->entries)
+    one.keeper->SetSeats(4, kQuarantine);
+  rig->Run(5s);
+  CHECK(rig->Usable("e0") == 2);
+  CHECK(rig->Usable("e1") == 2);
+  for (auto& [name, one] : rig->entries)
+    one.keeper->SetSeats(kSeats, kQuarantine);
+  rig->Run(10s);
+  CHECK(rig->Usable("e0") + rig->Usable("e1") == kSeats);
+}
+
 TEST_CASE("one look at the list makes no instance gone") {
   // A reader gets a copy of the list from before an instance was added.
   seat_holder_watch watch(10s);
--- a/tests/store/configuration_over_http_test.cc
+++ b/tests/store/configuration_over_http_test.cc
@@ -162,6 +162,7 @@
   http_entry first(rig.address);
   REQUIRE(first.Apply(1, "id-0"));
   std::vector<std::unique_ptr<http_entry>> entries;
+  entries.reserve(4);
   for (int n = 0; n < 4; ++n)
     entries.push_back(std::make_unique<http_entry>(rig.address));
   std::vector<std::uint64_t> versions(4);
