Ask a failing peer once in a first load; take an untold digest for unknown

Cause: a first load asked a peer that fails for every batch of chunks anew, and a peer's version without a digest counted as another root of that version. Before: one failed call a batch; a false config-root-refused. After: the rest of the load goes to the platform; an empty digest says nothing.

--- a/src/libsamphire/distribution/config_follower.cc
+++ b/src/libsamphire/distribution/config_follower.cc
@@ -227,10 +227,16 @@
 }
 
 chunk_fetch config_follower::FetchFrom(const std::string& peer) {
-  return [this, peer](const std::vector<std::string>& refs)
-             -> result<std::vector<std::string>> {
-    auto texts = FetchFromPeer(peer, refs);
-    return texts ? std::move(texts) : FetchFromStore(refs);
+  // A first load is some hundred asks: a peer that fails once is not waited for
+  // again, or its timeouts would add up to minutes.
+  return [this, from = std::string(peer)](
+             const std::vector<std::string>& refs) mutable
+         -> result<std::vector<std::string>> {
+    auto texts = FetchFromPeer(from, refs);
+    if (texts)
+      return texts;
+    from.clear();
+    return FetchFromStore(refs);
   };
 }
 
--- a/src/libsamphire/distribution/follower_state.cc
+++ b/src/libsamphire/distribution/follower_state.cc
@@ -27,7 +27,8 @@
                                      const std::string& digest) const {
   if (version != version_)
     return version > version_ ? root_verdict::kNewer : root_verdict::kOlder;
-  return digest == digest_ ? root_verdict::kCurrent : root_verdict::kDiffers;
+  return digest.empty() || digest == digest_ ? root_verdict::kCurrent
+                                             : root_verdict::kDiffers;
 }
 
 root_verdict follower_state::OnRoot(std::uint64_t version,
--- a/src/libsamphire/distribution/peer_config.h
+++ b/src/libsamphire/distribution/peer_config.h
@@ -12,6 +12,7 @@
 struct peer_config {
   // 0: it has none.
   std::uint64_t version = 0;
+  // Empty if it was not told.
   std::string digest;
   // How long ago it was confirmed that nothing newer was in force. Without it
   // two entries cut off together would confirm each other for ever.
--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -173,6 +173,18 @@
   CHECK(entry->image()->version() == 2);
 }
 
+TEST_CASE("a peer that fails is asked once in a first load") {
+  // The nearest peer hangs while an entry starts. Asked for every piece anew,
+  // its timeouts would keep the entry from serving for minutes.
+  follower_rig rig;
+  auto empty = rig.NewEntry();
+  rig.peers.entries = {{"empty", empty.get()}};
+  auto entry = rig.NewEntry();
+  rig.Run(*entry, 1s);
+  REQUIRE(entry->image());
+  CHECK(rig.peers.calls == 1);
+}
+
 TEST_CASE("the watch finds changes again after it was cut") {
   // The platform goes down and comes back while a change was applied through
   // another entry. A watch that went on from where it was would miss it.
--- a/tests/distribution/follower_state_test.cc
+++ b/tests/distribution/follower_state_test.cc
@@ -53,6 +53,7 @@
   CHECK(state.OnRoot(7, "x", kStart + 1s) == root_verdict::kDiffers);
   CHECK(state.OnPeer("p", {6, "c", 0ms}, kStart + 1s) == root_verdict::kOlder);
   state.OnImage(6, "c", kStart + 1s);
+  CHECK(state.OnPeer("p", {7, "", 24h}, kStart + 1s) == root_verdict::kCurrent);
   CHECK(state.version() == 7);
   CHECK(state.confirmed_at() == kStart);
   CHECK(NextIs<wait_until>(state, kStart + 2s));
