--- a/tests/distribution/config_follower_test.cc
+++ b/tests/distribution/config_follower_test.cc
@@ -173,6 +173,18 @@
   CHECK(entry->image()->version() == 2);
 }
 
+TEST_CASE("a peer that fails is asked once in a first load") {
+  // The nearest peer hangs while an entry starts. Asked for every piece anew,
+  // its timeouts would keep the entry from serving for minutes.
+  follower_rig rig;
+  auto empty = rig.NewEntry();
+  rig.peers.entries = {{"empty", empty.get()}};
+  auto entry = rig.NewEntry();
+  rig.Run(*entry, 1s);
+  REQUIRE(entry->image());
+  CHECK(rig.peers.calls == 1);
+}
+
 TEST_CASE("the watch finds changes again after it was cut") {
   // The platform goes down and comes back while a change was applied through
   // another entry. A watch that went on from where it was would miss it.
@@ -260,6 +272,13 @@
   entry.Step();
   CHECK(rig.store.reads() == reads + 1);
   CHECK(told == 3);
+  // An entry tells its role at every tick; only a change may cost a read.
+  const int quiet = rig.store.reads();
+  entry.Start();
+  for (int n = 0; n < 1000; ++n)
+    entry.SetWatching(true);
+  entry.Stop();
+  CHECK(rig.store.reads() <= quiet + 20);
   CHECK_FALSE(
       entry.Answer(MakeInstanceList({{"e1", "entry", "", "r", "d"}}).digest));
 }
