Forward reservations to the leader of their shard

What was ruled out: longer batch intervals (they delay every claim), and passing the request itself to the leader (one more hop for its whole body).

Before: every entry commits for itself. After: it asks the leader by a signed datagram, and goes to the platform itself, with the same nonce, when none answers in 250 ms. The history check, with lost and late asks, found that a leader released reservations that their holders had committed themselves, and that it judged a completion by a stale state; both are mended, and the check is red again without the first guard.

--- a/src/libsamphire/ledger/ledger.cc
+++ b/src/libsamphire/ledger/ledger.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "ledger/ledger_codec.h"
 #include "ledger/ledger_layout.h"
 
 namespace samphire {
@@ -17,7 +16,6 @@
 // How long a thread that has an answer for its caller waits for the platform
 // to record it, before the answer is given and the record is left to retries.
 constexpr milliseconds kSettleTimeout{1000};
-constexpr milliseconds kResolveTimeout{5000};
 
 struct outcome_name {
   const char* operator()(const reserved&) const { return "reserved"; }
@@ -54,12 +52,14 @@
                const shard_router& router,
                const clock_source& clock,
                metrics& registry,
-               ledger_options options)
+               ledger_options options,
+               operation_forwarder* forwarder)
     : store_(store),
       router_(router),
       clock_(clock),
       metrics_(registry),
       options_(std::move(options)),
+      forwarder_(forwarder),
       process_number_(RandomNumber()),
       pending_(process_number_) {}
 
@@ -85,10 +85,50 @@
                           : result_code::kLedgerUnavailable;
     return refused{code, prepared.error().detail};
   }
-  auto outcomes =
-      CommitterOf(request.service, request.key)
-          .Commit({reserve_operation{TicketFor(request)}}, request.deadline);
-  return std::visit(to_reservation_outcome{}, std::move(outcomes.front()));
+  const auto ticket = TicketFor(request);
+  return std::visit(
+      to_reservation_outcome{},
+      Commit(ticket, reserve_operation{ticket}, request.deadline));
+}
+
+// By way of the leader, if there is another and it answers; otherwise in
+// person, with the same nonce, so that it doesn't matter whether the leader
+// did commit. Ten entries that all write to one shard would meet in conflicts
+// at every batch; one that writes for all makes as many calls as if alone.
+operation_outcome ledger::Commit(const reservation_ticket& ticket,
+                                 const ledger_operation& operation,
+                                 time_point deadline) {
+  const auto shard = ShardOf(ticket.service, ticket.key, shard_count_);
+  const auto leader =
+      forwarder_ == nullptr ? std::string() : router_.LeaderOf(shard);
+  if (!leader.empty()) {
+    auto outcome = forwarder_->Forward(leader, operation, deadline);
+    const bool held = outcome && std::holds_alternative<reserved>(*outcome);
+    if (outcome && (!held || ticket.MayDispatch(clock_.now())))
+      return std::move(*outcome);
+  }
+  auto outcomes = committers_[shard]->Commit({operation}, deadline);
+  // The caller is told "not run", and the leader may yet commit what it was
+  // asked: then nobody would hold the reservation.
+  if (!leader.empty() && std::holds_alternative<refused>(outcomes.front()) &&
+      std::holds_alternative<reserve_operation>(operation)) {
+    pending_.Add(shard, release_operation{ticket, std::nullopt, true});
+  }
+  return std::move(outcomes.front());
+}
+
+std::optional<std::uint32_t> ledger::ShardFor(const std::string& service,
+                                              const std::string& key) {
+  if (!Prepare())
+    return std::nullopt;
+  return ShardOf(service, key, shard_count_);
+}
+
+std::vector<operation_outcome> ledger::CommitFor(
+    std::uint32_t shard,
+    std::vector<ledger_operation> operations,
+    time_point deadline) {
+  return committers_[shard]->Commit(std::move(operations), deadline);
 }
 
 reservation_ticket ledger::TicketFor(const reservation_request& request) {
@@ -110,7 +150,7 @@
 }
 
 settle_effect ledger::Release(const reservation_ticket& ticket) {
-  return Settle(ticket, release_operation{ticket, std::nullopt});
+  return Settle(ticket, release_operation{ticket, std::nullopt, false});
 }
 
 settle_effect ledger::MarkUnknown(const reservation_ticket& ticket) {
@@ -123,10 +163,8 @@
 // dies first, an operator finds the reservation in doubt.
 settle_effect ledger::Settle(const reservation_ticket& ticket,
                              ledger_operation operation) {
-  auto& committer = CommitterOf(ticket.service, ticket.key);
-  const auto outcomes =
-      committer.Commit({operation}, clock_.now() + kSettleTimeout);
-  const auto* effect = std::get_if<settle_effect>(&outcomes.front());
+  const auto outcome = Commit(ticket, operation, clock_.now() + kSettleTimeout);
+  const auto* effect = std::get_if<settle_effect>(&outcome);
   if (effect == nullptr) {
     pending_.Add(ShardOf(ticket.service, ticket.key, shard_count_),
                  std::move(operation));
@@ -143,67 +181,6 @@
   return *effect;
 }
 
-result<ledger_record> ledger::Show(const std::string& service,
-                                   const std::string& key) {
-  BOOST_OUTCOME_TRY(Prepare());
-  const auto shard = ShardOf(service, key, shard_count_);
-  shard_store view(store_, ShardKey(shard), metrics_);
-  BOOST_OUTCOME_TRY(view.Load());
-  const auto* entry = view.known()->shard.Find(service, key);
-  if (entry == nullptr)
-    return MakeError(result_code::kUnknownLedgerKey, key);
-  return ledger_record{*entry, shard, IsInDoubt(*entry, Context())};
-}
-
-result<unresolved_report> ledger::Unresolved() {
-  BOOST_OUTCOME_TRY(objects, store_.List(kLedgerPrefix));
-  metrics_.Count("ledger_store_calls_total", "call=\"list\"");
-  unresolved_report report;
-  const auto context = Context();
-  for (const auto& object : objects) {
-    if (!IsShardKey(object.key))
-      continue;
-    const auto shard = DecodeShard(object.value);
-    if (!shard) {
-      report.corrupt_shards.push_back(object.key);
-      continue;
-    }
-    for (const auto& [key, entry] : shard.value().entries()) {
-      if (IsInDoubt(entry, context))
-        report.entries.push_back(entry);
-    }
-  }
-  metrics_.Set("ledger_unresolved", {},
-               static_cast<double>(report.entries.size()));
-  return report;
-}
-
-result<void> ledger::Resolve(const std::string& service,
-                             const std::string& key,
-                             resolution as,
-                             const std::string& operator_name,
-                             const std::string& reason) {
-  if (operator_name.empty() || operator_name.size() > kMaxOperatorName ||
-      reason.empty() || reason.size() > kMaxReason) {
-    return MakeError(result_code::kValueOutOfRange,
-                     "operator and reason are required and bounded");
-  }
-  BOOST_OUTCOME_TRY(Prepare());
-  const auto outcomes =
-      CommitterOf(service, key)
-          .Commit({resolve_operation{service, key, as, operator_name, reason}},
-                  clock_.now() + kResolveTimeout);
-  if (const auto* refusal = std::get_if<refused>(&outcomes.front()))
-    return MakeError(refusal->code, refusal->detail);
-  Log(log_level::kWarning, "ledger-resolved",
-      {{"service", service},
-       {"key", key},
-       {"as", NameOf(kResolutionNames, as)},
-       {"operator", operator_name},
-       {"reason", reason}});
-  return Success();
-}
-
 void ledger::RetryPending() {
   std::map<std::uint32_t, std::vector<pending_settlements::item>> by_shard;
   for (auto& item : pending_.TakeDue(clock_.now()))
@@ -249,7 +226,7 @@
   for (std::uint32_t shard = 0; shard < count; ++shard) {
     committers_.push_back(std::make_unique<shard_committer>(
         shard_store(store_, ShardKey(shard), metrics_), options_, clock_,
-        [this, shard] { return router_.Leads(shard); },
+        [this, shard] { return router_.LeaderOf(shard).empty(); },
         [this, shard](release_operation orphan) {
           pending_.Add(shard, std::move(orphan));
         }));
--- a/src/libsamphire/ledger/ledger.h
+++ b/src/libsamphire/ledger/ledger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "ledger/ledger_operation.h"
 #include "ledger/ledger_options.h"
 #include "ledger/ledger_record.h"
+#include "ledger/operation_forwarder.h"
 #include "ledger/pending_settlements.h"
 #include "ledger/reservation_outcome.h"
 #include "ledger/reservation_request.h"
@@ -33,7 +35,8 @@
          const shard_router& router,
          const clock_source& clock,
          metrics& registry,
-         ledger_options options);
+         ledger_options options,
+         operation_forwarder* forwarder = nullptr);
 
   // Only `reserved` allows the request to be dispatched, by this process and
   // before the ticket's `dispatch_before`.
@@ -60,6 +63,14 @@
 
   // Tries again what is due and couldn't be written; called every now and then.
   void RetryPending();
+
+  // For those who lead a shard on behalf of others.
+  std::optional<std::uint32_t> ShardFor(const std::string& service,
+                                        const std::string& key);
+  std::vector<operation_outcome> CommitFor(
+      std::uint32_t shard,
+      std::vector<ledger_operation> operations,
+      time_point deadline);
   // Settlements that only this process knows of.
   std::size_t pending() const { return pending_.size(); }
   // The number of shards, or 0 when it isn't known yet.
@@ -70,6 +81,9 @@
   shard_committer& CommitterOf(const std::string& service,
                                const std::string& key);
   reservation_ticket TicketFor(const reservation_request& request);
+  operation_outcome Commit(const reservation_ticket& ticket,
+                           const ledger_operation& operation,
+                           time_point deadline);
   reservation_outcome Ask(const reservation_request& request);
   settle_effect Settle(const reservation_ticket& ticket,
                        ledger_operation operation);
@@ -83,6 +97,7 @@
   const clock_source& clock_;
   metrics& metrics_;
   const ledger_options options_;
+  operation_forwarder* const forwarder_;
   const std::uint64_t process_number_;
   std::atomic<std::uint64_t> reservations_{0};
   pending_settlements pending_;
--- a/src/libsamphire/ledger/ledger_operation.h
+++ b/src/libsamphire/ledger/ledger_operation.h
@@ -28,6 +28,9 @@
   // The version that a write of unknown outcome was conditional on: while the
   // shard still has it, that write may yet take effect.
   std::optional<std::uint64_t> fence_version;
+  // The reservation was forwarded too, and may be committed by the leader
+  // later: a mark is left that refuses it.
+  bool leave_mark = false;
 };
 
 struct mark_unknown_operation {
--- a/src/libsamphire/ledger/local_shard_router.h
+++ b/src/libsamphire/ledger/local_shard_router.h
@@ -1,6 +1,8 @@
 #ifndef LEDGER_LOCAL_SHARD_ROUTER_H_
 #define LEDGER_LOCAL_SHARD_ROUTER_H_
 
+#include <string>
+
 #include "ledger/shard_router.h"
 
 namespace samphire {
@@ -8,7 +10,7 @@
 // Every entry commits for every shard itself.
 class local_shard_router final : public shard_router {
  public:
-  bool Leads(std::uint32_t) const override { return true; }
+  std::string LeaderOf(std::uint32_t) const override { return {}; }
 };
 
 }  // namespace samphire
--- a/src/libsamphire/ledger/shard_committer.cc
+++ b/src/libsamphire/ledger/shard_committer.cc
@@ -122,8 +122,11 @@
     const bool held = std::holds_alternative<reserved>(outcomes[i]);
     const bool uncertain =
         uncertain_version && std::holds_alternative<refused>(outcomes[i]);
-    if (ticket != nullptr && (uncertain || (held && member.abandoned)))
-      orphans.push_back({*ticket, uncertain_version});
+    // What was forwarded is the holder's to release: it may have gone to the
+    // platform itself meanwhile, and be running.
+    const bool own = ticket != nullptr && ticket->holder == options_.self;
+    if (own && (uncertain || (held && member.abandoned)))
+      orphans.push_back({*ticket, uncertain_version, false});
     member.outcome = std::move(outcomes[i]);
   }
   return orphans;
@@ -158,7 +161,7 @@
                     std::holds_alternative<reserved>(*operation.outcome);
   if (!late)
     return std::move(*operation.outcome);
-  orphans_({*ticket, std::nullopt});
+  orphans_({*ticket, std::nullopt, false});
   return refused{result_code::kLedgerUnavailable, "reserved too late"};
 }
 
--- a/src/libsamphire/ledger/shard_judge.cc
+++ b/src/libsamphire/ledger/shard_judge.cc
@@ -46,6 +46,12 @@
     const reserve_operation& operation) {
   const auto& ticket = operation.ticket;
   const auto* entry = Find(ticket.service, ticket.key);
+  // A forwarded ask that was under way for so long that its holder has given
+  // up: nobody would dispatch it, and it would end in doubt.
+  if (entry != nullptr && entry->nonce == ticket.nonce &&
+      entry->state == reservation_state::kReleased) {
+    return Refuse(result_code::kLedgerUnavailable);
+  }
   if (entry == nullptr || entry->state == reservation_state::kReleased)
     return InsertReserved(ticket);
   // The answer to the write was lost, but it took effect: the nonce is ours.
@@ -102,7 +108,7 @@
   // unless another reservation already took the key after an operator's
   // release. That run can't be called back; the caller of this logs it.
   if (entry != nullptr && entry->nonce != ticket.nonce)
-    return {settle_effect::kSuperseded, false, true};
+    return {settle_effect::kSuperseded};
   if (entry != nullptr && entry->state == reservation_state::kDone &&
       entry->answer == operation.answer) {
     return Recorded(false);
@@ -128,7 +134,16 @@
 
 shard_judge::judgement shard_judge::operator()(
     const release_operation& operation) {
-  return Settle(operation.ticket, reservation_state::kReleased);
+  const auto& ticket = operation.ticket;
+  if (operation.leave_mark && Find(ticket.service, ticket.key) == nullptr) {
+    ledger_shard mark;
+    mark.Insert(EntryOf(ticket, reservation_state::kReleased, context_.now));
+    const bool room = shard_.MakeRoom(mark.bytes());
+    if (room)
+      shard_.Insert(mark.entries().begin()->second);
+    return Recorded(room);
+  }
+  return Settle(ticket, reservation_state::kReleased);
 }
 
 shard_judge::judgement shard_judge::operator()(
--- a/src/libsamphire/ledger/shard_router.h
+++ b/src/libsamphire/ledger/shard_router.h
@@ -2,6 +2,7 @@
 #define LEDGER_SHARD_ROUTER_H_
 
 #include <cstdint>
+#include <string>
 
 namespace samphire {
 
@@ -10,8 +11,8 @@
 class shard_router {
  public:
   virtual ~shard_router() = default;
-  // Whether this entry is the one that commits for `shard`.
-  virtual bool Leads(std::uint32_t shard) const = 0;
+  // The peer address of the entry that leads `shard`; empty for this one.
+  virtual std::string LeaderOf(std::uint32_t shard) const = 0;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/membership/gossip_block.h
+++ b/src/libsamphire/membership/gossip_block.h
@@ -25,6 +25,8 @@
   member_digest self;
   // Over all members that the sender holds for alive.
   std::uint64_t table_checksum = 0;
+  // How many other regions the sender has heard of.
+  std::uint8_t regions_known = 0;
 
   std::vector<member_rumour> rumours;
   std::vector<member> records;
--- /dev/null
+++ b/src/libsamphire/membership/member_shard_router.h
@@ -0,0 +1,26 @@
+#ifndef MEMBERSHIP_MEMBER_SHARD_ROUTER_H_
+#define MEMBERSHIP_MEMBER_SHARD_ROUTER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "ledger/shard_router.h"
+#include "membership/membership_service.h"
+
+namespace samphire {
+
+// Picks the leader of a shard among the working members of the region.
+class member_shard_router final : public shard_router {
+ public:
+  explicit member_shard_router(const membership_service& membership)
+      : membership_(membership) {}
+
+  std::string LeaderOf(std::uint32_t shard) const override;
+
+ private:
+  const membership_service& membership_;
+};
+
+}  // namespace samphire
+
+#endif  // MEMBERSHIP_MEMBER_SHARD_ROUTER_H_
--- a/src/libsamphire/membership/membership_core.cc
+++ b/src/libsamphire/membership/membership_core.cc
@@ -35,7 +35,8 @@
       speaker_(options, now, random_),
       last_tick_(now),
       next_knock_(now),
-      next_sync_(now) {}
+      next_sync_(now),
+      next_region_ask_(now) {}
 
 void membership_core::AddSeeds(const std::vector<std::string>& addresses) {
   for (const auto& address : addresses)
@@ -129,6 +130,8 @@
   block.config_digest = config_digest_;
   block.self = self.digest;
   block.table_checksum = table_.checksum();
+  block.regions_known = static_cast<std::uint8_t>(
+      std::min<std::size_t>(regions_.digests().size(), UINT8_MAX));
   queue_.Fill(block, table_, regions_, options_.gossip_budget);
   // A member that others hold for suspect or dead must hear of it, however
   // old the news, or it could never contradict.
--- a/src/libsamphire/membership/membership_core.h
+++ b/src/libsamphire/membership/membership_core.h
@@ -58,7 +58,7 @@
   void HandleAck(const peer_message& message, time_point now);
   void HandleProbeRequest(const peer_message& message, time_point now);
   void HandleJoin(const peer_message& message, time_point now);
-  void HandleSyncAsk(const peer_message& message);
+  void HandleSyncAsk(const peer_message& message, time_point now);
   void HandleRecords(const peer_message& message, time_point now);
 
   void RunProbes(time_point now);
@@ -76,6 +76,9 @@
   void CompareTables(const peer_message& from,
                      const gossip_block& block,
                      time_point now);
+  void AskForRegions(const peer_message& from,
+                     const gossip_block& block,
+                     time_point now);
   void AskForSync(const std::string& address, time_point now);
   gossip_block Compose(const std::string& receiver);
   void SendProbe(const std::string& address,
@@ -103,6 +106,7 @@
   time_point last_tick_;
   time_point next_knock_;
   time_point next_sync_;
+  time_point next_region_ask_;
   int mismatches_ = 0;
   std::uint64_t malformed_ = 0;
   std::vector<outgoing_message> outgoing_;
--- a/src/libsamphire/membership/membership_message.h
+++ b/src/libsamphire/membership/membership_message.h
@@ -61,11 +61,13 @@
 struct sync_ask_message {
   std::uint32_t first = 0;
   std::uint32_t last = UINT32_MAX;
+  // 1: and tell me of all regions.
+  std::uint8_t want_regions = 0;
   std::vector<member_stamp> stamps;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(first, last, Bounded<kMaxStamps>(stamps));
+    archive(first, last, want_regions, Bounded<kMaxStamps>(stamps));
   }
 };
 
--- a/src/libsamphire/membership/membership_service.cc
+++ b/src/libsamphire/membership/membership_service.cc
@@ -170,6 +170,15 @@
   return std::ranges::find(holders, table.self().name) != holders.end();
 }
 
+std::string membership_service::HolderOf(std::string_view role) const {
+  std::lock_guard guard(lock_);
+  const auto& table = core_.table();
+  const auto holders = PickByRendezvous(role, table.Working(), 1);
+  if (holders.empty() || holders.front() == table.self().name)
+    return {};
+  return table.Find(holders.front())->peer_address;
+}
+
 bool membership_service::IsDelegate() const {
   std::lock_guard guard(lock_);
   return core_.IsDelegate();
--- a/src/libsamphire/membership/membership_service.h
+++ b/src/libsamphire/membership/membership_service.h
@@ -65,6 +65,9 @@
 
   // Whether this entry is one of the `count` of its region that have a role.
   bool HasRole(std::string_view role, std::size_t count) const;
+  // The peer address of the one entry of the region that has a role; empty
+  // when it is this one, or when none works.
+  std::string HolderOf(std::string_view role) const;
   bool IsWatcher(std::size_t count) const { return HasRole("watcher", count); }
   bool IsDelegate() const;
 
--- a/src/libsamphire/peer/message_kind.h
+++ b/src/libsamphire/peer/message_kind.h
@@ -22,9 +22,11 @@
   kConfigHint,
   kJoin,
   kSyncAsk,
+  kLedgerAsk,
+  kLedgerAnswer,
 };
 
-inline constexpr enum_names<message_kind, 12> kMessageKindNames{{
+inline constexpr enum_names<message_kind, 14> kMessageKindNames{{
     {message_kind::kProbe, "probe"},
     {message_kind::kProbeAck, "probe_ack"},
     {message_kind::kProbeRequest, "probe_request"},
@@ -37,9 +39,11 @@
     {message_kind::kConfigHint, "config_hint"},
     {message_kind::kJoin, "join"},
     {message_kind::kSyncAsk, "sync_ask"},
+    {message_kind::kLedgerAsk, "ledger_ask"},
+    {message_kind::kLedgerAnswer, "ledger_answer"},
 }};
 
-inline constexpr auto kLastMessageKind = message_kind::kSyncAsk;
+inline constexpr auto kLastMessageKind = message_kind::kLedgerAnswer;
 
 }  // namespace samphire
 
--- a/tests/ledger/ledger_fixture.h
+++ b/tests/ledger/ledger_fixture.h
@@ -16,13 +16,16 @@
 struct ledger_fixture {
   std::unique_ptr<ledger> Open(const std::string& instance,
                                std::uint64_t incarnation = 1,
-                               object_store* over = nullptr) {
+                               object_store* over = nullptr,
+                               const shard_router* by = nullptr,
+                               operation_forwarder* forwarder = nullptr) {
     ledger_options options;
     options.self = {instance, incarnation};
     options.shards = 2;
     options.sleep = [this](duration pause) { clock.Advance(pause); };
-    return std::make_unique<ledger>(over != nullptr ? *over : store, router,
-                                    clock, registry, options);
+    return std::make_unique<ledger>(over != nullptr ? *over : store,
+                                    by != nullptr ? *by : router, clock,
+                                    registry, options, forwarder);
   }
   reservation_request Request(const std::string& key,
                               const std::string& digest = "d") {
--- a/tests/ledger/ledger_history.cc
+++ b/tests/ledger/ledger_history.cc
@@ -14,17 +14,46 @@
 
 ledger_history::ledger_history(std::uint64_t seed,
                                chaos_store::missing_guard missing)
-    : random_(seed), store_(seed + 1, missing) {
-  for (int i = 0; i < kActors; ++i) {
+    : random_(seed), store_(seed + 1, missing), forwarder_(seed + 2) {
+  for (std::size_t i = 0; i < kActors; ++i) {
     actors_.emplace_back();
-    actors_.back().entry = world_.Open("e" + std::to_string(i), 1, &store_);
+    actors_.back().entry = Open(i, 1);
   }
+  forwarder_.commit_at = [this](const auto& number, const auto& operation) {
+    return CommitAt(number, operation);
+  };
   store_.others_act = [this] {
     if (depth_ < kMaxDepth && Pick(3) == 0)
       Act();
   };
 }
 
+std::unique_ptr<ledger> ledger_history::Open(std::size_t number,
+                                             std::uint64_t incarnation) {
+  return world_.Open("e" + std::to_string(number), incarnation, &store_,
+                     number == 0 ? &leader_ : &follower_, &forwarder_);
+}
+
+std::optional<operation_outcome> ledger_history::CommitAt(
+    const std::string& number,
+    const ledger_operation& operation) {
+  auto& leader = actors_[std::stoul(number)];
+  if (leader.acting)
+    return std::nullopt;
+  leader.acting = true;
+  const auto shard =
+      leader.entry->ShardFor("claims-desk", ToAsk(operation)->entry.key);
+  std::optional<operation_outcome> outcome;
+  if (shard) {
+    outcome = leader.entry
+                  ->CommitFor(*shard, {operation},
+                              world_.clock.now() + milliseconds(250))
+                  .front();
+  }
+  leader.acting = false;
+  return outcome;
+}
+
 void ledger_history::Run(int steps) {
   for (int i = 0; i < steps; ++i)
     Act();
@@ -57,6 +86,8 @@
       store_.SetDown(Pick(4) == 0);
       break;
     case 3:
+      forwarder_.DeliverLate();
+      break;
     case 4:
       subject.entry->RetryPending();
       break;
@@ -74,13 +105,13 @@
 
 void ledger_history::Crash(actor& subject) {
   ++crashes_;
-  const auto name = "e" + std::to_string(&subject - actors_.data());
+  const auto number = static_cast<std::size_t>(&subject - actors_.data());
   // What it hadn't written is lost with it; which keys, nobody knows.
   if (subject.entry->pending() > 0) {
     for (auto& [key, history] : keys_)
       history.may_doubt = true;
   }
-  subject.entry = world_.Open(name, ++subject.incarnation, &store_);
+  subject.entry = Open(number, ++subject.incarnation);
 }
 
 void ledger_history::RunReserved(actor& subject,
--- a/tests/ledger/ledger_history.h
+++ b/tests/ledger/ledger_history.h
@@ -3,11 +3,13 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "ledger/chaos_forwarder.h"
 #include "ledger/chaos_store.h"
 #include "ledger/ledger_fixture.h"
 
@@ -43,6 +45,9 @@
     bool may_doubt = false;
   };
 
+  std::unique_ptr<ledger> Open(std::size_t number, std::uint64_t incarnation);
+  std::optional<operation_outcome> CommitAt(const std::string& number,
+                                            const ledger_operation& operation);
   void Act();
   void Crash(actor& subject);
   void RunReserved(actor& subject,
@@ -57,6 +62,9 @@
   std::mt19937_64 random_;
   ledger_fixture world_;
   chaos_store store_;
+  chaos_forwarder forwarder_;
+  const first_leads leader_{true};
+  const first_leads follower_{false};
   std::vector<actor> actors_;
   std::map<std::string, key_history> keys_;
   std::set<std::string> violations_;
