Ask the platform for the ledger's layout without a lock

Cause: the thread sanitizer reported lock orders in the history check, since the first call of a ledger held a lock while it asked the platform. With a slow platform, callers waited for that lock past their deadlines.

What was ruled out: reading the layout at construction (an entry that starts in an outage would have none).

After: asked without the lock.

--- a/src/libsamphire/ledger/ledger.cc
+++ b/src/libsamphire/ledger/ledger.cc
@@ -210,15 +210,21 @@
   pending_.Forget(settled);
 }
 
+// The platform is asked without the lock: it may be slow, and callers that
+// wait for a lock can't leave at their deadlines. That several threads ask at
+// the start costs a few calls once.
 result<void> ledger::Prepare() {
-  if (shard_count_ != 0)
-    return Success();
-  std::lock_guard guard(prepare_lock_);
   if (shard_count_ != 0)
     return Success();
   metrics_.Count("ledger_store_calls_total", "call=\"layout\"");
   BOOST_OUTCOME_TRY(agreed, AgreeOnShards(store_, options_.shards));
-  const std::uint32_t count = agreed;
+  std::lock_guard guard(prepare_lock_);
+  if (shard_count_ == 0)
+    OpenShards(agreed);
+  return Success();
+}
+
+void ledger::OpenShards(std::uint32_t count) {
   if (count != options_.shards) {
     Log(log_level::kWarning, "ledger-shards-differ",
         {{"declared", options_.shards}, {"in_use", count}});
@@ -232,7 +238,6 @@
         }));
   }
   shard_count_ = count;
-  return Success();
 }
 
 shard_committer& ledger::CommitterOf(const std::string& service,
--- a/src/libsamphire/ledger/ledger.h
+++ b/src/libsamphire/ledger/ledger.h
@@ -78,6 +78,7 @@
 
  private:
   result<void> Prepare();
+  void OpenShards(std::uint32_t count);
   shard_committer& CommitterOf(const std::string& service,
                                const std::string& key);
   reservation_ticket TicketFor(const reservation_request& request);
--- a/src/libsamphire/membership/membership_core.cc
+++ b/src/libsamphire/membership/membership_core.cc
@@ -14,6 +14,9 @@
 // never heard of each other.
 constexpr int kQuietKnocks = 60;
 constexpr std::size_t kJoinSeeds = 3;
+constexpr std::uint64_t kMaxFirstSeed = 1000;
+// An entry alone serves nobody well: it tries the next seeds soon.
+constexpr int kAloneKnocks = 5;
 constexpr milliseconds kDarkRegion{120'000};
 constexpr std::size_t kRecordBytes = 1000;
 constexpr std::size_t kRegionsPerMessage = 4;
@@ -33,6 +36,7 @@
       regions_(table_.self().region),
       prober_(options, now, random_),
       speaker_(options, now, random_),
+      seeds_(random_() % kMaxFirstSeed),
       last_tick_(now),
       next_knock_(now),
       next_sync_(now),
@@ -108,6 +112,8 @@
   const bool trouble = alone || !table_.Dead().empty() ||
                        fresh.size() < regions_.digests().size();
   next_knock_ = now + options_.knock_interval * (trouble ? 1 : kQuietKnocks);
+  if (alone)
+    next_knock_ = now + options_.knock_interval / kAloneKnocks;
   if (!alone && !IsDelegate())
     return;
   for (const auto& address : seeds_.Next(table_, alone ? kJoinSeeds : 1))
--- a/src/libsamphire/membership/membership_core.h
+++ b/src/libsamphire/membership/membership_core.h
@@ -69,6 +69,7 @@
              const gossip_block& block,
              time_point now);
   void MergeRegions(const std::vector<region_digest>& seen, time_point now);
+  void MeetOwnRegion(const region_digest& told);
   void Note(const std::string& name,
             membership_table::effect effect,
             bool in_full);
--- a/src/libsamphire/membership/membership_core_merge.cc
+++ b/src/libsamphire/membership/membership_core_merge.cc
@@ -54,10 +54,8 @@
 void membership_core::MergeRegions(const std::vector<region_digest>& seen,
                                    time_point now) {
   for (const auto& digest : seen) {
-    // What others tell of this region: its members may not know each other.
     if (digest.region == table_.self().region) {
-      for (const auto& contact : digest.contacts)
-        seeds_.Add(contact.peer_address);
+      MeetOwnRegion(digest);
       continue;
     }
     const auto merged = regions_.Merge(digest, WallMs(now));
@@ -101,6 +99,19 @@
     SendRecords(table_.Find(name)->peer_address, {&table_.self()});
 }
 
+// What others tell of this region: its members may not know each other. One
+// that knows nobody yet joins at once, by the first that is named.
+void membership_core::MeetOwnRegion(const region_digest& told) {
+  for (const auto& contact : told.contacts) {
+    if (contact.name == table_.self().name)
+      continue;
+    seeds_.Add(contact.peer_address);
+    if (table_.Probed().empty())
+      Send(contact.peer_address, message_kind::kJoin,
+           join_message{table_.self()});
+  }
+}
+
 // Rumours reach nearly all, and a member may miss the few messages that
 // carried one. Comparing a checksum in every message finds what was missed
 // for eight bytes.
--- a/src/libsamphire/membership/seed_list.h
+++ b/src/libsamphire/membership/seed_list.h
@@ -13,6 +13,10 @@
 // digests of other regions.
 class seed_list {
  public:
+  // Starts anywhere in the list, so that entries that are started together
+  // don't all knock at the same few.
+  explicit seed_list(std::size_t start) : next_(start) {}
+
   void Add(const std::string& address);
 
   // The next addresses to knock at, at most `count`, in turn; those of members
@@ -22,7 +26,7 @@
 
  private:
   std::vector<std::string> addresses_;
-  std::size_t next_ = 0;
+  std::size_t next_;
 };
 
 }  // namespace samphire
