--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -216,6 +216,7 @@
   double cpu_percent = 0;
   double members_missing = 0;
   double regions_missing = 0;
+  double load_age_mean_s = 0;
   double region_age_mean_s = 0;
   double region_age_most_s = 0;
   double detect_s = 0;
@@ -242,7 +243,25 @@
   result.cpu_percent = 100 * spent / length / result.nodes;
 }
 
+// How old the loads that nodes hold of each other are: each node describes
+// itself once a second, so the numbers of its descriptions count seconds.
+double MeanLoadAge(fleet& all) {
+  std::map<std::string, std::uint32_t> present;
+  for (const auto& each : all.nodes())
+    present[each.name] = each.core->table().self().digest.sequence;
+  double ages = 0;
+  double count = 0;
+  for (const auto& each : all.nodes()) {
+    for (const auto& [name, known] : each.core->table().others()) {
+      ages += present[name] - known.digest.sequence;
+      ++count;
+    }
+  }
+  return ages / count;
+}
+
 void MeasureKnowledge(fleet& all, point& result) {
+  result.load_age_mean_s = MeanLoadAge(all);
   double ages = 0;
   int known = 0;
   for (const auto& each : all.nodes()) {
@@ -298,14 +317,15 @@
       R"("sent_bytes_per_s_most":{:.0f},"received_bytes_per_s_most":{:.0f},)"
       R"("messages_per_s":{:.2f},"cpu_percent_of_core":{:.4f},)"
       R"("members_missing":{:.0f},"regions_missing":{:.0f},)"
+      R"("load_age_mean_s":{:.1f},)"
       R"("region_age_mean_s":{:.1f},"region_age_most_s":{:.1f},)"
       R"("detect_s":{:.1f},"config_from_watchers_s":{:.1f},)"
       R"("config_from_one_s":{:.1f}}})"
       "\n",
       p.nodes, p.regions, p.sent, p.sent_most, p.received_most, p.messages,
-      p.cpu_percent, p.members_missing, p.regions_missing, p.region_age_mean_s,
-      p.region_age_most_s, p.detect_s, p.config_from_watchers_s,
-      p.config_from_one_s);
+      p.cpu_percent, p.members_missing, p.regions_missing, p.load_age_mean_s,
+      p.region_age_mean_s, p.region_age_most_s, p.detect_s,
+      p.config_from_watchers_s, p.config_from_one_s);
   std::fflush(stdout);
 }
 
