--- a/src/libsamphire/membership/membership_core.cc
+++ b/src/libsamphire/membership/membership_core.cc
@@ -14,6 +14,9 @@
 // never heard of each other.
 constexpr int kQuietKnocks = 60;
 constexpr std::size_t kJoinSeeds = 3;
+constexpr std::uint64_t kMaxFirstSeed = 1000;
+// An entry alone serves nobody well: it tries the next seeds soon.
+constexpr int kAloneKnocks = 5;
 constexpr milliseconds kDarkRegion{120'000};
 constexpr std::size_t kRecordBytes = 1000;
 constexpr std::size_t kRegionsPerMessage = 4;
@@ -33,9 +36,12 @@
       regions_(table_.self().region),
       prober_(options, now, random_),
       speaker_(options, now, random_),
+      seeds_(random_() % kMaxFirstSeed),
       last_tick_(now),
       next_knock_(now),
-      next_sync_(now) {}
+      next_sync_(now),
+      next_region_ask_(now),
+      next_refresh_(now) {}
 
 void membership_core::AddSeeds(const std::vector<std::string>& addresses) {
   for (const auto& address : addresses)
@@ -72,6 +78,7 @@
     Note(name, membership_table::effect::kChanged, false);
   Knock(now);
   SpeakToRegions(now);
+  RefreshRegions(now);
 }
 
 void membership_core::RunProbes(time_point now) {
@@ -107,6 +114,8 @@
   const bool trouble = alone || !table_.Dead().empty() ||
                        fresh.size() < regions_.digests().size();
   next_knock_ = now + options_.knock_interval * (trouble ? 1 : kQuietKnocks);
+  if (alone)
+    next_knock_ = now + options_.knock_interval / kAloneKnocks;
   if (!alone && !IsDelegate())
     return;
   for (const auto& address : seeds_.Next(table_, alone ? kJoinSeeds : 1))
@@ -129,6 +138,8 @@
   block.config_digest = config_digest_;
   block.self = self.digest;
   block.table_checksum = table_.checksum();
+  block.regions_known = static_cast<std::uint8_t>(
+      std::min<std::size_t>(regions_.digests().size(), UINT8_MAX));
   queue_.Fill(block, table_, regions_, options_.gossip_budget);
   // A member that others hold for suspect or dead must hear of it, however
   // old the news, or it could never contradict.
--- a/src/libsamphire/membership/membership_core.h
+++ b/src/libsamphire/membership/membership_core.h
@@ -58,17 +58,19 @@
   void HandleAck(const peer_message& message, time_point now);
   void HandleProbeRequest(const peer_message& message, time_point now);
   void HandleJoin(const peer_message& message, time_point now);
-  void HandleSyncAsk(const peer_message& message);
+  void HandleSyncAsk(const peer_message& message, time_point now);
   void HandleRecords(const peer_message& message, time_point now);
 
   void RunProbes(time_point now);
   void Knock(time_point now);
   void SpeakToRegions(time_point now);
+  void RefreshRegions(time_point now);
 
   void Merge(const peer_message& from,
              const gossip_block& block,
              time_point now);
   void MergeRegions(const std::vector<region_digest>& seen, time_point now);
+  void MeetOwnRegion(const region_digest& told);
   void Note(const std::string& name,
             membership_table::effect effect,
             bool in_full);
@@ -76,6 +78,9 @@
   void CompareTables(const peer_message& from,
                      const gossip_block& block,
                      time_point now);
+  void AskForRegions(const peer_message& from,
+                     const gossip_block& block,
+                     time_point now);
   void AskForSync(const std::string& address, time_point now);
   gossip_block Compose(const std::string& receiver);
   void SendProbe(const std::string& address,
@@ -84,6 +89,8 @@
   void SendRecords(const std::string& address,
                    const std::vector<const member*>& members);
   void SendRegions(const std::string& address, time_point now);
+  void SendNewer(const std::string& address,
+                 const std::vector<region_stamp>& stale);
   template <typename T>
   void Send(const std::string& address, message_kind kind, const T& message) {
     outgoing_.push_back({address, kind, EncodeBinary(message)});
@@ -103,6 +110,8 @@
   time_point last_tick_;
   time_point next_knock_;
   time_point next_sync_;
+  time_point next_region_ask_;
+  time_point next_refresh_;
   int mismatches_ = 0;
   std::uint64_t malformed_ = 0;
   std::vector<outgoing_message> outgoing_;
