--- a/src/libsamphire/decision/shift_budget.cc
+++ b/src/libsamphire/decision/shift_budget.cc
@@ -81,6 +81,12 @@
     shifts_.erase(found);
 }
 
+bool shift_budget::IsOverLimit(time_point now) const {
+  return std::any_of(shifts_.begin(), shifts_.end(), [&](const auto& item) {
+    return item.second.cap && item.second.in_flight > LimitOf(item.second, now);
+  });
+}
+
 std::uint32_t shift_budget::in_flight(const std::string& home_region) const {
   const auto found = shifts_.find(home_region);
   return found == shifts_.end() ? 0 : found->second.in_flight;
@@ -92,6 +98,13 @@
   return found == shifts_.end() ? 0 : LimitOf(found->second, now);
 }
 
+std::vector<shift_status> shift_budget::status(time_point now) const {
+  std::vector<shift_status> all;
+  for (const auto& [home, each] : shifts_)
+    all.push_back({home, each.in_flight, LimitOf(each, now)});
+  return all;
+}
+
 std::uint32_t shift_budget::LimitOf(const shift& each, time_point now) const {
   if (!each.cap)
     return 0;
--- a/src/libsamphire/decision/shift_budget.h
+++ b/src/libsamphire/decision/shift_budget.h
@@ -11,6 +11,7 @@
 #include "base/clock_source.h"
 #include "config/shift_cap.h"
 #include "decision/shift_share.h"
+#include "decision/shift_status.h"
 
 namespace samphire {
 
@@ -37,7 +38,11 @@
   std::optional<duration> UntilRamp(const std::string& home_region,
                                     time_point now) const;
 
+  // Whether more is in flight under any cap than this entry's share of it.
+  bool IsOverLimit(time_point now) const;
+
   std::uint32_t in_flight(const std::string& home_region) const;
+  std::vector<shift_status> status(time_point now) const;
   // This entry's share now.
   std::uint32_t limit(const std::string& home_region, time_point now) const;
 
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -21,6 +21,11 @@
 constexpr int kFastTicksPerSlow = 100;
 constexpr int kSlowTicksPerConfirmation = 8;
 
+constexpr milliseconds kDrainCheck{20};
+constexpr milliseconds kHandOverTime{5000};
+// How long others may go on naming this entry after it said that it leaves.
+constexpr milliseconds kRumourTime{1500};
+
 // The watch is held by a few of each region; see distribution.
 constexpr std::size_t kWatchers = kWatchersPerRegion;
 
@@ -42,6 +47,31 @@
   return limits;
 }
 
+seat_limits SeatLimits() {
+  seat_limits limits;
+  limits.jitter = Jitter();
+  return limits;
+}
+
+// How long the loans and requests of a seat's owner before may go on.
+duration SeatQuarantine(const declaration& declared) {
+  milliseconds longest{0};
+  for (const auto& service : declared.services) {
+    for (const auto& each : service.classes)
+      longest = std::max({longest, each.deadline, each.max_deadline});
+  }
+  const auto& limits = declared.limits;
+  return limits.loan_ttl + limits.clock_drift + longest;
+}
+
+std::uint32_t SeatCount(const declaration& declared, const std::string& name) {
+  for (const auto& region : declared.regions) {
+    if (region.name == name)
+      return region.seats;
+  }
+  return 0;
+}
+
 member SelfMember(const entry_settings& settings, std::uint64_t incarnation) {
   member self;
   self.name = settings.instance;
@@ -94,6 +124,17 @@
           clock_,
           [this](const crash_notice& notice) { messenger_.Tell(notice); }),
       keeper_(state_, gates_, clock_, metrics_),
+      shares_(settings_.region, gates_, clock_, metrics_),
+      seats_(store_,
+             clock_,
+             metrics_,
+             settings_.region,
+             seat_keeper_state(settings_.instance,
+                               settings_.region,
+                               incarnation_,
+                               SeatLimits(),
+                               clock_.now()),
+             shares_),
       signer_(secrets_.keys, {settings_.instance, incarnation_}, clock_),
       peer_caller_(pool_, signer_, [this] { return fleet_.OwnRegionPeers(); }),
       follower_(store_,
@@ -148,8 +189,14 @@
   };
 }
 
+// Whatever may call into other parts from a thread of its own stops before any
+// part is destroyed: a datagram or a rumour that arrives meanwhile would find
+// its receiver gone, which showed as a crash after a clean drain.
 entry_node::~entry_node() {
+  messenger_.Stop();
+  membership_.Stop();
   ticker_ = {};
+  seats_.Stop();
   instances_.Stop();
   follower_.Stop();
 }
@@ -160,6 +207,7 @@
   membership_.Start();
   follower_.Start();
   instances_.Start();
+  seats_.Start();
   ledger_retry_ = std::make_unique<ledger_retry_thread>(ledger_);
   ticker_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
   peer_front_.Start();
@@ -202,6 +250,7 @@
   }
   fleet_.Refresh(membership_, regions);
   keeper_.Tick();
+  FollowMembers();
   reporter_.SetGauges();
   const bool watching = membership_.IsWatcher(kWatchers);
   follower_.SetWatching(watching);
@@ -229,6 +278,36 @@
 
 void entry_node::OnImage(const image_ptr& image) {
   keeper_.OnImage(image);
+  const auto present = state_.deployments.Get();
+  shares_.Follow(present);
+  seats_.SetSeats(SeatCount(present->declared(), settings_.region),
+                  SeatQuarantine(present->declared()));
+}
+
+// Who shares the region's seats and lends its slots.
+void entry_node::FollowMembers() {
+  std::vector<std::string> names;
+  std::vector<member> others;
+  for (const auto& each : membership_.members()) {
+    if (each.state == member_state::kDead)
+      continue;
+    if (each.state != member_state::kLeaving)
+      names.push_back(each.name);
+    if (each.name != settings_.instance)
+      others.push_back(each);
+  }
+  seats_.SetMembers(names);
+  for (const auto& [service, gate] : gates_.All()) {
+    const auto id = ServiceId(service);
+    std::vector<lender_digest> lenders;
+    for (const auto& each : others) {
+      for (const auto& load : each.digest.loads) {
+        if (load.service_id == id)
+          lenders.push_back({each.name, load.free_slots});
+      }
+    }
+    gate->SetLenders(std::move(lenders));
+  }
 }
 
 void entry_node::OnInstances(const std::vector<instance_info>& instances) {
@@ -298,22 +377,31 @@
       follower_.platform_failing(), ledger_.pending(), members, services);
 }
 
+// Callers learn of the leaving by their next look-up, so requests go on being
+// served for as long as a look-up's answer may be kept. Seats are handed over
+// last, and not at any price: with the platform down they can't be, and the
+// platform's list will show in time that this instance has gone.
 void entry_node::Drain() {
   Log(log_level::kInfo, "leaving");
   const auto started = clock_.now();
   state_.leaving = true;
   membership_.AnnounceLeaving();
   const auto present = state_.deployments.Get();
-  const auto ttl =
-      present ? present->declared().limits.lookup_ttl : milliseconds{0};
-  std::this_thread::sleep_for(ttl);
+  std::this_thread::sleep_for(
+      present ? kRumourTime + present->declared().limits.lookup_ttl
+              : milliseconds{0});
   caller_front_.StopAccepting();
   peer_front_.StopAccepting();
+  seats_.Leave();
   while (caller_front_.connections() + peer_front_.connections() > 0)
-    std::this_thread::sleep_for(milliseconds{20});
+    std::this_thread::sleep_for(kDrainCheck);
+  const auto give_up = clock_.now() + kHandOverTime;
+  while (seats_.held() > 0 && clock_.now() < give_up)
+    std::this_thread::sleep_for(kDrainCheck);
   Log(log_level::kInfo, "drained",
       {{"seconds",
-        std::chrono::duration<double>(clock_.now() - started).count()}});
+        std::chrono::duration<double>(clock_.now() - started).count()},
+       {"seats_kept", seats_.held()}});
 }
 
 }  // namespace samphire
