Judge version 0 by what the entry did with it

The old check was wrong: nothing is done by version 0 there. It is replaced by one as strict: only that refusal, told as not run, is left out; version 0 with any other answer is still found, and a test holds each case. Ruled out: leaving version 0 out altogether (an entry that served without a configuration would pass).

--- a/tests/history/rules_test.cc
+++ b/tests/history/rules_test.cc
@@ -207,6 +207,24 @@
   CHECK(history.Judge("configuration").kind() == kBroken);
 }
 
+// A replaced entry answers before it has any configuration. To refuse is right;
+// to serve would be by no plan at all.
+TEST_CASE("version 0 is found unless it is the refusal that says so") {
+  history_builder history;
+  history.Answered("one", 20, 30).Answered("two", 0, 10);
+  auto& answer = Refuse(history, result_code::kNoConfiguration);
+  answer.config_version = 0;
+  CHECK(history.Judge("configuration").kind() == kClean);
+  answer.result = static_cast<int>(result_code::kQueueFull);
+  CHECK(history.Judge("configuration").kind() == kBroken);
+  answer.result = static_cast<int>(result_code::kNoConfiguration);
+  answer.claim = run_claim::kUnknown;
+  CHECK(history.Judge("configuration").kind() == kBroken);
+  answer.claim = run_claim::kNotRun;
+  answer.config_version = 2;
+  CHECK(history.Judge("configuration").kind() == kBroken);
+}
+
 // An entry stopped listening for changes. It sends traffic by a plan that its
 // operators believe replaced.
 TEST_CASE("a version that is not in force in time is found") {
