Tell callers that come too late for a planned stop, rather than reset them

Cause: a stopping entry no longer accepted connections but kept its port open; callers connected, sent, and were reset when the process ended 0.2 to 0.4 s later. Ruled out: closing the port first (what the machine had accepted is reset just the same); waiting longer (some caller always comes last). After: in the last phase new requests are answered 2108 entry-leaving, not run; what is left in the backlog is answered so before the port closes; while leaving, each answer closes its connection.

--- a/src/libsamphire/front/connection_limit.cc
+++ b/src/libsamphire/front/connection_limit.cc
@@ -1,9 +1,8 @@
 #include "front/connection_limit.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include "front/answer_writer.h"
+#include "front/turn_away.h"
 
 namespace samphire {
 
@@ -11,7 +10,6 @@
 
 // A crowd that finds the entry full should not come back as one.
 constexpr milliseconds kRetryAfter{1000};
-constexpr Poco::Timespan::TimeDiff kSendTimeoutUs = 100'000;
 
 }  // namespace
 
@@ -29,16 +27,8 @@
       server->currentConnections() < static_cast<int>(limit_))
     return true;
   metrics_.CountRefusal(result_code::kTooManyConnections);
-  try {
-    Poco::Net::StreamSocket caller(socket);
-    caller.setSendTimeout(Poco::Timespan(kSendTimeoutUs));
-    const auto answer = RenderRefusal(answer_note{
-        .code = result_code::kTooManyConnections, .retry_after = kRetryAfter});
-    caller.sendBytes(answer.data(), static_cast<int>(answer.size()));
-    caller.shutdownSend();
-  } catch (const Poco::Exception&) {
-    // The caller left before it could be told.
-  }
+  auto caller = socket;
+  TurnAway(caller, result_code::kTooManyConnections, kRetryAfter);
   return false;
 }
 
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -6,6 +6,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Timestamp.h>
 
+#include <atomic>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -14,32 +15,22 @@
 #include "front/answer_writer.h"
 #include "front/front_request.h"
 #include "front/head_wait.h"
+#include "front/turn_away.h"
 
 namespace samphire {
 
 namespace {
 
-// After a refusal the caller may still be sending. Closing with unread bytes
-// resets the connection, which can take the refusal away before it is read;
-// so some of what comes is read and dropped first.
-constexpr int kDrainBytes = 1 << 16;
-constexpr int kDrainReads = 16;
-constexpr Poco::Timespan::TimeDiff kDrainWaitUs = 50'000;
+class active_mark {
+ public:
+  explicit active_mark(std::atomic<int>& count) : count_(count) { ++count_; }
+  ~active_mark() { --count_; }
+  active_mark(const active_mark&) = delete;
+  active_mark& operator=(const active_mark&) = delete;
 
-void DrainAndShutDown(Poco::Net::StreamSocket socket) {
-  try {
-    socket.shutdownSend();
-    std::vector<char> dropped(kDrainBytes);
-    for (int i = 0; i < kDrainReads; ++i) {
-      if (!socket.poll(Poco::Timespan(kDrainWaitUs),
-                       Poco::Net::Socket::SELECT_READ) ||
-          socket.receiveBytes(dropped.data(), kDrainBytes) <= 0)
-        return;
-    }
-  } catch (const Poco::Exception&) {
-    // The caller closed first.
-  }
-}
+ private:
+  std::atomic<int>& count_;
+};
 
 // A body that was not read would be taken for the next request.
 bool IsDone(const front_request& request) {
@@ -55,7 +46,7 @@
     const Poco::Net::StreamSocket& socket,
     Poco::Net::HTTPServerParams::Ptr params,
     Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
-    const front_control& control,
+    front_control& control,
     samphire::metrics& counters)
     : TCPServerConnection(socket),
       params_(std::move(params)),
@@ -88,15 +79,7 @@
     }
   }
   try {
-    Poco::Net::HTTPServerResponseImpl response(session);
-    front_request request(response, session, params_.get());
-    response.setDate(Poco::Timestamp());
-    response.setVersion(request.getVersion());
-    response.setKeepAlive(request.getKeepAlive() && !control_.closing);
-    std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
-        factory_->createRequestHandler(request));
-    handler->handleRequest(request, response);
-    return response.sent() && response.getKeepAlive() && IsDone(request);
+    return Handle(session);
   } catch (const Poco::Net::NoMessageException&) {
     return false;
   } catch (const Poco::Net::MessageException&) {
@@ -108,6 +91,27 @@
   }
 }
 
+// A request counts as active before the phase is looked at, and the phase is
+// set before the count is: so one of the two sees the other, and no request
+// runs on after its port has counted none.
+bool front_connection::Handle(front_session& session) {
+  const active_mark mark(control_.active);
+  if (control_.phase == front_phase::kTurningAway) {
+    Refuse(session, result_code::kEntryLeaving);
+    return false;
+  }
+  Poco::Net::HTTPServerResponseImpl response(session);
+  front_request request(response, session, params_.get());
+  response.setDate(Poco::Timestamp());
+  response.setVersion(request.getVersion());
+  response.setKeepAlive(request.getKeepAlive() &&
+                        control_.phase == front_phase::kOpen);
+  std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
+      factory_->createRequestHandler(request));
+  handler->handleRequest(request, response);
+  return response.sent() && response.getKeepAlive() && IsDone(request);
+}
+
 void front_connection::Refuse(front_session& session, result_code code) {
   metrics_.CountRefusal(code);
   const auto answer = RenderRefusal(answer_note{.code = code});
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -19,7 +19,7 @@
   front_connection(const Poco::Net::StreamSocket& socket,
                    Poco::Net::HTTPServerParams::Ptr params,
                    Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
-                   const front_control& control,
+                   front_control& control,
                    samphire::metrics& counters);
 
   void run() override;
@@ -27,11 +27,12 @@
  private:
   // False when the connection is to be closed.
   bool ServeOne(front_session& session);
+  bool Handle(front_session& session);
   void Refuse(front_session& session, result_code code);
 
   Poco::Net::HTTPServerParams::Ptr params_;
   Poco::Net::HTTPRequestHandlerFactory::Ptr factory_;
-  const front_control& control_;
+  front_control& control_;
   samphire::metrics& metrics_;
 };
 
--- a/src/libsamphire/front/front_control.h
+++ b/src/libsamphire/front/front_control.h
@@ -4,13 +4,16 @@
 #include <atomic>
 
 #include "front/front_limits.h"
+#include "front/front_phase.h"
 
 namespace samphire {
 
-// What the connections of one port share: its limits and whether it closes.
+// What the connections of one port share.
 struct front_control {
   front_limits limits;
-  std::atomic<bool> closing = false;
+  std::atomic<front_phase> phase = front_phase::kOpen;
+  // Requests that are being served.
+  std::atomic<int> active = 0;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -1,5 +1,6 @@
 #include "front/front_server.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
@@ -7,14 +8,17 @@
 
 #include <utility>
 
+#include "base/log.h"
 #include "front/connection_limit.h"
 #include "front/front_connection.h"
+#include "front/turn_away.h"
 
 namespace samphire {
 
 namespace {
 
 constexpr int kSpareThreads = 4;
+constexpr milliseconds kLateRetryAfter{100};
 constexpr int kBacklog = 512;
 constexpr int kThreadIdleSeconds = 30;
 // Threads mostly wait; half a megabyte holds the deepest call with room.
@@ -23,7 +27,7 @@
 class connection_factory final : public Poco::Net::TCPServerConnectionFactory {
  public:
   connection_factory(Poco::Net::HTTPRequestHandlerFactory::Ptr handlers,
-                     const front_control& control,
+                     front_control& control,
                      samphire::metrics& counters)
       : params_(new Poco::Net::HTTPServerParams),
         handlers_(std::move(handlers)),
@@ -47,7 +51,7 @@
  private:
   Poco::Net::HTTPServerParams::Ptr params_;
   Poco::Net::HTTPRequestHandlerFactory::Ptr handlers_;
-  const front_control& control_;
+  front_control& control_;
   samphire::metrics& metrics_;
 };
 
@@ -78,7 +82,7 @@
 }
 
 front_server::~front_server() {
-  StopAccepting();
+  Close();
   threads_.stopAll();
 }
 
@@ -86,9 +90,29 @@
   server_->start();
 }
 
-void front_server::StopAccepting() {
-  control_.closing = true;
+void front_server::SetPhase(front_phase phase) {
+  control_.phase = phase;
+}
+
+int front_server::active() const {
+  return control_.active;
+}
+
+// Connections that the machine took but nobody accepted are reset when the
+// port closes. Their callers have sent a request and can't know whether it
+// ran; so they are taken in and told that it did not.
+void front_server::Close() {
+  SetPhase(front_phase::kTurningAway);
   server_->stop();
+  try {
+    while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      auto late = socket_.acceptConnection();
+      TurnAway(late, result_code::kEntryLeaving, kLateRetryAfter);
+    }
+    socket_.close();
+  } catch (const Poco::Exception& e) {
+    Log(log_level::kDebug, "port-closed", {{"detail", e.displayText()}});
+  }
 }
 
 int front_server::connections() const {
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -25,9 +25,11 @@
   ~front_server();
 
   void Start();
-  // Takes no further connection and closes those that are idle; requests that
-  // run go on.
-  void StopAccepting();
+  void SetPhase(front_phase phase);
+  // Requests that are being served.
+  int active() const;
+  // Closes the port; what came too late to be served is told so.
+  void Close();
   int connections() const;
   std::string address() const;
 
--- a/src/libsamphire/front/head_wait.cc
+++ b/src/libsamphire/front/head_wait.cc
@@ -43,7 +43,8 @@
       std::chrono::steady_clock::now() + control.limits.idle_timeout;
   while (!socket.poll(Poco::Timespan(kIdleSliceUs),
                       Poco::Net::Socket::SELECT_READ)) {
-    if (control.closing || std::chrono::steady_clock::now() >= deadline)
+    if (control.phase == front_phase::kTurningAway ||
+        std::chrono::steady_clock::now() >= deadline)
       return false;
   }
   return true;
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -383,30 +383,44 @@
 }
 
 // Callers learn of the leaving by their next look-up, so requests go on being
-// served for as long as a look-up's answer may be kept. Seats are handed over
-// last, and not at any price: with the platform down they can't be, and the
-// platform's list will show in time that this instance has gone.
+// served for as long as a look-up's answer may be kept. Those that still come
+// are told to go elsewhere. Seats are handed over last, and not at any price:
+// with the platform down they can't be, and the platform's list will show in
+// time that this instance has gone.
 void entry_node::Drain() {
   Log(log_level::kInfo, "leaving");
   const auto started = clock_.now();
   state_.leaving = true;
   membership_.AnnounceLeaving();
+  SetPhase(front_phase::kLeaving);
   const auto present = state_.deployments.Get();
   std::this_thread::sleep_for(
       present ? kRumourTime + present->declared().limits.lookup_ttl
               : milliseconds{0});
-  caller_front_.StopAccepting();
-  peer_front_.StopAccepting();
-  seats_.Leave();
-  while (caller_front_.connections() + peer_front_.connections() > 0)
-    std::this_thread::sleep_for(kDrainCheck);
-  const auto give_up = clock_.now() + kHandOverTime;
-  while (seats_.held() > 0 && clock_.now() < give_up)
+  SetPhase(front_phase::kTurningAway);
+  while (caller_front_.active() + peer_front_.active() > 0)
     std::this_thread::sleep_for(kDrainCheck);
+  HandOver();
+  caller_front_.Close();
+  peer_front_.Close();
   Log(log_level::kInfo, "drained",
       {{"seconds",
         std::chrono::duration<double>(clock_.now() - started).count()},
        {"seats_kept", seats_.held()}});
 }
 
+void entry_node::SetPhase(front_phase phase) {
+  caller_front_.SetPhase(phase);
+  peer_front_.SetPhase(phase);
+}
+
+void entry_node::HandOver() {
+  for (const auto& [name, gate] : gates_.All())
+    gate->Leave();
+  seats_.Leave();
+  const auto give_up = clock_.now() + kHandOverTime;
+  while (seats_.held() > 0 && clock_.now() < give_up)
+    std::this_thread::sleep_for(kDrainCheck);
+}
+
 }  // namespace samphire
--- a/src/libsamphire/gateway/entry_node.h
+++ b/src/libsamphire/gateway/entry_node.h
@@ -71,6 +71,8 @@
   void OnInstances(const std::vector<instance_info>& instances);
   void OnPeerVersion(std::uint64_t version, const std::string& peer);
   std::string CountersText();
+  void SetPhase(front_phase phase);
+  void HandOver();
   void FollowMembers();
   ledger_options LedgerOptions() const;
 
--- a/src/libsamphire/gateway/service_gate.cc
+++ b/src/libsamphire/gateway/service_gate.cc
@@ -144,6 +144,13 @@
   Run([&](time_point now) { return dispatcher_.Tick(now); });
 }
 
+void service_gate::Leave() {
+  Run([&](time_point) {
+    loans_.Leave();
+    return std::vector<wakeup>();
+  });
+}
+
 dispatcher_status service_gate::status() const {
   std::lock_guard guard(lock_);
   return dispatcher_.status(clock_.now());
--- a/src/libsamphire/gateway/service_gate.h
+++ b/src/libsamphire/gateway/service_gate.h
@@ -51,6 +51,8 @@
   void SetLenders(std::vector<lender_digest> lenders);
   void Receive(const std::string& from, const loan_message& message);
   void Tick();
+  // Gives borrowed slots back and lends no more.
+  void Leave();
 
   dispatcher_status status() const;
   std::size_t lent_out() const;
