--- a/bench/ledger.cc
+++ b/bench/ledger.cc
@@ -25,6 +25,7 @@
 #include "line_fit.h"
 #include "membership/rendezvous.h"
 #include "peer/udp_peer_transport.h"
+#include "slow_store.h"
 
 ABSL_FLAG(int, latency_ms, 3, "how long the platform takes for a call");
 ABSL_FLAG(int, seconds, 3, "how long each point is loaded");
@@ -35,62 +36,6 @@
 constexpr int kThreads = 128;
 constexpr std::uint32_t kShards = 8;
 
-// The platform's conditional updates with a latency, counting calls.
-class slow_store final : public object_store {
- public:
-  explicit slow_store(milliseconds latency) : latency_(latency) {}
-
-  result<store_object> Get(const std::string& key) override {
-    Wait();
-    std::lock_guard guard(lock_);
-    const auto found = objects_.find(key);
-    if (found == objects_.end())
-      return MakeError(result_code::kStoreNotFound);
-    return found->second;
-  }
-  result<std::uint64_t> Put(const std::string& key,
-                            const std::string& value,
-                            std::uint64_t expected) override {
-    Wait();
-    std::lock_guard guard(lock_);
-    auto& object = objects_[key];
-    if (object.version != expected)
-      return MakeError(result_code::kStoreConflict);
-    bytes_ += value.size();
-    object = {key, expected + 1, value};
-    return expected + 1;
-  }
-  result<void> Delete(const std::string&, std::uint64_t) override {
-    return MakeError(result_code::kStoreRefused);
-  }
-  result<std::vector<store_object>> List(const std::string&) override {
-    return MakeError(result_code::kStoreRefused);
-  }
-  result<watch_batch> Watch(const std::string&,
-                            std::uint64_t,
-                            milliseconds) override {
-    return MakeError(result_code::kStoreRefused);
-  }
-  result<std::vector<instance_info>> Instances() override {
-    return MakeError(result_code::kStoreRefused);
-  }
-
-  int calls() const { return calls_; }
-  std::uint64_t bytes() const { return bytes_; }
-
- private:
-  void Wait() {
-    ++calls_;
-    std::this_thread::sleep_for(latency_);
-  }
-
-  const milliseconds latency_;
-  std::atomic<int> calls_{0};
-  std::atomic<std::uint64_t> bytes_{0};
-  std::mutex lock_;
-  std::map<std::string, store_object> objects_;
-};
-
 // Leaders by rendezvous among the entries of this process, or nobody.
 class bench_router final : public shard_router {
  public:
--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -10,17 +10,14 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
-#include <functional>
 #include <map>
-#include <memory>
-#include <queue>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "line_fit.h"
 #include "membership/membership_core.h"
+#include "membership_fleet.h"
 #include "peer/envelope_codec.h"
 
 ABSL_FLAG(int, max_nodes, 2800, "leaves larger fleets out");
@@ -33,180 +30,12 @@
 
 using std::chrono::seconds;
 
-constexpr milliseconds kTick{100};
-// Digest, sender, numbers, kind and length of an envelope; IP and UDP headers.
-constexpr std::uint64_t kDatagramOverhead = 32 + 1 + 11 + 24 + 1 + 2 + 28;
 constexpr double kMostBytesPerSecond = 2048;
 
 double CpuSeconds() {
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-struct node {
-  std::unique_ptr<membership_core> core;
-  std::string name;
-  std::string address;
-  int region = 0;
-  bool up = true;
-  std::uint64_t sent_bytes = 0;
-  std::uint64_t received_bytes = 0;
-  std::uint64_t messages = 0;
-  std::uint64_t config = 1;
-};
-
-struct datagram {
-  time_point due;
-  std::uint64_t order = 0;
-  std::size_t from = 0;
-  std::size_t to = 0;
-  message_kind kind = message_kind::kProbe;
-  std::string payload;
-
-  bool operator>(const datagram& other) const {
-    return std::pair(due, order) > std::pair(other.due, other.order);
-  }
-};
-
-class fleet {
- public:
-  fleet(int count, int regions) {
-    for (int i = 0; i < count; ++i)
-      AddNode(i, regions);
-  }
-
-  void Run(duration time) {
-    const auto end = now_ + time;
-    while (now_ < end) {
-      now_ += kTick;
-      Deliver();
-      ++ticks_;
-      for (std::size_t i = 0; i < nodes_.size(); ++i)
-        TickNode(i);
-    }
-  }
-  template <typename F>
-  double RunUntil(F&& reached, duration limit) {
-    const auto start = now_;
-    while (!reached() && now_ - start < limit)
-      Run(kTick);
-    return std::chrono::duration<double>(now_ - start).count();
-  }
-
-  std::vector<node>& nodes() { return nodes_; }
-  time_point now() const { return now_; }
-  void ResetCounts() {
-    for (auto& each : nodes_)
-      each.sent_bytes = each.received_bytes = each.messages = 0;
-  }
-  // How many in the region of `subject` hold it for dead.
-  bool KnownDead(std::size_t subject) const {
-    return std::ranges::all_of(nodes_, [&](const node& each) {
-      if (!each.up || each.region != nodes_[subject].region)
-        return true;
-      const auto* known = each.core->table().Find(nodes_[subject].name);
-      return known == nullptr || known->state == member_state::kDead;
-    });
-  }
-  void SetConfig(std::size_t subject, std::uint64_t version) {
-    nodes_[subject].config = version;
-    Describe(nodes_[subject]);
-  }
-  bool AllHaveConfig(std::uint64_t version) const {
-    return std::ranges::all_of(nodes_, [version](const node& each) {
-      return !each.up || each.config >= version;
-    });
-  }
-
- private:
-  void AddNode(int number, int regions) {
-    node added;
-    added.name = fmt::format("entry-{:05}", number);
-    added.address = fmt::format("10.0.{}.{}:7000", number / 250, number % 250);
-    added.region = number % regions;
-    member self;
-    self.name = added.name;
-    self.region = fmt::format("region-{:02}", added.region);
-    self.failure_domain = fmt::format("{}-a", self.region);
-    self.caller_address = self.operator_address = self.peer_address =
-        added.address;
-    self.incarnation = 1;
-    added.core = std::make_unique<membership_core>(
-        self, membership_options{}, now_,
-        wall_time(now_.time_since_epoch() + std::chrono::hours(500000)),
-        static_cast<std::uint64_t>(number));
-    // One seed near the start, and the predecessor in the own region.
-    added.core->AddSeeds({"10.0.0.0:7000"});
-    if (number >= regions)
-      added.core->AddSeeds(
-          {nodes_[static_cast<std::size_t>(number % regions)].address});
-    by_address_[added.address] = nodes_.size();
-    nodes_.push_back(std::move(added));
-  }
-
-  void Describe(node& each) {
-    member_digest digest;
-    digest.config_version = each.config;
-    for (std::uint32_t service = 0; service < 4; ++service)
-      digest.loads.push_back({service, static_cast<std::uint16_t>(ticks_), 3});
-    each.core->SetSelf(digest, each.config);
-  }
-
-  void TickNode(std::size_t index) {
-    auto& each = nodes_[index];
-    if (!each.up)
-      return;
-    // Once a second, not all at once.
-    if ((ticks_ + index) % 10 == 0)
-      Describe(each);
-    each.core->Tick(now_);
-    Flush(index);
-  }
-
-  void Deliver() {
-    while (!in_flight_.empty() && in_flight_.top().due <= now_) {
-      const auto due = in_flight_.top();
-      in_flight_.pop();
-      auto& to = nodes_[due.to];
-      if (!to.up)
-        continue;
-      const auto& from = nodes_[due.from];
-      to.received_bytes += due.payload.size() + kDatagramOverhead;
-      to.core->Receive(due.kind, {from.name, 1, from.address, due.payload},
-                       due.due);
-      Flush(due.to);
-    }
-  }
-
-  void Flush(std::size_t index) {
-    auto& each = nodes_[index];
-    for (auto& message : each.core->TakeOutgoing()) {
-      each.sent_bytes += message.payload.size() + kDatagramOverhead;
-      ++each.messages;
-      const auto to = by_address_.find(message.address);
-      if (to == by_address_.end())
-        continue;
-      const bool near = nodes_[to->second].region == each.region;
-      in_flight_.push({now_ + milliseconds(near ? 1 : 30), ++order_, index,
-                       to->second, message.kind, std::move(message.payload)});
-    }
-    for (const auto& event : each.core->TakeEvents()) {
-      const auto* heard = std::get_if<config_heard>(&event);
-      if (heard != nullptr && heard->version > each.config) {
-        each.config = heard->version;
-        Describe(each);
-      }
-    }
-  }
-
-  std::vector<node> nodes_;
-  std::unordered_map<std::string, std::size_t> by_address_;
-  std::priority_queue<datagram, std::vector<datagram>, std::greater<>>
-      in_flight_;
-  time_point now_{std::chrono::hours(1)};
-  std::uint64_t order_ = 0;
-  std::uint64_t ticks_ = 0;
-};
-
 struct point {
   int nodes = 0;
   int regions = 0;
