--- a/src/target/worker.cc
+++ b/src/target/worker.cc
@@ -131,12 +131,23 @@
 void worker::Crash() {
   std::lock_guard guard(lock_);
   ++life_;
+  down_ = true;
   in_flight_ = 0;
   served_ = 0;
   RecordLoad();
   crashed_.notify_all();
 }
 
+bool worker::down() const {
+  std::lock_guard guard(lock_);
+  return down_;
+}
+
+void worker::StartAgain() {
+  std::lock_guard guard(lock_);
+  down_ = false;
+}
+
 void worker::RecordLoad() {
   const auto now = std::chrono::steady_clock::now();
   load_.push_back({now, in_flight_});
--- a/src/target/worker.h
+++ b/src/target/worker.h
@@ -51,6 +51,9 @@
   void Close();
   // All runs are lost and the cache is cold again.
   void Crash();
+  // Whether it crashed and has not started again.
+  bool down() const;
+  void StartAgain();
   // The load report, which may lie and lag.
   std::string LoadReport();
   bool idle() const;
@@ -78,6 +81,7 @@
   std::uint64_t served_ = 0;
   std::uint64_t life_ = 0;
   bool leaving_ = false;
+  bool down_ = false;
   std::deque<load_sample> load_;
 };
 
--- a/src/target/worker_handler.cc
+++ b/src/target/worker_handler.cc
@@ -95,6 +95,12 @@
 
 void worker_handler::handleRequest(HTTPServerRequest& request,
                                    HTTPServerResponse& response) {
+  // A dead process runs nothing, not even on a connection that is not yet torn
+  // down: such a request would look as if it had crashed the worker itself.
+  if (worker_.down()) {
+    Break(request, response);
+    return;
+  }
   try {
     if (!HandleAdmin(request, response))
       HandleWork(request, response);
--- a/src/target/worker_server.cc
+++ b/src/target/worker_server.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketImpl.h>
 
 #include <cstdlib>
 #include <functional>
@@ -61,6 +62,7 @@
 
 std::unique_ptr<Poco::Net::HTTPServer> worker_server::Listen() {
   Poco::Net::ServerSocket socket;
+  listener_ = socket;
   socket.bind(Poco::Net::SocketAddress(address_), true);
   socket.listen(kMaxConnections);
   address_ = socket.address().toString();
@@ -81,6 +83,9 @@
   if (worker_.behavior().crash_exits)
     std::_Exit(kCrashExitCode);
   worker_.Crash();
+  // The server's thread takes up to a quarter of a second to stop; connections
+  // are refused from now on, as the kernel does for a process that is gone.
+  listener_.impl()->shutdownReceive();
   {
     std::lock_guard guard(lock_);
     crashed_ = true;
@@ -105,6 +110,7 @@
     if (stopping_)
       return;
     crashed_ = false;
+    worker_.StartAgain();
     server_ = Listen();
   }
 }
--- a/src/target/worker_server.h
+++ b/src/target/worker_server.h
@@ -2,6 +2,7 @@
 #define TARGET_WORKER_SERVER_H_
 
 #include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 
 #include <condition_variable>
@@ -35,6 +36,7 @@
   worker& worker_;
   Poco::ThreadPool& threads_;
   std::string address_;
+  Poco::Net::ServerSocket listener_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 
   std::mutex lock_;
