--- a/src/libsamphire/gateway/local_server.cc
+++ b/src/libsamphire/gateway/local_server.cc
@@ -187,10 +187,10 @@
 // operator would have to settle it. Let run to its end, it is recorded, and the
 // caller that sends it again gets the answer.
 relay_end local_server::RunOn(progress& state, const slot_grant& grant) {
-  static const caller_watch kNobody;
+  static const caller_watch nobody;
   const auto& request = state.request;
   quarantine_.Started(request.fingerprint, grant.target);
-  answer_relay relay(pool_, state.ticket ? kNobody : state.caller, state.sink,
+  answer_relay relay(pool_, state.ticket ? nobody : state.caller, state.sink,
                      Note(state, result_code::kOk, run_state::kRan));
   auto out = MakeTargetRequest(request, grant.address, clock_.now());
   out.fresh_connection |= state.fresh_connection || state.admission.isolate;
--- /dev/null
+++ b/tests/process/caller_mistakes_test.cc
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+
+using namespace samphire;
+
+namespace {
+
+struct mistake {
+  http_call call;
+  std::string told;
+};
+
+std::string Header(const http_reply& reply, const std::string& name) {
+  const auto found = reply.headers.find(name);
+  return found == reply.headers.end() ? "" : found->second;
+}
+
+}  // namespace
+
+// Callers are programs that others wrote. Whatever they get wrong they are told
+// by number, and nothing of it runs.
+TEST_CASE("process: what callers get wrong is told by number") {
+  fleet system(PlanFleet(2));
+  const auto address = system.settings(0).caller_address;
+  const std::vector<mistake> mistakes = {
+      {{.path = "/v1/services/none/levels/1"}, "2004 unknown-service"},
+      {{.path = "/v1/services/s/nowhere"}, "2005 unknown-path"},
+      {{.path = "/v1/services/s/levels/../claims"}, "2005 unknown-path"},
+      {{.path = "/v2/anything"}, "2005 unknown-path"},
+      {{.path = "/v1/services/s/levels/1",
+        .headers = {{"Samphirewinch-Deadline-Ms", "soon"}}},
+       "2006 bad-deadline"},
+      {{.path = "/v1/services/s/levels/1",
+        .headers = {{"Samphirewinch-Deadline-Ms", "0"}}},
+       "2006 bad-deadline"},
+      {{.path = "/v1/services/s/levels/1",
+        .headers = {{"Samphirewinch-Deadline-Ms", "-5"}}},
+       "2006 bad-deadline"},
+      {{.method = "POST", .path = "/v1/services/s/claims", .body = "x"},
+       "2007 idempotency-key-missing"},
+      {{.method = "POST",
+        .path = "/v1/services/s/claims",
+        .body = "x",
+        .headers = {{"Idempotency-Key", std::string(300, 'k')}}},
+       "2008 bad-idempotency-key"},
+      {{.path = "/v1/lookup?service=none"}, "2004 unknown-service"},
+      {{.path = "/v1/lookup?service=s&client=everybody"},
+       "2010 bad-client-address"},
+  };
+  for (auto each : mistakes) {
+    each.call.address = address;
+    const auto reply = Call(each.call);
+    INFO(each.call.method << " " << each.call.path);
+    CHECK(Header(reply, "Samphirewinch-Result") == each.told);
+    CHECK(reply.status >= 400);
+    CHECK(Header(reply, "Samphirewinch-Run") == "not-run");
+    CHECK(reply.body.find("\"code\":") != std::string::npos);
+  }
+  CHECK(Call({.address = address, .path = "/healthz"}).status == 200);
+  CHECK(Call({.address = address, .path = "/metrics"})
+            .body.find("samphire_refusals_total{reason=\"bad-deadline\"} 3") !=
+        std::string::npos);
+}
+
+// A peer's port takes only what was signed with the fleet's key: anyone could
+// otherwise name a home region and pass by the caps.
+TEST_CASE("process: a request that no peer signed is not served as passed on") {
+  fleet system(PlanFleet(2));
+  const auto reply = Call({.address = system.settings(0).peer_address,
+                           .path = "/v1/services/s/levels/1",
+                           .headers = {{"Samphirewinch-Home-Region", "east"},
+                                       {"Samphirewinch-Peer", "forged"}}});
+  CHECK(reply.status >= 400);
+  CHECK(Header(reply, "Samphirewinch-Run") == "not-run");
+  CHECK(Header(reply, "Samphirewinch-Result").substr(0, 2) == "40");
+}
