Let each service wait for a killed entry's work by its own deadlines

Cause: a seat taken over from a killed entry waited for the longest deadline of any class before any slot of it was used; in one example that is 300 s for a quarter of a region, for the sake of one class of downloads. Ruled out: a shorter wait for all (two owners of a slot while a download runs).

--- a/src/libsamphire/allowance/seat_keeper.cc
+++ b/src/libsamphire/allowance/seat_keeper.cc
@@ -174,6 +174,11 @@
     Log(log_level::kError, "seat-lost", {{"region", region_}});
     lost_ = state.lost();
   }
+  auto waiting = state.Waiting(clock_.now());
+  if (waiting != told_waiting_) {
+    told_waiting_ = std::move(waiting);
+    user_.OnWaitingSeats(told_waiting_);
+  }
   auto usable = state.Usable(clock_.now());
   if (usable == told_)
     return;
--- a/src/libsamphire/allowance/seat_keeper.h
+++ b/src/libsamphire/allowance/seat_keeper.h
@@ -63,6 +63,7 @@
   seat_keeper_state state_;
   // Of the thread alone.
   std::vector<std::uint32_t> told_;
+  std::vector<waiting_seat> told_waiting_;
   std::uint64_t lost_ = 0;
   stoppable_thread thread_;
 };
--- a/src/libsamphire/allowance/seat_keeper_state.cc
+++ b/src/libsamphire/allowance/seat_keeper_state.cc
@@ -109,7 +109,7 @@
                                  const seat_view& seat,
                                  time_point now) {
   own_[number] = {seat.version, seat.record.wait ? now + quarantine_ : now,
-                  leaving_ || number >= count_};
+                  leaving_ || number >= count_, now};
 }
 
 // Begins to give up what is not ours to keep: everything when leaving, seats
@@ -211,6 +211,15 @@
   return numbers;
 }
 
+std::vector<waiting_seat> seat_keeper_state::Waiting(time_point now) const {
+  std::vector<waiting_seat> waiting;
+  for (const auto& [number, seat] : own_) {
+    if (!seat.letting_go && number < count_ && seat.usable_at > now)
+      waiting.push_back({number, seat.claimed_at});
+  }
+  return waiting;
+}
+
 std::optional<time_point> seat_keeper_state::NextUsableAt(
     time_point now) const {
   std::optional<time_point> next;
--- a/src/libsamphire/allowance/seat_keeper_state.h
+++ b/src/libsamphire/allowance/seat_keeper_state.h
@@ -14,6 +14,7 @@
 #include "allowance/seat_limits.h"
 #include "allowance/seat_shares.h"
 #include "allowance/seat_view.h"
+#include "allowance/waiting_seat.h"
 
 namespace samphire {
 
@@ -52,6 +53,8 @@
 
   // The seats whose slots may be used, in order.
   std::vector<std::uint32_t> Usable(time_point now) const;
+  // Own seats whose wait is not over.
+  std::vector<waiting_seat> Waiting(time_point now) const;
   // When the next quarantine ends, if one runs.
   std::optional<time_point> NextUsableAt(time_point now) const;
   // Whether an own seat is being given up and not yet released.
@@ -72,6 +75,7 @@
     std::uint64_t version = 0;
     time_point usable_at;
     bool letting_go = false;
+    time_point claimed_at;
   };
 
   void TakeOver(std::uint32_t number, const seat_view& seat, time_point now);
--- a/src/libsamphire/allowance/seat_user.h
+++ b/src/libsamphire/allowance/seat_user.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "allowance/waiting_seat.h"
+
 namespace samphire {
 
 // Who uses the slots of an entry's seats.
@@ -15,6 +17,10 @@
   // start on, and no loan be given out of, a seat that is not among them.
   virtual void OnSeats(const std::vector<std::uint32_t>& usable) = 0;
 
+  // Seats whose wait is not over as a whole. The slots of a service may be used
+  // as soon as its own longest work, loans and drift have passed since then.
+  virtual void OnWaitingSeats(const std::vector<waiting_seat>& /*waiting*/) {}
+
   // Whether nothing runs and no loan is out on the seat's slots any more, so
   // that another entry may use them at once. Asked of seats given up only.
   virtual bool IsIdle(std::uint32_t seat) = 0;
--- a/src/libsamphire/gateway/entry_node_ticks.cc
+++ b/src/libsamphire/gateway/entry_node_ticks.cc
@@ -79,6 +79,7 @@
   }
   fleet_.Refresh(membership_, regions);
   keeper_.Tick();
+  shares_.Tick();
   FollowMembers();
   reporter_.SetGauges();
   const bool watching = membership_.IsWatcher(kWatchers);
--- a/src/libsamphire/gateway/seat_share.cc
+++ b/src/libsamphire/gateway/seat_share.cc
@@ -83,10 +83,42 @@
     if (!gate)
       continue;
     gate->SetOwnedSlots(
-        SlotsOf(present_->PartOf(whole, region_), seats_, seat_count));
+        SlotsOf(present_->PartOf(whole, region_), SeatsFor(whole), seat_count));
   }
 }
 
+// A killed entry's seats wait, since its work may run on. One wait for all, by
+// the longest deadline of any class, kept a quarter of a region's slots idle
+// for five minutes because of one class of downloads. A service's slots are
+// free of its predecessor's work when that service's own longest deadline has
+// passed.
+std::vector<std::uint32_t> seat_share::SeatsFor(const service& whole) const {
+  const auto& bounds = present_->declared().limits;
+  milliseconds longest{0};
+  for (const auto& each : whole.classes)
+    longest = std::max({longest, each.deadline, each.max_deadline});
+  const auto wait = longest + bounds.loan_ttl + bounds.clock_drift;
+  const auto now = clock_.now();
+  auto seats = seats_;
+  for (const auto& each : waiting_) {
+    if (now - each.since >= wait)
+      seats.push_back(each.number);
+  }
+  return seats;
+}
+
+void seat_share::OnWaitingSeats(const std::vector<waiting_seat>& waiting) {
+  std::lock_guard guard(lock_);
+  waiting_ = waiting;
+  Share();
+}
+
+void seat_share::Tick() {
+  std::lock_guard guard(lock_);
+  if (!waiting_.empty())
+    Share();
+}
+
 // Work is not told apart by seat, so a seat counts as idle when nothing at all
 // runs beyond the slots that are left: a little later than need be, but never
 // too early.
--- a/src/libsamphire/gateway/seat_share.h
+++ b/src/libsamphire/gateway/seat_share.h
@@ -26,12 +26,17 @@
   void Follow(const deployment_ptr& present);
 
   void OnSeats(const std::vector<std::uint32_t>& usable) override;
+  void OnWaitingSeats(const std::vector<waiting_seat>& waiting) override;
   bool IsIdle(std::uint32_t seat) override;
+  // Looks whether a service's own wait for a seat has ended.
+  void Tick();
 
   std::vector<std::uint32_t> seats() const;
 
  private:
   void Share();
+  // The seats whose slots of this service may be used now.
+  std::vector<std::uint32_t> SeatsFor(const service& whole) const;
 
   const std::string region_;
   gate_set& gates_;
@@ -40,6 +45,7 @@
   mutable std::mutex lock_;
   deployment_ptr present_;
   std::vector<std::uint32_t> seats_;
+  std::vector<waiting_seat> waiting_;
 };
 
 }  // namespace samphire
