Name the load tool's connections apart from the library's

Cause: two classes named connection_pool stood in one namespace, one in the library and one in the load tool that links it: one definition rule broken, though nothing was seen to go wrong. Ruled out: a namespace for the tool alone. Before and after: builds; no behaviour changes.

--- a/src/load/caller.cc
+++ b/src/load/caller.cc
@@ -31,7 +31,7 @@
 
 caller::caller(const scenario& plan,
                std::string direct,
-               connection_pool& pool,
+               keep_alive_pool& pool,
                lookup_cache& lookups,
                history_writer& history)
     : plan_(plan),
--- a/src/load/caller.h
+++ b/src/load/caller.h
@@ -6,11 +6,11 @@
 #include <atomic>
 #include <string>
 
-#include "connection_pool.h"
 #include "experiment/arrival.h"
 #include "experiment/request_outcome.h"
 #include "experiment/scenario.h"
 #include "history/history_writer.h"
+#include "keep_alive_pool.h"
 #include "lookup_cache.h"
 
 namespace samphire {
@@ -23,7 +23,7 @@
   // system; "" sends through the entries that look-ups name.
   caller(const scenario& plan,
          std::string direct,
-         connection_pool& pool,
+         keep_alive_pool& pool,
          lookup_cache& lookups,
          history_writer& history);
 
@@ -50,7 +50,7 @@
 
   const scenario& plan_;
   const std::string direct_;
-  connection_pool& pool_;
+  keep_alive_pool& pool_;
   lookup_cache& lookups_;
   history_writer& history_;
   // Keeps the ids of several runs in one history apart.
--- a/src/load/exchange.cc
+++ b/src/load/exchange.cc
@@ -101,7 +101,7 @@
 
 }  // namespace
 
-request_answered Exchange(connection_pool& pool, exchange_order& order) {
+request_answered Exchange(keep_alive_pool& pool, exchange_order& order) {
   request_answered answer;
   answer.body = answer_body::kUnconnected;
   caller_connection connection;
--- a/src/load/exchange.h
+++ b/src/load/exchange.h
@@ -5,8 +5,8 @@
 
 #include <string>
 
-#include "connection_pool.h"
 #include "history/request_answered.h"
+#include "keep_alive_pool.h"
 
 namespace samphire {
 
@@ -21,7 +21,7 @@
 
 // Sends a request, reads and judges the whole answer. The time of the answer
 // and the latency are left to the caller of this function.
-request_answered Exchange(connection_pool& pool, exchange_order& order);
+request_answered Exchange(keep_alive_pool& pool, exchange_order& order);
 
 }  // namespace samphire
 
--- a/src/load/connection_pool.cc
+++ b/src/load/keep_alive_pool.cc
@@ -1,4 +1,4 @@
-#include "connection_pool.h"
+#include "keep_alive_pool.h"
 
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/Net/StreamSocket.h>
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-caller_connection connection_pool::Take(const std::string& source,
+caller_connection keep_alive_pool::Take(const std::string& source,
                                         const std::string& destination,
                                         duration timeout) {
   const auto key = source + ">" + destination;
@@ -61,7 +61,7 @@
   return fresh;
 }
 
-void connection_pool::GiveBack(const std::string& source,
+void keep_alive_pool::GiveBack(const std::string& source,
                                const std::string& destination,
                                caller_connection connection) {
   const auto key = source + ">" + destination;
--- a/src/load/connection_pool.h
+++ b/src/load/keep_alive_pool.h
@@ -1,5 +1,5 @@
-#ifndef LOAD_CONNECTION_POOL_H_
-#define LOAD_CONNECTION_POOL_H_
+#ifndef LOAD_KEEP_ALIVE_POOL_H_
+#define LOAD_KEEP_ALIVE_POOL_H_
 
 #include <Poco/Net/HTTPClientSession.h>
 
@@ -22,7 +22,7 @@
 };
 
 // Connections kept open between requests, by source and destination.
-class connection_pool {
+class keep_alive_pool {
  public:
   // An idle connection, or a new one from `source` ("" for any). Throws a
   // Poco::Exception when none can be made within `timeout`.
@@ -42,4 +42,4 @@
 
 }  // namespace samphire
 
-#endif  // LOAD_CONNECTION_POOL_H_
+#endif  // LOAD_KEEP_ALIVE_POOL_H_
--- a/src/load/lookup_cache.cc
+++ b/src/load/lookup_cache.cc
@@ -21,7 +21,7 @@
 }  // namespace
 
 lookup_cache::lookup_cache(std::vector<std::string> known_entries,
-                           connection_pool& pool,
+                           keep_alive_pool& pool,
                            history_writer& history)
     : known_entries_(std::move(known_entries)),
       pool_(pool),
--- a/src/load/lookup_cache.h
+++ b/src/load/lookup_cache.h
@@ -9,8 +9,8 @@
 
 #include "base/clock_source.h"
 #include "base/sharded.h"
-#include "connection_pool.h"
 #include "history/history_writer.h"
+#include "keep_alive_pool.h"
 
 namespace samphire {
 
@@ -19,7 +19,7 @@
 class lookup_cache {
  public:
   lookup_cache(std::vector<std::string> known_entries,
-               connection_pool& pool,
+               keep_alive_pool& pool,
                history_writer& history);
 
   // The entries to use, in order; empty when none answered yet.
@@ -44,7 +44,7 @@
            kept_answer& answer);
 
   const std::vector<std::string> known_entries_;
-  connection_pool& pool_;
+  keep_alive_pool& pool_;
   history_writer& history_;
   std::atomic<std::uint64_t> next_{0};
   std::atomic<std::uint64_t> calls_{0};
--- a/src/load/lookup_run.cc
+++ b/src/load/lookup_run.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "connection_pool.h"
+#include "keep_alive_pool.h"
 
 namespace samphire {
 
@@ -23,7 +23,7 @@
               time_point end,
               std::atomic<std::uint64_t>& answered,
               std::atomic<std::uint64_t>& failed) {
-  connection_pool pool;
+  keep_alive_pool pool;
   while (std::chrono::steady_clock::now() < end) {
     try {
       auto connection = pool.Take("", entry, kConnectTimeout);
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -96,7 +96,7 @@
   const auto history = OpenHistory();
   if (!history)
     return Refuse(history.error());
-  connection_pool pool;
+  keep_alive_pool pool;
   lookup_cache lookups(plan.value().entries, pool, *history.value());
   caller callers(plan.value(), absl::GetFlag(FLAGS_direct), pool, lookups,
                  *history.value());
