Let refusals reach callers that are still sending; sanitize what is concurrent

Ruled out: reading every body to its end (a hostile one has none): what comes within half a second is read and dropped.

--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -79,7 +79,11 @@
     }
   }
   try {
-    return Handle(session);
+    const auto end = Handle(session);
+    // Only now that the answer has left its buffers.
+    if (end == request_end::kUnread)
+      DrainAndShutDown(session.socket());
+    return end == request_end::kKeep;
   } catch (const Poco::Net::NoMessageException&) {
     return false;
   } catch (const Poco::Net::MessageException&) {
@@ -94,11 +98,11 @@
 // A request counts as active before the phase is looked at, and the phase is
 // set before the count is: so one of the two sees the other, and no request
 // runs on after its port has counted none.
-bool front_connection::Handle(front_session& session) {
+front_connection::request_end front_connection::Handle(front_session& session) {
   const active_mark mark(control_.active);
   if (control_.phase == front_phase::kTurningAway) {
     Refuse(session, result_code::kEntryLeaving);
-    return false;
+    return request_end::kClose;
   }
   Poco::Net::HTTPServerResponseImpl response(session);
   front_request request(response, session, params_.get());
@@ -109,7 +113,10 @@
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
       factory_->createRequestHandler(request));
   handler->handleRequest(request, response);
-  return response.sent() && response.getKeepAlive() && IsDone(request);
+  if (!IsDone(request))
+    return request_end::kUnread;
+  return response.sent() && response.getKeepAlive() ? request_end::kKeep
+                                                    : request_end::kClose;
 }
 
 void front_connection::Refuse(front_session& session, result_code code) {
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -25,9 +25,13 @@
   void run() override;
 
  private:
+  // What becomes of the connection after a request. kUnread: part of the body
+  // is still to come, and would be taken for the next request.
+  enum class request_end { kKeep, kClose, kUnread };
+
   // False when the connection is to be closed.
   bool ServeOne(front_session& session);
-  bool Handle(front_session& session);
+  request_end Handle(front_session& session);
   void Refuse(front_session& session, result_code code);
 
   Poco::Net::HTTPServerParams::Ptr params_;
--- a/src/libsamphire/front/turn_away.cc
+++ b/src/libsamphire/front/turn_away.cc
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Timespan.h>
 
+#include <chrono>
 #include <vector>
 
 #include "front/answer_writer.h"
@@ -13,7 +14,9 @@
 
 constexpr Poco::Timespan::TimeDiff kSendTimeoutUs = 100'000;
 constexpr int kDrainBytes = 1 << 16;
-constexpr int kDrainReads = 16;
+// A caller that sends for longer than this loses its refusal: by then it costs
+// more than it is worth.
+constexpr milliseconds kDrainTime{500};
 constexpr Poco::Timespan::TimeDiff kDrainWaitUs = 50'000;
 
 }  // namespace
@@ -39,7 +42,8 @@
   try {
     caller.shutdownSend();
     std::vector<char> dropped(kDrainBytes);
-    for (int i = 0; i < kDrainReads; ++i) {
+    const auto end = std::chrono::steady_clock::now() + kDrainTime;
+    while (std::chrono::steady_clock::now() < end) {
       if (!caller.poll(Poco::Timespan(kDrainWaitUs),
                        Poco::Net::Socket::SELECT_READ) ||
           caller.receiveBytes(dropped.data(), kDrainBytes) <= 0)
--- a/src/libsamphire/steering/block_table.cc
+++ b/src/libsamphire/steering/block_table.cc
@@ -21,7 +21,10 @@
   std::unordered_map<std::string_view, destination> numbers;
   for (std::size_t i = 0; i < regions.size(); ++i)
     numbers.emplace(regions[i], static_cast<destination>(i));
+  std::size_t count = 0;
+  blocks([&](const client_block&) { ++count; });
   std::vector<prefix_route> routes;
+  routes.reserve(count);
   blocks([&](const client_block& block) {
     const auto number = numbers.find(block.region);
     if (number != numbers.end())
--- a/tests/decision/shift_account_test.cc
+++ b/tests/decision/shift_account_test.cc
@@ -73,6 +73,7 @@
   // Two services look at the same moment, and both see one unit left.
   const auto account = CapOf(100);
   std::vector<std::thread> threads;
+  threads.reserve(4);
   std::atomic<int> taken{0};
   for (int i = 0; i < 4; ++i) {
     threads.emplace_back([&] {
--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "front/answer_writer.h"
+#include "front/front_request.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -19,6 +20,13 @@
 class echo_handler final : public Poco::Net::HTTPRequestHandler {
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    auto& whole = static_cast<front_request&>(request);
+    const auto body =
+        whole.ReadBody(1000, std::chrono::steady_clock::now() + 10s);
+    if (!body) {
+      WriteRefusal(response, answer_note{.code = body.error().code});
+      return;
+    }
     WriteBody(response, "text/plain", request.getURI());
   }
 };
@@ -119,3 +127,35 @@
   CHECK(Has(answer, "2107 too-many-connections"));
   CHECK(Has(answer, "Retry-After: 1"));
 }
+
+TEST_CASE("a chunked body that breaks off is never served as whole") {
+  // The link to a technician fails in the middle of an upload. Half a claim
+  // that looked like a whole one would be filed.
+  running_server running{front_limits{}};
+  auto caller = running.Connect();
+  const std::string half =
+      "POST /claim HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n";
+  caller.sendBytes(half.data(), static_cast<int>(half.size()));
+  caller.shutdownSend();
+  CHECK(Has(Talk(caller, ""), "2001 malformed-request"));
+}
+
+TEST_CASE("two lengths at once are refused, since one may hide a request") {
+  // A hostile caller hides a second request in the body of the first; its
+  // answer would go to whoever shares the connection.
+  running_server running{front_limits{}};
+  for (const std::string& lengths :
+       {std::string("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+        std::string("Content-Length: 5\r\nContent-Length: 6\r\n"),
+        std::string("Transfer-Encoding: gzip\r\n"),
+        std::string("Content-Length: -1\r\n")}) {
+    const auto answer = Talk(running.Connect(),
+                             "POST /claim HTTP/1.1\r\nHost: x\r\n" + lengths +
+                                 "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n");
+    INFO(lengths);
+    INFO(answer);
+    CHECK(Has(answer, "2001 malformed-request"));
+    CHECK_FALSE(Has(answer, "/hidden"));
+  }
+}
--- a/tests/gateway/service_gate_test.cc
+++ b/tests/gateway/service_gate_test.cc
@@ -59,6 +59,7 @@
   std::atomic<int> served{0};
   const caller_watch nobody;
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (std::uint64_t t = 0; t < 8; ++t) {
     threads.emplace_back([&, t] {
       for (std::uint64_t i = 0; i < 50; ++i) {
@@ -89,6 +90,7 @@
   gate_rig rig;
   const caller_watch nobody;
   std::vector<slot_grant> held;
+  held.reserve(kSlots);
   for (std::uint64_t id = 1; id <= kSlots; ++id) {
     held.push_back(
         std::get<slot_grant>(rig.gate->Acquire(rig.Request(id), nobody)));
