--- a/src/libsamphire/steering/block_table.cc
+++ b/src/libsamphire/steering/block_table.cc
@@ -9,6 +9,7 @@
 
 std::vector<std::string> NamesOf(const std::vector<region>& regions) {
   std::vector<std::string> names;
+  names.reserve(regions.size());
   for (const auto& one : regions)
     names.push_back(one.name);
   return names;
