Drop a method nobody calls and gauges set where nobody reads them

Cause: the gauges were set every half second though only /metrics shows them, and sets them itself; service_gate::lent_out had no caller, since a seat's idleness is judged by over_owned, which counts lent slots.

--- a/src/libsamphire/gateway/entry_node_ticks.cc
+++ b/src/libsamphire/gateway/entry_node_ticks.cc
@@ -81,7 +81,6 @@
   keeper_.Tick();
   shares_.Tick();
   FollowMembers();
-  reporter_.SetGauges();
   const bool watching = membership_.IsWatcher(kWatchers);
   follower_.SetWatching(watching);
   instances_.SetWatching(watching);
--- a/src/libsamphire/gateway/request_reader.cc
+++ b/src/libsamphire/gateway/request_reader.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstdlib>
 #include <random>
 #include <utility>
 
--- a/src/libsamphire/gateway/service_gate.cc
+++ b/src/libsamphire/gateway/service_gate.cc
@@ -171,9 +171,4 @@
   return dispatcher_.draining();
 }
 
-std::size_t service_gate::lent_out() const {
-  std::lock_guard guard(lock_);
-  return loans_.lent_out();
-}
-
 }  // namespace samphire
--- a/src/libsamphire/gateway/service_gate.h
+++ b/src/libsamphire/gateway/service_gate.h
@@ -56,7 +56,6 @@
 
   dispatcher_status status() const;
   loan_counts loans() const;
-  std::size_t lent_out() const;
   // Closed targets on which work still runs.
   std::set<std::string> draining() const;
   // See service_dispatcher.
