--- a/src/libsamphire/base/log.cc
+++ b/src/libsamphire/base/log.cc
@@ -2,13 +2,17 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <mutex>
 #include <utility>
 
+#include "base/line_budget.h"
+
 namespace samphire {
 
 namespace {
@@ -17,6 +21,7 @@
   std::mutex lock;
   std::string instance = "\"\"";
   std::atomic<log_level> lowest = log_level::kInfo;
+  line_budget budget;
 };
 
 log_settings& Settings() {
@@ -36,6 +41,38 @@
   }
 };
 
+// A reader that stops reading fills the pipe; a write to it would then hold up
+// requests for as long as it likes. A line is short enough to be written whole
+// where there is room at all, so it is written or dropped.
+bool HasRoom(int descriptor) {
+  pollfd entry{descriptor, POLLOUT, 0};
+  return poll(&entry, 1, 0) > 0 && (entry.revents & POLLOUT) != 0;
+}
+
+void WriteLine(log_settings& settings,
+               log_level level,
+               std::string_view event,
+               std::initializer_list<log_field> fields) {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  fmt::memory_buffer line;
+  fmt::format_to(
+      std::back_inserter(line),
+      R"({{"time":"{:%FT%T}.{:03}Z","level":"{}","instance":{},"event":{})",
+      fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+      now.time_since_epoch().count() % 1000, NameOf(kLogLevelNames, level),
+      settings.instance, JsonQuote(event));
+  for (const auto& field : fields) {
+    fmt::format_to(std::back_inserter(line), ",{}:", JsonQuote(field.name));
+    std::visit(value_writer{line}, field.value);
+  }
+  line.push_back('}');
+  line.push_back('\n');
+  if (line.size() > PIPE_BUF || !HasRoom(STDOUT_FILENO) ||
+      write(STDOUT_FILENO, line.data(), line.size()) < 0)
+    settings.budget.CountDropped();
+}
+
 }  // namespace
 
 void ConfigureLog(std::string_view instance, log_level lowest) {
@@ -55,23 +92,16 @@
   if (!LogEnabled(level))
     return;
   auto& settings = Settings();
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
-  fmt::memory_buffer line;
   std::lock_guard guard(settings.lock);
-  fmt::format_to(
-      std::back_inserter(line),
-      R"({{"time":"{:%FT%T}.{:03}Z","level":"{}","instance":{},"event":{})",
-      fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-      now.time_since_epoch().count() % 1000, NameOf(kLogLevelNames, level),
-      settings.instance, JsonQuote(event));
-  for (const auto& field : fields) {
-    fmt::format_to(std::back_inserter(line), ",{}:", JsonQuote(field.name));
-    std::visit(value_writer{line}, field.value);
+  const auto now = std::chrono::steady_clock::now();
+  if (!settings.budget.Take(level, now))
+    return;
+  if (const auto dropped = settings.budget.TakeDropped(); dropped > 0) {
+    const auto count = static_cast<std::int64_t>(dropped);
+    WriteLine(settings, log_level::kWarning, "log-lines-dropped",
+              {{"lines", count}});
   }
-  line.push_back('}');
-  line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  WriteLine(settings, level, event, fields);
 }
 
 std::string JsonQuote(std::string_view text) {
--- a/src/libsamphire/base/log.h
+++ b/src/libsamphire/base/log.h
@@ -32,8 +32,9 @@
 void ConfigureLog(std::string_view instance, log_level lowest);
 bool LogEnabled(log_level level);
 
-// Writes one JSON line to standard error: time, level, instance, event, then
-// the fields. Lines of several threads never mix.
+// Writes one JSON line to standard output: time, level, instance, event, then
+// the fields. Lines of several threads never mix. Never waits: a line that
+// there is no room or budget for is dropped and counted.
 void Log(log_level level,
          std::string_view event,
          std::initializer_list<log_field> fields = {});
--- a/src/libsamphire/front/answer_note.h
+++ b/src/libsamphire/front/answer_note.h
@@ -16,6 +16,8 @@
   run_state run = run_state::kNotRun;
   std::uint64_t config_version = 0;
   milliseconds retry_after{0};
+  // Whether the caller reads fractions of a second in Retry-After.
+  bool fine_retry_after = false;
   std::string detail;
 };
 
--- a/src/libsamphire/front/answer_writer.cc
+++ b/src/libsamphire/front/answer_writer.cc
@@ -16,8 +16,16 @@
 // Retry-After counts whole seconds; the least that can be said is one.
 constexpr milliseconds kLeastRetryAfter{100};
 
-void SetRetryAfter(Poco::Net::HTTPResponse& response, milliseconds wait) {
+void SetRetryAfter(Poco::Net::HTTPResponse& response,
+                   milliseconds wait,
+                   bool fine) {
   const auto told = std::max(wait, kLeastRetryAfter);
+  if (fine) {
+    response.set(
+        kHeaderRetryAfter,
+        fmt::format("{:.3f}", std::chrono::duration<double>(told).count()));
+    return;
+  }
   response.set(
       kHeaderRetryAfter,
       std::to_string(std::chrono::ceil<std::chrono::seconds>(told).count()));
@@ -55,7 +63,7 @@
   response.set(kHeaderRun, std::string(NameOf(kRunStateNames, note.run)));
   response.set(kHeaderConfig, std::to_string(note.config_version));
   if (info.come_back)
-    SetRetryAfter(response, note.retry_after);
+    SetRetryAfter(response, note.retry_after, note.fine_retry_after);
 }
 
 // The body says no more than the headers do, in a type of its own, so that a
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -61,7 +61,7 @@
                            Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
                            const front_limits& limits,
                            samphire::metrics& counters)
-    : control_{.limits = limits},
+    : control_(limits),
       threads_(2,
                static_cast<int>(limits.max_connections) + kSpareThreads,
                kThreadIdleSeconds,
@@ -92,6 +92,13 @@
 
 void front_server::SetPhase(front_phase phase) {
   control_.phase = phase;
+  if (phase == front_phase::kTurningAway)
+    control_.turning_away.close(Poco::Pipe::CLOSE_WRITE);
+}
+
+void front_server::SetTimeouts(milliseconds header, milliseconds idle) {
+  control_.header_timeout = header;
+  control_.idle_timeout = idle;
 }
 
 int front_server::active() const {
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -26,6 +26,8 @@
 
   void Start();
   void SetPhase(front_phase phase);
+  // For requests that begin from now on.
+  void SetTimeouts(milliseconds header, milliseconds idle);
   // Requests that are being served.
   int active() const;
   // Closes the port; what came too late to be served is told so.
--- a/src/libsamphire/front/head_wait.cc
+++ b/src/libsamphire/front/head_wait.cc
@@ -2,9 +2,11 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Timespan.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <string_view>
 #include <thread>
 #include <vector>
@@ -34,20 +36,30 @@
          last != std::string_view::npos && last > first + 1;
 }
 
-// How soon an idle connection notices that the port closes.
-constexpr Poco::Timespan::TimeDiff kIdleSliceUs = 50'000;
-
+// Waits on the caller and on the closing of the port at once: looking for the
+// second now and then would wake each of hundreds of idle connections many
+// times a second.
 bool AwaitFirstByte(Poco::Net::StreamSocket& socket,
                     const front_control& control) {
   const auto deadline =
-      std::chrono::steady_clock::now() + control.limits.idle_timeout;
-  while (!socket.poll(Poco::Timespan(kIdleSliceUs),
-                      Poco::Net::Socket::SELECT_READ)) {
-    if (control.phase == front_phase::kTurningAway ||
-        std::chrono::steady_clock::now() >= deadline)
+      std::chrono::steady_clock::now() + control.idle_timeout.load();
+  while (true) {
+    const auto left = std::chrono::ceil<milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+    if (left.count() <= 0)
+      return false;
+    std::array<pollfd, 2> entries{{
+        {socket.impl()->sockfd(), POLLIN, 0},
+        {control.turning_away.readHandle(), POLLIN, 0},
+    }};
+    if (poll(entries.data(), entries.size(), static_cast<int>(left.count())) <=
+        0)
+      continue;
+    if (entries[0].revents != 0)
+      return true;
+    if (entries[1].revents != 0)
       return false;
   }
-  return true;
 }
 
 }  // namespace
@@ -63,7 +75,7 @@
     if (!AwaitFirstByte(socket, control))
       return result_code::kCallerGone;
     const auto deadline =
-        std::chrono::steady_clock::now() + control.limits.header_timeout;
+        std::chrono::steady_clock::now() + control.header_timeout.load();
     while (true) {
       const int got = socket.receiveBytes(
           seen.data(), static_cast<int>(seen.size()), MSG_PEEK);
--- a/src/libsamphire/gateway/caller_answer.cc
+++ b/src/libsamphire/gateway/caller_answer.cc
@@ -20,15 +20,20 @@
   void operator()(const chunked_body&) const {
     response.setChunkedTransferEncoding(true);
   }
+  void operator()(const until_close_body&) const {
+    response.setChunkedTransferEncoding(true);
+  }
 };
 
 }  // namespace
 
 caller_answer::caller_answer(Poco::Net::HTTPServerRequest& request,
-                             Poco::Net::HTTPServerResponse& response)
+                             Poco::Net::HTTPServerResponse& response,
+                             note_headers notes)
     : response_(response),
       socket_(
-          static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket()) {}
+          static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket()),
+      notes_(notes) {}
 
 // Date, Age and the body are the target's, unchanged: a reading must show its
 // own age. The entry's own headers are added beside them.
@@ -40,7 +45,8 @@
   CopyEndToEndHeaders(head, response_);
   response_.setKeepAlive(keep_alive);
   std::visit(framing_setter{response_}, framing);
-  SetNoteHeaders(response_, note);
+  if (notes_ == note_headers::kAlways)
+    SetNoteHeaders(response_, note);
   stream_ = &response_.send();
 }
 
--- a/src/libsamphire/gateway/caller_answer.h
+++ b/src/libsamphire/gateway/caller_answer.h
@@ -11,11 +11,15 @@
 
 namespace samphire {
 
+// On which answers the entry's own headers go out.
+enum class note_headers { kAlways, kOnRefusals };
+
 // The answer on the connection that the request came on.
 class caller_answer final : public answer_sink {
  public:
   caller_answer(Poco::Net::HTTPServerRequest& request,
-                Poco::Net::HTTPServerResponse& response);
+                Poco::Net::HTTPServerResponse& response,
+                note_headers notes = note_headers::kAlways);
 
   void Begin(const Poco::Net::HTTPResponse& head,
              const body_framing& framing,
@@ -31,6 +35,7 @@
  private:
   Poco::Net::HTTPServerResponse& response_;
   Poco::Net::StreamSocket socket_;
+  const note_headers notes_;
   std::ostream* stream_ = nullptr;
   bool refused_ = false;
 };
--- a/src/libsamphire/proxy/body_framing.cc
+++ b/src/libsamphire/proxy/body_framing.cc
@@ -29,10 +29,8 @@
     return body_framing(chunked_body{});
   }
   Poco::UInt64 length = 0;
-  if (!head.has(Poco::Net::HTTPMessage::CONTENT_LENGTH)) {
-    return MakeError(result_code::kAnswerTruncated,
-                     "an answer without length or chunks can't be known whole");
-  }
+  if (!head.has(Poco::Net::HTTPMessage::CONTENT_LENGTH))
+    return body_framing(until_close_body{});
   if (!Poco::NumberParser::tryParseUnsigned64(
           head.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), length)) {
     return MakeError(result_code::kTargetFailed, "nonsense Content-Length");
--- a/src/libsamphire/proxy/body_framing.h
+++ b/src/libsamphire/proxy/body_framing.h
@@ -16,11 +16,13 @@
   std::uint64_t length = 0;
 };
 struct chunked_body {};
+// Ends with its connection: an orderly close ends it, a reset cuts it.
+struct until_close_body {};
 
-using body_framing = std::variant<no_body, fixed_length_body, chunked_body>;
+using body_framing =
+    std::variant<no_body, fixed_length_body, chunked_body, until_close_body>;
 
-// What the head of an answer says. An answer that ends only with its
-// connection is refused: a cut one could not be told from a whole one.
+// What the head of an answer says.
 result<body_framing> FramingOf(const Poco::Net::HTTPResponse& head,
                                bool answers_head_request);
 
--- a/src/libsamphire/proxy/body_reader.cc
+++ b/src/libsamphire/proxy/body_reader.cc
@@ -80,6 +80,17 @@
   return ReadSome(buffer, chunk_left_);
 }
 
+// Whether the close was orderly is for the owner of the connection to judge.
+result<std::size_t> body_reader::ReadPart(const until_close_body& /*framing*/,
+                                          std::span<char> buffer) {
+  if (input_.peek() == std::char_traits<char>::eof()) {
+    ended_ = true;
+    return std::size_t{0};
+  }
+  std::uint64_t endless = buffer.size();
+  return ReadSome(buffer, endless);
+}
+
 // Takes what has arrived rather than waiting for a full buffer, so that a slow
 // stream reaches the caller as it comes.
 result<std::size_t> body_reader::ReadSome(std::span<char> buffer,
--- a/src/libsamphire/proxy/body_reader.h
+++ b/src/libsamphire/proxy/body_reader.h
@@ -26,6 +26,8 @@
                                std::span<char> buffer);
   result<std::size_t> ReadPart(const chunked_body& framing,
                                std::span<char> buffer);
+  result<std::size_t> ReadPart(const until_close_body& framing,
+                               std::span<char> buffer);
   result<std::size_t> ReadSome(std::span<char> buffer, std::uint64_t& left);
   result<std::uint64_t> ReadChunkHead();
   result<void> SkipTrailer();
--- a/src/libsamphire/proxy/connection_pool.cc
+++ b/src/libsamphire/proxy/connection_pool.cc
@@ -4,6 +4,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
+#include "proxy/silence_limit.h"
+
 namespace samphire {
 
 namespace {
@@ -16,6 +18,10 @@
 // bound the work that is sent to it.
 constexpr std::size_t kMaxIdlePerAddress = 64;
 
+// Without it, bytes to a machine that lost power or is cut off are sent again
+// for many minutes, and whoever waits learns of it only by the deadline.
+constexpr milliseconds kSilenceLimit{1000};
+
 // An idle connection must be silent: readable means closed, or an answer that
 // nobody asked for and that the next request must not be given.
 bool IsSilent(Poco::Net::StreamSocket& socket) {
@@ -48,6 +54,7 @@
         Poco::Timespan(
             std::chrono::duration_cast<microseconds>(connect_timeout).count()));
     socket.setNoDelay(true);
+    SetSilenceLimit(socket, kSilenceLimit);
     return pooled_connection{socket, false};
   } catch (const Poco::Exception& e) {
     return MakeError(result_code::kTargetUnreachable, e.displayText());
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -4,6 +4,7 @@
 #include <Poco/Timespan.h>
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 #include <utility>
 
@@ -11,9 +12,9 @@
 
 namespace {
 
-// A target on the same or the next site answers a connection in about 1 ms; a
-// longer wait only delays the attempt on another target.
-constexpr milliseconds kConnectTimeout{500};
+// Late answers to earlier requests that are passed over on one connection;
+// with more, its bytes are not to be trusted.
+constexpr int kMaxLateAnswers = 2;
 
 milliseconds TimeLeft(time_point deadline) {
   return std::chrono::ceil<milliseconds>(deadline -
@@ -33,8 +34,10 @@
 http_exchange::http_exchange(connection_pool& pool,
                              std::string address,
                              const caller_watch& caller,
-                             time_point deadline)
-    : pool_(pool),
+                             time_point deadline,
+                             exchange_options options)
+    : options_(std::move(options)),
+      pool_(pool),
       address_(std::move(address)),
       caller_(caller),
       deadline_(deadline) {}
@@ -59,7 +62,7 @@
   const auto left = TimeLeft(deadline_);
   if (left.count() <= 0)
     return MakeError(result_code::kDeadlineExceeded);
-  const auto timeout = std::min(left, kConnectTimeout);
+  const auto timeout = std::min(left, options_.connect_timeout);
   auto taken = fresh ? connection_pool::Open(address_, timeout)
                      : pool_.Take(address_, timeout);
   if (!taken)
@@ -90,7 +93,22 @@
   return Success();
 }
 
+// A target may answer a request twice, the second time when the connection
+// already carries the next request. Taken for that one's answer it would reach
+// another caller; so answers that echo another request's id are passed over.
 result<Poco::Net::HTTPResponse*> http_exchange::ReadHead() {
+  for (int late = 0; late <= kMaxLateAnswers; ++late) {
+    BOOST_OUTCOME_TRYV(ReadOneHead());
+    if (!IsForAnother()) {
+      stage_ = exchange_stage::kReceiving;
+      return &*head_;
+    }
+    BOOST_OUTCOME_TRYV(SkipAnswer());
+  }
+  return MakeError(result_code::kTargetFailed, "answers to other requests");
+}
+
+result<void> http_exchange::ReadOneHead() {
   try {
     do {
       head_.emplace();
@@ -102,14 +120,40 @@
                                      failure == result_code::kTargetFailed);
     return FailureOf(result_code::kTargetFailed);
   }
-  stage_ = exchange_stage::kReceiving;
   auto framing = FramingOf(*head_, head_request_);
   if (!framing)
     return framing.error();
   framing_ = framing.value();
-  keep_alive_ = head_->getKeepAlive();
+  if (std::holds_alternative<until_close_body>(framing_) &&
+      !options_.accept_unframed) {
+    return MakeError(result_code::kAnswerTruncated,
+                     "an answer without length or chunks can't be known whole");
+  }
+  keep_alive_ = head_->getKeepAlive() &&
+                !std::holds_alternative<until_close_body>(framing_);
   body_.emplace(*input_, framing_);
-  return &*head_;
+  return Success();
+}
+
+// On a connection that carried no request before, the first answer can only
+// be to this one, so there a missing id is no reason to doubt it.
+bool http_exchange::IsForAnother() const {
+  if (options_.echo_header.empty())
+    return false;
+  if (!head_->has(options_.echo_header))
+    return connection_->reused;
+  return head_->get(options_.echo_header) != options_.echo_value;
+}
+
+result<void> http_exchange::SkipAnswer() {
+  std::array<char, 4096> piece;
+  while (true) {
+    const auto got = body_->Read(piece);
+    if (!got)
+      return FailureOf(got.error().code);
+    if (got.value() == 0)
+      return Success();
+  }
 }
 
 result<std::size_t> http_exchange::ReadBody(std::span<char> buffer) {
@@ -117,6 +161,11 @@
   if (!got)
     return FailureOf(got.error().code);
   if (got.value() == 0) {
+    // A body that ends with its connection is whole only if that was closed
+    // in order.
+    if (std::holds_alternative<until_close_body>(framing_) &&
+        buffer_->failure() != result_code::kOk)
+      return FailureOf(result_code::kAnswerTruncated);
     // Bytes beyond the answer belong to no request of ours.
     whole_ = buffer_->in_avail() <= 0;
   }
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -16,6 +16,7 @@
 #include "proxy/body_reader.h"
 #include "proxy/caller_watch.h"
 #include "proxy/connection_pool.h"
+#include "proxy/exchange_options.h"
 #include "proxy/exchange_stage.h"
 #include "proxy/socket_input_buf.h"
 
@@ -29,7 +30,8 @@
   http_exchange(connection_pool& pool,
                 std::string address,
                 const caller_watch& caller,
-                time_point deadline);
+                time_point deadline,
+                exchange_options options = {});
   ~http_exchange();
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
@@ -50,7 +52,11 @@
 
  private:
   error FailureOf(result_code otherwise) const;
+  result<void> ReadOneHead();
+  bool IsForAnother() const;
+  result<void> SkipAnswer();
 
+  const exchange_options options_;
   connection_pool& pool_;
   std::string address_;
   const caller_watch& caller_;
--- /dev/null
+++ b/src/libsamphire/routing/placing_request.h
@@ -0,0 +1,28 @@
+#ifndef ROUTING_PLACING_REQUEST_H_
+#define ROUTING_PLACING_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock_source.h"
+
+namespace samphire {
+
+// What decides where one attempt of a request goes.
+struct placing_request {
+  std::string route;
+  std::uint64_t key_hash = 0;
+  // An answer within this time from now is worth most.
+  milliseconds objective{0};
+  // After this time from now nobody waits any more.
+  milliseconds time_left{0};
+  // Empty: targets of any region.
+  std::vector<std::string> home_regions;
+  // Targets that were tried already.
+  std::vector<std::string> excluded;
+};
+
+}  // namespace samphire
+
+#endif  // ROUTING_PLACING_REQUEST_H_
--- /dev/null
+++ b/src/libsamphire/routing/service_time_estimate.cc
@@ -0,0 +1,24 @@
+#include "routing/service_time_estimate.h"
+
+namespace samphire {
+
+namespace {
+
+// One answer moves the estimate by this share: some ten answers, about a
+// second's worth, decide it.
+constexpr double kWeight = 0.1;
+// Measured on targets with a memory for keys: about a third of the time.
+constexpr double kWarmShare = 0.33;
+
+}  // namespace
+
+service_time_estimate::service_time_estimate(milliseconds objective)
+    : warm_ms_(static_cast<double>(objective.count()) * kWarmShare),
+      cold_ms_(static_cast<double>(objective.count())) {}
+
+void service_time_estimate::Learn(bool knows_key, double ms) {
+  double& estimate = knows_key ? warm_ms_ : cold_ms_;
+  estimate += (ms - estimate) * kWeight;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/routing/service_tracker.h
@@ -0,0 +1,85 @@
+#ifndef ROUTING_SERVICE_TRACKER_H_
+#define ROUTING_SERVICE_TRACKER_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock_source.h"
+#include "routing/entry_place.h"
+#include "routing/placing.h"
+#include "routing/placing_request.h"
+#include "routing/service_time_estimate.h"
+#include "routing/target_record.h"
+#include "routing/target_set.h"
+#include "routing/traffic_manifest.h"
+
+namespace samphire {
+
+// Decides at which target of one service each attempt runs, or that none
+// would answer it in time. Knows no sockets and no clock. Not thread-safe.
+class service_tracker {
+ public:
+  // Places an attempt and counts it as work there until Ended.
+  // `region_entries` are the live entries of this region, by name.
+  placing Place(const placing_request& request,
+                const target_set& targets,
+                const traffic_service* service,
+                std::string_view service_name,
+                const entry_place& self,
+                const std::vector<std::string>& region_entries,
+                time_point now);
+  void Ended(const placing_request& request,
+             const placed_attempt& attempt,
+             const attempt_end& end,
+             const traffic_service* service,
+             time_point now);
+
+ private:
+  struct candidate {
+    const live_target* target = nullptr;
+    target_record* record = nullptr;
+    double rank = 0;
+  };
+  struct forecast {
+    double wait_ms = 0;
+    double service_ms = 0;
+    double finish_ms() const { return wait_ms + service_ms; }
+  };
+
+  void Follow(const target_set& targets,
+              const traffic_service* service,
+              std::string_view service_name,
+              time_point now);
+  std::vector<candidate> Candidates(const placing_request& request,
+                                    const target_set& targets,
+                                    const traffic_service* service,
+                                    std::string_view service_name,
+                                    const entry_place& self,
+                                    const std::vector<std::string>& entries,
+                                    time_point now);
+  bool MayTakeCold(target_record& record,
+                   const live_target& target,
+                   const traffic_service* service,
+                   const entry_place& self,
+                   const std::vector<std::string>& entries,
+                   time_point now);
+  forecast Forecast(const candidate& each,
+                    const placing_request& request,
+                    time_point now);
+  service_time_estimate& EstimateOf(const placing_request& request);
+  placing Start(const candidate& chosen,
+                const placing_request& request,
+                time_point now);
+
+  // The set that the records were last made to match.
+  target_set_ptr followed_;
+  std::map<std::string, target_record, std::less<>> records_;
+  std::map<std::string, service_time_estimate, std::less<>> estimates_;
+};
+
+}  // namespace samphire
+
+#endif  // ROUTING_SERVICE_TRACKER_H_
--- /dev/null
+++ b/src/libsamphire/routing/target_record.cc
@@ -0,0 +1,141 @@
+#include "routing/target_record.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace samphire {
+
+namespace {
+
+// Others' load as last reported is worth half after this time: about the time
+// in which a target's queue turns over.
+constexpr double kReportHalfLifeMs = 800;
+// A key that this entry has not sent for so long may have been pushed out.
+constexpr milliseconds kKeyMemory{10'000};
+// About what a target remembers; above it the oldest are dropped here too.
+constexpr std::size_t kMaxKeys = 64;
+// Lost answers in a row before a target is left alone. One alone may be a
+// connection that broke; a refused connection counts as two.
+constexpr std::uint32_t kFailuresToEject = 2;
+constexpr milliseconds kFirstEjection{500};
+constexpr std::uint32_t kMaxEjectionStep = 4;
+// One outcome moves the share of failures by this much.
+constexpr double kFailureWeight = 0.12;
+constexpr double kSlownessWeight = 0.2;
+constexpr double kMaxSlowness = 12;
+constexpr milliseconds kColdWindow{1000};
+
+bool IsFailure(attempt_result result) {
+  return result == attempt_result::kTargetError ||
+         result == attempt_result::kConnectFailed ||
+         result == attempt_result::kLost || result == attempt_result::kTimedOut;
+}
+
+}  // namespace
+
+void target_record::Describe(const live_target& target,
+                             const traffic_service* service,
+                             time_point now) {
+  if (started_ms_ != 0 && target.started_ms != started_ms_) {
+    const auto in_flight = in_flight_;
+    *this = target_record();
+    in_flight_ = in_flight;
+    if (service != nullptr)
+      cold_until_ = now + service->warm_up;
+  }
+  started_ms_ = target.started_ms;
+  misdirected_ = false;
+  cold_until_ = std::max(cold_until_, target.cold_until);
+}
+
+double target_record::Load(time_point now) const {
+  const std::chrono::duration<double, std::milli> age = now - reported_at_;
+  return in_flight_ + others_ * std::exp2(-age.count() / kReportHalfLifeMs);
+}
+
+bool target_record::KnowsKey(std::uint64_t key_hash, time_point now) const {
+  const auto found = keys_.find(key_hash);
+  return found != keys_.end() && now - found->second < kKeyMemory;
+}
+
+std::size_t target_record::ColdSends(time_point now) {
+  while (!cold_sends_.empty() && now - cold_sends_.front() >= kColdWindow)
+    cold_sends_.pop_front();
+  return cold_sends_.size();
+}
+
+bool target_record::IsFit(time_point now) const {
+  if (misdirected_ || now < ejected_until_)
+    return false;
+  return !on_trial_ || in_flight_ == 0;
+}
+
+void target_record::Started(std::uint64_t /*key_hash*/, time_point now) {
+  ++in_flight_;
+  if (IsCold(now))
+    cold_sends_.push_back(now);
+}
+
+void target_record::Ended(std::uint64_t key_hash,
+                          const attempt_end& end,
+                          double expected_ms,
+                          const traffic_service* service,
+                          time_point now) {
+  in_flight_ -= std::min(1U, in_flight_);
+  if (end.report)
+    NoteReport(*end.report, now);
+  if (end.result == attempt_result::kMisdirected) {
+    misdirected_ = true;
+    return;
+  }
+  if (end.result == attempt_result::kCallerGone)
+    return;
+  failure_share_ +=
+      ((IsFailure(end.result) ? 1.0 : 0.0) - failure_share_) * kFailureWeight;
+  const std::chrono::duration<double, std::milli> took = end.took;
+  if (expected_ms > 0) {
+    const double sample = std::min(took.count() / expected_ms, kMaxSlowness);
+    slowness_ += (sample - slowness_) * kSlownessWeight;
+  }
+  if (end.result == attempt_result::kConnectFailed) {
+    may_be_cold_ = true;
+    Eject(now);
+  } else if (end.result == attempt_result::kLost) {
+    if (++failures_in_a_row_ >= kFailuresToEject)
+      Eject(now);
+  } else {
+    failures_in_a_row_ = 0;
+    ejections_in_a_row_ = 0;
+    on_trial_ = false;
+    if (may_be_cold_ && service != nullptr)
+      cold_until_ = std::max(cold_until_, now + service->warm_up);
+    may_be_cold_ = false;
+  }
+  if (end.result == attempt_result::kAnswered) {
+    keys_[key_hash] = now;
+    if (keys_.size() > kMaxKeys) {
+      keys_.erase(std::min_element(keys_.begin(), keys_.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second < b.second;
+                                   }));
+    }
+  }
+}
+
+// A crashed target comes back after some seconds, and every request sent there
+// meanwhile loses a connection attempt or, with a dead machine, half a second.
+// The pauses double, so that a target that stays away costs little.
+void target_record::Eject(time_point now) {
+  ejected_until_ = now + kFirstEjection * (1U << ejections_in_a_row_);
+  ejections_in_a_row_ = std::min(ejections_in_a_row_ + 1, kMaxEjectionStep);
+  failures_in_a_row_ = 0;
+  on_trial_ = true;
+}
+
+void target_record::NoteReport(const target_report& report, time_point now) {
+  const double all = report.running + report.waiting;
+  others_ = std::max(0.0, all - in_flight_);
+  reported_at_ = now;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/routing/target_set.cc
@@ -0,0 +1,25 @@
+#include "routing/target_set.h"
+
+#include <utility>
+
+namespace samphire {
+
+target_set::target_set(std::vector<live_target> targets,
+                       std::set<std::string> evacuated_domains)
+    : evacuated_(std::move(evacuated_domains)), size_(targets.size()) {
+  for (auto& target : targets)
+    by_service_[target.service].push_back(std::move(target));
+}
+
+const std::vector<live_target>& target_set::OfService(
+    std::string_view service) const {
+  static const std::vector<live_target> none;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none : found->second;
+}
+
+bool target_set::IsOpen(const live_target& target) const {
+  return !target.draining && !evacuated_.contains(target.failure_domain);
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/routing/target_set.h
@@ -0,0 +1,42 @@
+#ifndef ROUTING_TARGET_SET_H_
+#define ROUTING_TARGET_SET_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/live_target.h"
+
+namespace samphire {
+
+// All targets that are known now, by service, and the failure domains that
+// are to get no work. Immutable.
+class target_set
+    : public boost::intrusive_ref_counter<target_set,
+                                          boost::thread_safe_counter> {
+ public:
+  target_set(std::vector<live_target> targets,
+             std::set<std::string> evacuated_domains);
+
+  // Every target of a service, open to new work or not.
+  const std::vector<live_target>& OfService(std::string_view service) const;
+  // Whether a target may be given new work.
+  bool IsOpen(const live_target& target) const;
+  const std::set<std::string>& evacuated_domains() const { return evacuated_; }
+  std::size_t size() const { return size_; }
+
+ private:
+  std::map<std::string, std::vector<live_target>, std::less<>> by_service_;
+  std::set<std::string> evacuated_;
+  std::size_t size_;
+};
+
+using target_set_ptr = boost::intrusive_ptr<const target_set>;
+
+}  // namespace samphire
+
+#endif  // ROUTING_TARGET_SET_H_
--- /dev/null
+++ b/src/libsamphire/routing/traffic_limits.h
@@ -0,0 +1,20 @@
+#ifndef ROUTING_TRAFFIC_LIMITS_H_
+#define ROUTING_TRAFFIC_LIMITS_H_
+
+#include <cstdint>
+
+#include "base/clock_source.h"
+
+namespace samphire {
+
+// What a caller may send, and how long it may take or stay idle.
+struct traffic_limits {
+  std::uint32_t max_header_bytes = 16'384;
+  std::uint64_t max_body_bytes = 1 << 20;
+  milliseconds header_timeout{3000};
+  milliseconds idle_timeout{15'000};
+};
+
+}  // namespace samphire
+
+#endif  // ROUTING_TRAFFIC_LIMITS_H_
--- /dev/null
+++ b/src/libsamphire/routing/traffic_manifest.h
@@ -0,0 +1,54 @@
+#ifndef ROUTING_TRAFFIC_MANIFEST_H_
+#define ROUTING_TRAFFIC_MANIFEST_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/traffic_limits.h"
+#include "routing/traffic_route.h"
+#include "routing/traffic_service.h"
+
+namespace samphire {
+
+// One version of the operator's configuration as requests read it. Immutable.
+class traffic_manifest
+    : public boost::intrusive_ref_counter<traffic_manifest,
+                                          boost::thread_safe_counter> {
+ public:
+  traffic_manifest(std::uint64_t version,
+                   traffic_limits limits,
+                   std::vector<traffic_route> routes,
+                   std::vector<traffic_service> services);
+
+  std::uint64_t version() const { return version_; }
+  const traffic_limits& limits() const { return limits_; }
+  std::size_t route_count() const { return route_count_; }
+
+  // The route of `host` (a port is passed over) with the longest prefix that
+  // begins `path`; null if there is none.
+  const traffic_route* FindRoute(std::string_view host,
+                                 std::string_view path) const;
+  const traffic_service* FindService(std::string_view name) const;
+
+ private:
+  // By prefix. The longest match is found by looking up the path's own
+  // prefixes, so the time depends on the path and not on the routes.
+  using prefix_map = std::map<std::string, traffic_route, std::less<>>;
+
+  std::uint64_t version_;
+  traffic_limits limits_;
+  std::size_t route_count_;
+  std::map<std::string, prefix_map, std::less<>> hosts_;
+  std::map<std::string, traffic_service, std::less<>> services_;
+};
+
+using manifest_ptr = boost::intrusive_ptr<const traffic_manifest>;
+
+}  // namespace samphire
+
+#endif  // ROUTING_TRAFFIC_MANIFEST_H_
--- a/src/libsamphire/store/http_connection_pool.cc
+++ b/src/libsamphire/store/http_connection_pool.cc
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "proxy/silence_limit.h"
+
 namespace samphire {
 
 namespace {
@@ -13,6 +15,10 @@
 // more are closed, so that a burst leaves no connections behind.
 constexpr std::size_t kMaxIdle = 16;
 
+// A watch waits for seconds without a byte; a connection that went silent
+// meanwhile would hold back every change until the watch runs out.
+constexpr milliseconds kSilenceLimit{1500};
+
 // A peer that closed an idle connection shows as readable: nothing else may
 // arrive before a request. Writing there would leave a write's outcome
 // unknown for no reason, noticed as kStoreOutcomeUnknown after quiet times.
@@ -47,6 +53,7 @@
     socket.connect(Poco::Net::SocketAddress(address_),
                    Poco::Timespan(options_.connect_timeout.count() * 1000));
     socket.setNoDelay(true);
+    SetSilenceLimit(socket, kSilenceLimit);
     auto session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
     session->setKeepAlive(true);
     return session;
--- a/src/libsamphire/store/http_object_store.h
+++ b/src/libsamphire/store/http_object_store.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "metrics/metrics.h"
-#include "store/http_connection_pool.h"
+#include "store/http_caller.h"
 #include "store/object_store.h"
 #include "store/store_call.h"
 
@@ -41,30 +41,16 @@
     std::uint64_t expected = 0;
     milliseconds timeout{0};
   };
-  struct answer {
-    int status = 0;
-    std::string body;
-    std::string etag;
-  };
-
   // Calls and counts; the answer is a whole one with status 200.
-  result<answer> Call(const request& what);
-  result<answer> TryAddresses(const request& what);
-  result<answer> TryPool(http_connection_pool& pool, const request& what);
-  result<answer> Exchange(Poco::Net::HTTPClientSession& session,
-                          const request& what);
+  result<http_reply> Call(const request& what);
   // What a read made of a whole answer, counted if it could not be read.
   template <typename T>
   result<T> Read(const request& what,
                  result<T> (*read)(const std::string& text));
   error Counted(error why);
 
-  const http_store_options options_;
-  const clock_source& clock_;
+  http_caller caller_;
   metrics& metrics_;
-  std::vector<std::unique_ptr<http_connection_pool>> pools_;
-  // The address that answered last.
-  std::atomic<std::size_t> preferred_{0};
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/store/object_follower.cc
@@ -0,0 +1,93 @@
+#include "store/object_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace samphire {
+
+namespace {
+
+// How long one watch waits. A store that swallows calls is noticed only when
+// one runs out, and a change made meanwhile is seen so much later; shorter
+// waits cost more calls, each of which is priced.
+constexpr milliseconds kWatchTime{3000};
+// Changes that come together are taken in together.
+constexpr milliseconds kGather{60};
+constexpr milliseconds kFirstPause{150};
+constexpr milliseconds kLongestPause{1000};
+
+}  // namespace
+
+object_follower::object_follower(object_store& store,
+                                 const clock_source& clock,
+                                 std::string prefix,
+                                 change_sink on_change)
+    : store_(store),
+      clock_(clock),
+      prefix_(std::move(prefix)),
+      on_change_(std::move(on_change)) {}
+
+void object_follower::Start() {
+  last_contact_ = clock_.now();
+  thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+}
+
+void object_follower::Run(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    const auto pause = Step();
+    std::unique_lock guard(lock_);
+    wake_.wait_for(guard, stop, pause, [] { return false; });
+  }
+}
+
+milliseconds object_follower::Step() {
+  const auto now = clock_.now();
+  auto wait = kWatchTime;
+  if (const auto due = mirror_.expiry()) {
+    const auto left = std::chrono::ceil<milliseconds>(*due - now);
+    wait = std::clamp(left, milliseconds{1}, kWatchTime);
+  }
+  const auto batch = store_.Watch(prefix_, cursor_, wait);
+  if (!batch)
+    return OnFailure(batch.error());
+  OnContact();
+  cursor_ = batch.value().cursor;
+  bool changed = mirror_.Apply(batch.value(), clock_.now());
+  changed |= mirror_.Expire(clock_.now());
+  if ((changed || !told_once_) && cursor_ != 0) {
+    told_once_ = true;
+    on_change_(mirror_.objects());
+  }
+  return batch.value().events.empty() ? milliseconds{0} : kGather;
+}
+
+milliseconds object_follower::OnFailure(const error& why) {
+  if (!std::exchange(lost_, true)) {
+    Log(log_level::kWarning, "store-lost",
+        {{"prefix", prefix_},
+         {"code", static_cast<int>(why.code)},
+         {"reason", NameOf(why.code)},
+         {"detail", why.detail}});
+  }
+  if (mirror_.Expire(clock_.now()))
+    on_change_(mirror_.objects());
+  pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
+  return pause_;
+}
+
+void object_follower::OnContact() {
+  const auto now = clock_.now();
+  if (std::exchange(lost_, false)) {
+    const auto outage = now - last_contact_;
+    mirror_.OnRegained(outage, now);
+    Log(log_level::kInfo, "store-regained",
+        {{"prefix", prefix_},
+         {"seconds", std::chrono::duration<double>(outage).count()}});
+  }
+  last_contact_ = now;
+  pause_ = milliseconds{0};
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/store/object_mirror.h
@@ -0,0 +1,42 @@
+#ifndef STORE_OBJECT_MIRROR_H_
+#define STORE_OBJECT_MIRROR_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/clock_source.h"
+#include "store/watch_batch.h"
+
+namespace samphire {
+
+// A copy of the objects under one prefix, as watches tell of them. Knows no
+// threads and no clock.
+class object_mirror {
+ public:
+  using object_map = std::map<std::string, std::string>;
+
+  // Takes in what a watch told; true if the objects changed.
+  bool Apply(const watch_batch& batch, time_point now);
+  // The platform answers again after an outage of the given length.
+  void OnRegained(duration outage, time_point now);
+  // Lets go of what was missing for long enough; true if anything was.
+  bool Expire(time_point now);
+  // When Expire is due, if it is.
+  std::optional<time_point> expiry() const;
+
+  // By key; the values.
+  const object_map& objects() const { return objects_; }
+
+ private:
+  bool Remove(const std::string& key, time_point now);
+
+  object_map objects_;
+  // Until then an object that is missing may only be late to come back.
+  time_point doubt_until_;
+  std::map<std::string, time_point> missing_;
+};
+
+}  // namespace samphire
+
+#endif  // STORE_OBJECT_MIRROR_H_
--- a/src/libsamphire/store/store_event.h
+++ b/src/libsamphire/store/store_event.h
@@ -2,6 +2,7 @@
 #define STORE_STORE_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace samphire {
@@ -10,6 +11,8 @@
 struct store_event {
   std::string key;
   std::uint64_t version = 0;
+  // The value, where the platform tells it with the event.
+  std::optional<std::string> value;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/entry_list.h
@@ -0,0 +1,22 @@
+#ifndef TRAFFIC_ENTRY_LIST_H_
+#define TRAFFIC_ENTRY_LIST_H_
+
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <string>
+#include <vector>
+
+namespace samphire {
+
+// The live entries of this entry's region. Immutable.
+struct entry_list
+    : public boost::intrusive_ref_counter<entry_list,
+                                          boost::thread_safe_counter> {
+  std::vector<std::string> names;
+  std::vector<std::string> caller_addresses;
+  // Entries of all regions, as far as known.
+  std::size_t fleet_size = 1;
+};
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_ENTRY_LIST_H_
--- /dev/null
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -0,0 +1,192 @@
+#include "traffic/target_exchange.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <sstream>
+#include <utility>
+
+#include "gateway/header_copy.h"
+
+namespace samphire {
+
+namespace {
+
+// Answers up to this size are held. Most exports fit; with tens of requests in
+// progress the memory stays at a few MB.
+constexpr std::size_t kHeldBytes = 128 * 1024;
+constexpr std::size_t kPieceBytes = 16 * 1024;
+// Two regions are some 40 to 70 ms apart and back; a target that takes longer
+// to accept is dead or cut off.
+constexpr milliseconds kConnectTimeout{250};
+
+// RUNNING,WAITING,SLOTS.
+std::optional<target_report> ReadReport(const std::string& text) {
+  target_report report;
+  std::istringstream in(text);
+  char comma = 0;
+  if (in >> report.running >> comma >> report.waiting >> comma >> report.slots)
+    return report;
+  return std::nullopt;
+}
+
+}  // namespace
+
+target_exchange::target_exchange(const traffic_context& context,
+                                 const traffic_request& request,
+                                 const caller_watch& caller,
+                                 answer_sink& sink)
+    : context_(context), request_(request), caller_(caller), sink_(sink) {}
+
+// What may not be repeated goes out on a new connection: on a reused one that
+// the target was just closing, nobody could tell whether it ran.
+target_exchange_end target_exchange::Run(const live_target& target) {
+  const auto started = context_.clock.now();
+  target_exchange_end end;
+  if (!TryOnce(target, !request_.route->idempotent, end)) {
+    end = {};
+    TryOnce(target, true, end);
+  }
+  if (end.attempt.took == duration{0})
+    end.attempt.took = context_.clock.now() - started;
+  return end;
+}
+
+Poco::Net::HTTPRequest target_exchange::HeadFor(
+    const live_target& target) const {
+  Poco::Net::HTTPRequest head(request_.method, request_.path,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
+  CopyEndToEndHeaders(request_.headers, head);
+  head.set("Host", request_.headers.get("Host", target.address));
+  const auto left = std::chrono::floor<milliseconds>(request_.deadline -
+                                                     context_.clock.now());
+  head.set(context_.headers.deadline,
+           std::to_string(std::max<std::int64_t>(1, left.count())));
+  head.set(context_.headers.expected_target, target.id);
+  if (!request_.body.empty() ||
+      request_.headers.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) ||
+      request_.headers.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING)) {
+    head.setContentLength(static_cast<std::streamsize>(request_.body.size()));
+  }
+  head.setKeepAlive(true);
+  return head;
+}
+
+bool target_exchange::TryOnce(const live_target& target,
+                              bool fresh,
+                              target_exchange_end& end) {
+  http_exchange exchange(
+      context_.pool, target.address, caller_, request_.deadline,
+      {.connect_timeout = kConnectTimeout,
+       .accept_unframed = true,
+       .echo_header = request_.id.empty() ? "" : context_.headers.request_id,
+       .echo_value = request_.id});
+  if (const auto connected = exchange.Connect(fresh); !connected) {
+    end.attempt.result = attempt_result::kConnectFailed;
+    end.reason = connected.error().code;
+    return true;
+  }
+  end.may_have_run = true;
+  if (const auto sent = exchange.Send(HeadFor(target), request_.body); !sent)
+    Fail(sent.error().code, end);
+  else
+    TakeAnswer(exchange, end);
+  return !exchange.failed_on_stale_connection() || fresh;
+}
+
+void target_exchange::TakeAnswer(http_exchange& exchange,
+                                 target_exchange_end& end) {
+  const auto started = context_.clock.now();
+  const auto got_head = exchange.ReadHead();
+  if (!got_head) {
+    Fail(got_head.error().code, end);
+    return;
+  }
+  const auto& head = *got_head.value();
+  Judge(head, end);
+  end.attempt.took = context_.clock.now() - started;
+  std::string body;
+  std::array<char, kPieceBytes> piece;
+  while (true) {
+    const auto got = exchange.ReadBody(piece);
+    if (!got) {
+      // What says that it did not run needs no whole body.
+      if (end.may_have_run)
+        Fail(got.error().code, end);
+      return;
+    }
+    if (got.value() == 0)
+      break;
+    body.append(piece.data(), got.value());
+    if (body.size() > kHeldBytes &&
+        end.attempt.result == attempt_result::kAnswered) {
+      Stream(exchange, head, body, end);
+      return;
+    }
+  }
+  if (end.may_have_run && end.reason == result_code::kOk)
+    end.answer = held_answer{head, std::move(body)};
+}
+
+// Only a target's own word that it did not run a request may be believed: any
+// other failure, 503 included, may come after the work was done.
+void target_exchange::Judge(const Poco::Net::HTTPResponse& head,
+                            target_exchange_end& end) const {
+  const int status = head.getStatus();
+  end.attempt.report = ReadReport(head.get(context_.headers.target_load, ""));
+  if (status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST) {
+    end.attempt.result = attempt_result::kMisdirected;
+    end.reason = result_code::kTargetUnreachable;
+    end.may_have_run = false;
+  } else if (head.has(context_.headers.not_run)) {
+    end.attempt.result = attempt_result::kTargetRefused;
+    end.reason = result_code::kTargetShedding;
+    end.may_have_run = false;
+  } else if (!head.has(context_.headers.target_stamp)) {
+    // Not made by running the request, whatever it looks like.
+    end.attempt.result = attempt_result::kLost;
+    end.reason = result_code::kTargetFailed;
+  } else {
+    end.attempt.result = status >= 500 ? attempt_result::kTargetError
+                                       : attempt_result::kAnswered;
+  }
+}
+
+void target_exchange::Stream(http_exchange& exchange,
+                             const Poco::Net::HTTPResponse& head,
+                             std::string_view first,
+                             target_exchange_end& end) {
+  end.streamed = true;
+  sink_.Begin(head, exchange.framing(), answer_note{});
+  bool taken = sink_.Write(first);
+  std::array<char, kPieceBytes> piece;
+  while (taken) {
+    const auto got = exchange.ReadBody(piece);
+    if (!got) {
+      Fail(got.error().code, end);
+      sink_.Abort();
+      return;
+    }
+    if (got.value() == 0) {
+      sink_.End();
+      return;
+    }
+    taken = sink_.Write({piece.data(), got.value()});
+  }
+  Fail(result_code::kCallerGone, end);
+  sink_.Abort();
+}
+
+void target_exchange::Fail(result_code code, target_exchange_end& end) const {
+  end.reason = code;
+  if (code == result_code::kCallerGone)
+    end.attempt.result = attempt_result::kCallerGone;
+  else if (code == result_code::kDeadlineExceeded)
+    end.attempt.result = attempt_result::kTimedOut;
+  else
+    end.attempt.result = attempt_result::kLost;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -0,0 +1,188 @@
+#include "traffic/traffic_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "gateway/answer_relay.h"
+#include "traffic/target_exchange.h"
+
+namespace samphire {
+
+namespace {
+
+// Attempts that reached no target at all cost a target nothing, but each takes
+// time; after some the caller is better told.
+constexpr std::uint32_t kMaxSends = 5;
+// An attempt that is left less time than this would only be cut off.
+constexpr milliseconds kLeastAttempt{20};
+constexpr milliseconds kFailureRetryAfter{100};
+
+}  // namespace
+
+traffic_dispatcher::traffic_dispatcher(traffic_context& context,
+                                       const traffic_request& request,
+                                       const caller_watch& caller,
+                                       answer_sink& sink)
+    : context_(context), request_(request), caller_(caller), sink_(sink) {
+  const auto& route = *request.route;
+  const auto part = context_.shards.splits.With(route.name, [&](auto& splits) {
+    return splits[route.name].Choose(route.parts, request.key_hash);
+  });
+  service_ = route.parts[part].service;
+  wish_.route = route.name;
+  wish_.key_hash = request.key_hash;
+  wish_.home_regions = route.home_regions;
+  context_.shards.services.With(service_, [&](auto& services) {
+    services[service_].retries.OnRequest(context_.clock.now());
+  });
+}
+
+void traffic_dispatcher::Run() {
+  while (true) {
+    auto placed = Place();
+    if (const auto* refusal = std::get_if<placing_refusal>(&placed)) {
+      if (failure_)
+        Finish({.answer = std::move(failure_)});
+      else
+        Refuse(refusal->reason, refusal->retry_after);
+      return;
+    }
+    const auto& attempt = std::get<placed_attempt>(placed);
+    ++attempts_;
+    auto end = target_exchange(context_, request_, caller_, sink_)
+                   .Run(attempt.target);
+    Report(attempt, end);
+    if (end.may_have_run) {
+      may_have_run_ = true;
+      ++runs_;
+    }
+    if (!MayTryAgain(end)) {
+      Finish(std::move(end));
+      return;
+    }
+    if (end.answer)
+      failure_ = std::move(end.answer);
+    wish_.excluded.push_back(attempt.target.id);
+    context_.counters.CountRetry(end.reason);
+  }
+}
+
+placing traffic_dispatcher::Place() {
+  const auto now = context_.clock.now();
+  const auto targets = context_.state.targets();
+  const auto entries = context_.state.entries().Get();
+  wish_.objective = request_.route->latency_objective;
+  wish_.time_left = std::chrono::floor<milliseconds>(request_.deadline - now);
+  return context_.shards.services.With(service_, [&](auto& services) {
+    return services[service_].tracker.Place(
+        wish_, *targets, Service(), service_, context_.settings.place,
+        entries->names, now);
+  });
+}
+
+void traffic_dispatcher::Report(const placed_attempt& attempt,
+                                const target_exchange_end& end) {
+  context_.shards.services.With(service_, [&](auto& services) {
+    services[service_].tracker.Ended(wish_, attempt, end.attempt, Service(),
+                                     context_.clock.now());
+  });
+  LogAttempt(attempt, end);
+}
+
+const traffic_service* traffic_dispatcher::Service() const {
+  return request_.manifest->FindService(service_);
+}
+
+// What may not be repeated is tried again only after a target's word, or a
+// connection that was never made, proves that it did not run. All else draws
+// on the budget that all entries share, unless no target was reached.
+bool traffic_dispatcher::MayTryAgain(const target_exchange_end& end) {
+  if (end.streamed || end.reason == result_code::kCallerGone ||
+      end.reason == result_code::kDeadlineExceeded)
+    return false;
+  if (end.answer && end.attempt.result != attempt_result::kTargetError)
+    return false;
+  if (may_have_run_ && !request_.route->idempotent)
+    return false;
+  const auto now = context_.clock.now();
+  if (attempts_ >= kMaxSends || runs_ >= request_.route->max_attempts ||
+      request_.deadline - now < kLeastAttempt || caller_.IsGone())
+    return false;
+  if (end.attempt.result == attempt_result::kConnectFailed)
+    return true;
+  const auto fleet = context_.state.entries().Get()->fleet_size;
+  return context_.shards.services.With(service_, [&](auto& services) {
+    return services[service_].retries.TryTake(context_.settings.retries, fleet,
+                                              now);
+  });
+}
+
+void traffic_dispatcher::Finish(target_exchange_end end) {
+  if (end.streamed || end.reason == result_code::kCallerGone) {
+    LogOutcome(end.reason, 0);
+    if (!end.streamed)
+      sink_.Abort();
+    return;
+  }
+  if (!end.answer && failure_)
+    end.answer = std::move(failure_);
+  if (end.answer) {
+    LogOutcome(result_code::kOk, end.answer->head.getStatus());
+    SendHeld(sink_, *end.answer, answer_note{});
+    return;
+  }
+  Refuse(end.reason, kFailureRetryAfter);
+}
+
+// A status that promises "not run" is given only when no attempt can have run.
+void traffic_dispatcher::Refuse(result_code code, milliseconds retry_after) {
+  if (may_have_run_ && InfoOf(code).http_status == 503)
+    code = result_code::kTargetFailed;
+  else if (!may_have_run_ && code == result_code::kDeadlineExceeded)
+    code = result_code::kQueueExpired;
+  context_.counters.CountRefusal(code);
+  LogOutcome(code, InfoOf(code).http_status);
+  sink_.Refuse({.code = code,
+                .run = may_have_run_ ? run_state::kUnknown : run_state::kNotRun,
+                .config_version = request_.manifest->version(),
+                .retry_after = retry_after,
+                .fine_retry_after = true});
+}
+
+void traffic_dispatcher::LogAttempt(const placed_attempt& attempt,
+                                    const target_exchange_end& end) const {
+  const bool plain = end.attempt.result == attempt_result::kAnswered;
+  Log(plain ? log_level::kDebug : log_level::kInfo, "attempt",
+      {{"request", request_.id},
+       {"target", attempt.target.id},
+       {"failure_domain", attempt.target.failure_domain},
+       {"number", attempts_},
+       {"load_before", attempt.load_before},
+       {"knows_key", attempt.knows_key},
+       {"result", NameOf(kAttemptResultNames, end.attempt.result)},
+       {"ms", std::chrono::duration<double, std::milli>(end.attempt.took)
+                  .count()}});
+}
+
+void traffic_dispatcher::LogOutcome(result_code code, int status) const {
+  const std::chrono::duration<double, std::milli> took =
+      context_.clock.now() - request_.arrived;
+  context_.counters.Observe("request_seconds",
+                            code == result_code::kOk
+                                ? "outcome=\"answered\""
+                                : "outcome=\"failed\"",
+                            std::chrono::duration_cast<duration>(took));
+  Log(log_level::kInfo, "request",
+      {{"request", request_.id},
+       {"route", request_.route->name},
+       {"service", service_},
+       {"config_version", request_.manifest->version()},
+       {"code", static_cast<int>(code)},
+       {"result", NameOf(code)},
+       {"status", status},
+       {"attempts", attempts_},
+       {"ms", took.count()}});
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -0,0 +1,193 @@
+#include "traffic/traffic_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "base/log.h"
+#include "gateway/text_handler.h"
+#include "traffic/handler_factory.h"
+#include "traffic/traffic_handler.h"
+
+namespace samphire {
+
+namespace {
+
+constexpr milliseconds kDrainCheck{20};
+// After the request to stop, connections that callers hold are served for
+// their look-ups' lifetime and the second in which news of it spreads.
+constexpr milliseconds kNewsTime{1200};
+// Kept for the last answers, out of the time until the process is killed.
+constexpr milliseconds kStopMargin{500};
+// Metrics are read by a few collectors.
+constexpr std::uint32_t kMetricsConnections = 16;
+// Callers may use an idle connection up to the declared time; one that is
+// closed later than that never crosses a request.
+constexpr milliseconds kIdleMargin{2000};
+
+// A dead entry must be out of look-ups within about six seconds: a probe each
+// second finds it, and this is how long it may speak up.
+constexpr milliseconds kSuspicion{2500};
+
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+member SelfMember(const traffic_settings& settings, std::uint64_t incarnation) {
+  member self;
+  self.name = settings.place.instance;
+  self.region = settings.place.region;
+  self.failure_domain = settings.place.failure_domain;
+  self.caller_address = settings.caller_address;
+  self.peer_address = settings.peer_address;
+  self.incarnation = incarnation;
+  return self;
+}
+
+membership_options Pace() {
+  membership_options options;
+  options.suspicion = kSuspicion;
+  return options;
+}
+
+}  // namespace
+
+traffic_node::traffic_node(traffic_settings settings,
+                           traffic_headers headers,
+                           peer_keys keys)
+    : settings_(std::move(settings)),
+      headers_(std::move(headers)),
+      incarnation_(NewIncarnation()),
+      transport_(settings_.peer_address,
+                 settings_.place.instance,
+                 incarnation_,
+                 std::move(keys),
+                 clock_,
+                 metrics_),
+      membership_(SelfMember(settings_, incarnation_),
+                  Pace(),
+                  transport_,
+                  clock_,
+                  metrics_,
+                  incarnation_),
+      context_{settings_, headers_, state_, shards_, pool_, clock_, metrics_},
+      caller_front_(
+          settings_.caller_address,
+          new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
+            return new traffic_handler(context_);
+          }),
+          {.max_connections = settings_.max_connections},
+          metrics_),
+      metrics_front_(
+          settings_.metrics_address,
+          new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
+            return new text_handler("text/plain; version=0.0.4",
+                                    [this] { return CountersText(); });
+          }),
+          {.max_connections = kMetricsConnections},
+          metrics_) {
+  membership_.on_member_changed = [this](const member& /*changed*/) {
+    FollowMembers();
+  };
+}
+
+traffic_node::~traffic_node() {
+  membership_.Stop();
+}
+
+void traffic_node::Start() {
+  FollowMembers();
+  membership_.AddSeeds(settings_.seeds);
+  transport_.Start();
+  membership_.Start();
+  caller_front_.Start();
+  metrics_front_.Start();
+  Log(log_level::kInfo, "started",
+      {{"region", settings_.place.region},
+       {"failure_domain", settings_.place.failure_domain},
+       {"caller_address", settings_.caller_address},
+       {"incarnation", incarnation_}});
+}
+
+void traffic_node::SetManifest(const manifest_ptr& manifest) {
+  const auto before = state_.manifest();
+  if (!state_.SetManifest(manifest))
+    return;
+  const auto& limits = manifest->limits();
+  caller_front_.SetTimeouts(limits.header_timeout,
+                            limits.idle_timeout + kIdleMargin);
+  Log(log_level::kInfo, "config-in-force",
+      {{"version", manifest->version()},
+       {"version_before", before ? before->version() : 0},
+       {"routes", manifest->route_count()}});
+}
+
+void traffic_node::SetTargets(std::vector<live_target> targets) {
+  state_.SetTargets(std::move(targets));
+}
+
+void traffic_node::SetEvacuatedDomains(std::set<std::string> domains) {
+  state_.SetEvacuatedDomains(std::move(domains));
+}
+
+void traffic_node::AddSeeds(const std::vector<std::string>& addresses) {
+  membership_.AddSeeds(addresses);
+}
+
+std::vector<std::string> traffic_node::CallerAddresses() const {
+  return state_.entries().Get()->caller_addresses;
+}
+
+void traffic_node::FollowMembers() {
+  auto* list = new entry_list;
+  boost::intrusive_ptr<const entry_list> owned(list);
+  for (const auto& each : membership_.members()) {
+    if (each.state != member_state::kAlive &&
+        each.state != member_state::kSuspect)
+      continue;
+    const bool self = each.name == settings_.place.instance;
+    if (self && state_.leaving)
+      continue;
+    list->names.push_back(each.name);
+    list->caller_addresses.push_back(each.caller_address);
+  }
+  list->fleet_size = std::max<std::size_t>(1, list->names.size());
+  for (const auto& region : membership_.regions())
+    list->fleet_size += region.digest.entries;
+  state_.entries().Replace(std::move(owned));
+}
+
+std::string traffic_node::CountersText() {
+  return metrics_.Render();
+}
+
+// Callers use their connections until the process is gone, so requests are
+// served for as long as their answers fit before the kill; those that come
+// later are told at once that they did not run.
+void traffic_node::Drain() {
+  const auto asked = clock_.now();
+  Log(log_level::kInfo, "leaving");
+  state_.leaving = true;
+  FollowMembers();
+  membership_.AnnounceLeaving();
+  caller_front_.SetPhase(front_phase::kLeaving);
+  const auto last = asked + settings_.stop_grace - kStopMargin;
+  const auto serve_until =
+      std::min(asked + settings_.lookup_ttl + kNewsTime, last);
+  std::this_thread::sleep_until(serve_until);
+  caller_front_.SetPhase(front_phase::kTurningAway);
+  while (caller_front_.active() > 0 && clock_.now() < last)
+    std::this_thread::sleep_for(kDrainCheck);
+  const int cut = caller_front_.active();
+  Log(cut > 0 ? log_level::kWarning : log_level::kInfo, "drained",
+      {{"requests_cut", cut},
+       {"seconds",
+        std::chrono::duration<double>(clock_.now() - asked).count()}});
+  caller_front_.Close();
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -0,0 +1,58 @@
+#include "traffic/traffic_request_reader.h"
+
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "routing/target_rank.h"
+
+namespace samphire {
+
+namespace {
+
+// An answer that leaves at the caller's very last millisecond comes too late;
+// this is the way back and the time to write it.
+constexpr milliseconds kWayBack{10};
+
+// A nonsense deadline is passed over: the route's own timeout bounds the wait.
+milliseconds CallerWaits(const front_request& request,
+                         const traffic_context& context) {
+  Poco::UInt64 told = 0;
+  const auto text = request.get(context.headers.deadline, "");
+  constexpr Poco::UInt64 kLongest = 3'600'000;
+  if (!Poco::NumberParser::tryParseUnsigned64(text, told))
+    return milliseconds(kLongest);
+  return milliseconds(std::min(told, kLongest));
+}
+
+}  // namespace
+
+result<traffic_request> ReadTrafficRequest(front_request& request,
+                                           const traffic_context& context) {
+  traffic_request read;
+  read.arrived = context.clock.now();
+  read.manifest = context.state.manifest();
+  if (!read.manifest || !context.state.targets())
+    return MakeError(result_code::kNoConfiguration);
+  read.path = request.getURI();
+  read.route = read.manifest->FindRoute(request.getHost(), read.path);
+  if (read.route == nullptr)
+    return MakeError(result_code::kUnknownPath, request.getHost() + read.path);
+  read.id = request.get(context.headers.request_id, "");
+  read.method = request.getMethod();
+  read.headers = request;
+  const auto waits = CallerWaits(request, context);
+  read.deadline = read.arrived + std::min(std::max(milliseconds{1}, waits - kWayBack),
+                                          read.route->timeout);
+  const auto& limits = read.manifest->limits();
+  BOOST_OUTCOME_TRY(body, request.ReadBody(limits.max_body_bytes,
+                                           read.arrived + limits.header_timeout));
+  read.body = std::move(body);
+  // Requests without a key are spread by their own ids.
+  read.key_hash = KeyHash(request.get(context.headers.affinity_key, read.id));
+  return read;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/traffic_state.cc
@@ -0,0 +1,38 @@
+#include "traffic/traffic_state.h"
+
+#include <utility>
+
+namespace samphire {
+
+bool traffic_state::SetManifest(const manifest_ptr& manifest) {
+  std::lock_guard guard(lock_);
+  const auto present = manifest_.Get();
+  if (present && manifest->version() <= present->version())
+    return false;
+  manifest_.Replace(manifest);
+  return true;
+}
+
+void traffic_state::SetTargets(std::vector<live_target> targets) {
+  std::lock_guard guard(lock_);
+  listed_ = std::move(targets);
+  targets_known_ = true;
+  Publish();
+}
+
+void traffic_state::SetEvacuatedDomains(std::set<std::string> domains) {
+  std::lock_guard guard(lock_);
+  evacuated_ = std::move(domains);
+  Publish();
+}
+
+void traffic_state::Publish() {
+  if (targets_known_)
+    targets_.Replace(target_set_ptr(new target_set(listed_, evacuated_)));
+}
+
+bool traffic_state::IsReady() const {
+  return !leaving && manifest() && targets();
+}
+
+}  // namespace samphire
