--- a/src/libsamphire/routing/service_time_estimate.cc
+++ b/src/libsamphire/routing/service_time_estimate.cc
@@ -18,6 +18,7 @@
 
 void service_time_estimate::Learn(bool knows_key, double ms) {
   double& estimate = knows_key ? warm_ms_ : cold_ms_;
+  ++(knows_key ? warm_count_ : cold_count_);
   estimate += (ms - estimate) * kWeight;
 }
 
--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -11,18 +11,21 @@
 
 namespace {
 
-// A key has this many targets at most. A target that holds a key in memory
+// A key's targets in the order of the plan. A target that holds a key in memory
 // takes a third of the time for it, so each further target costs three times
-// the work at first and pushes another key out of that target's memory. Spread
-// wider, an overload feeds itself.
-constexpr std::size_t kTargetsPerKey = 2;
+// the work at first and a place in its memory; two let work go to the shorter
+// of two queues, which evens out most of what hashing leaves uneven.
+constexpr std::size_t kPlannedTargets = 2;
+// And one more anywhere, for the time when the planned region is full.
+constexpr std::size_t kOtherTargets = 1;
 
-// How a target's pull on keys falls with its distance. Bytes between regions
-// are dear and take tens of milliseconds; yet a region whose targets are few
-// must be able to use the others', so it is no wall.
-constexpr double kSameDomain = 1.0;
-constexpr double kSameRegion = 1.0;
-constexpr double kOtherRegion = 1.0;
+// What a region outside the plan counts for, so that its targets are the last
+// choice but a choice.
+constexpr double kUnplanned = 1e-3;
+
+// A later choice must promise this much less time than an earlier one: two
+// entries whose views differ a little should still choose alike.
+constexpr double kWorthMoving = 0.8;
 
 // Entries of its region that may send to a cold target. Bound to few, their
 // sum holds without talk: each has a fixed share.
@@ -35,12 +38,6 @@
 constexpr milliseconds kLeastRetryAfter{150};
 constexpr milliseconds kNoTargetRetryAfter{500};
 
-double Locality(const live_target& target, const entry_place& self) {
-  if (target.failure_domain == self.failure_domain)
-    return kSameDomain;
-  return target.region == self.region ? kSameRegion : kOtherRegion;
-}
-
 template <typename T>
 bool Contains(const std::vector<T>& all, const T& one) {
   return std::find(all.begin(), all.end(), one) != all.end();
@@ -55,7 +52,7 @@
                                const entry_place& self,
                                const std::vector<std::string>& region_entries,
                                time_point now) {
-  Follow(targets, service, service_name, now);
+  Follow(targets, service, service_name, self, now);
   const auto candidates = Candidates(request, targets, service, service_name,
                                      self, region_entries, now);
   if (candidates.empty()) {
@@ -74,18 +71,17 @@
     const auto outlook = Forecast(each, request, now);
     const double patience =
         std::max(objective - outlook.service_ms, objective / 2);
-    const bool in_time =
-        outlook.wait_ms <= patience && outlook.finish_ms() < time_left;
+    // A guess is no ground to turn anybody away, or no answer would ever teach
+    // better: a route that was just added would stay refused for good.
+    const bool in_time = outlook.wait_ms <= patience &&
+                         (!outlook.learned || outlook.finish_ms() < time_left);
     shortest_excess = std::min(shortest_excess, outlook.wait_ms - patience);
     if (!in_time)
       continue;
     if (chosen == nullptr) {
       chosen = &each;
       best = outlook;
-      // The key's own target, in time for the objective: no need to look on.
-      if (&each == &candidates.front() && outlook.finish_ms() <= objective)
-        break;
-    } else if (outlook.finish_ms() < best.finish_ms()) {
+    } else if (outlook.finish_ms() < kWorthMoving * best.finish_ms()) {
       chosen = &each;
       best = outlook;
     }
@@ -137,6 +133,7 @@
 void service_tracker::Follow(const target_set& targets,
                              const traffic_service* service,
                              std::string_view service_name,
+                             const entry_place& self,
                              time_point now) {
   if (followed_.get() == &targets)
     return;
@@ -144,6 +141,12 @@
   const auto& listed = targets.OfService(service_name);
   for (const auto& target : listed)
     records_[target.id].Describe(target, service, now);
+  region_room room;
+  for (const auto& target : listed) {
+    if (targets.IsOpen(target))
+      room[target.region] += target.slots;
+  }
+  plan_ = PlanRegions(room, self.region);
   std::erase_if(records_, [&](const auto& entry) {
     return std::none_of(listed.begin(), listed.end(), [&](const auto& target) {
       return target.id == entry.first;
@@ -171,19 +174,33 @@
     if (!record.IsFit(now) ||
         !MayTakeCold(record, target, service, self, entries, now))
       continue;
-    const double weight = target.slots * Locality(target, self);
-    const candidate each{&target, &record,
-                         TargetRank(request.key_hash, target.id, weight)};
+    const auto planned = plan_.find(target.region);
+    const double share = planned == plan_.end() ? 0 : planned->second;
+    const double weight = target.slots * std::max(kUnplanned, share);
+    const candidate each{
+        &target, &record, TargetRank(request.key_hash, target.id, weight),
+        TargetRank(request.key_hash, target.id, target.slots)};
     (record.fails_in_part() ? failing : fit).push_back(each);
   }
   // When most fail in part, avoiding them would only pile all work on the
   // rest, which then fails too.
   if (failing.size() > fit.size())
     fit.insert(fit.end(), failing.begin(), failing.end());
-  const auto count = std::min(kTargetsPerKey, fit.size());
+  return Best(std::move(fit));
+}
+
+std::vector<service_tracker::candidate> service_tracker::Best(
+    std::vector<candidate> fit) {
+  const auto planned = std::min(kPlannedTargets, fit.size());
+  const auto rest = fit.begin() + static_cast<std::ptrdiff_t>(planned);
   std::partial_sort(
-      fit.begin(), fit.begin() + static_cast<std::ptrdiff_t>(count), fit.end(),
+      fit.begin(), rest, fit.end(),
       [](const auto& a, const auto& b) { return a.rank > b.rank; });
+  const auto count = std::min(kPlannedTargets + kOtherTargets, fit.size());
+  std::partial_sort(rest, fit.begin() + static_cast<std::ptrdiff_t>(count),
+                    fit.end(), [](const auto& a, const auto& b) {
+                      return a.anywhere_rank > b.anywhere_rank;
+                    });
   fit.resize(count);
   return fit;
 }
@@ -221,7 +238,8 @@
       std::max(0.0, each.record->Load(now) + 1 - slots) / slots;
   const bool knows_key = each.record->KnowsKey(request.key_hash, now);
   return {.wait_ms = ahead * estimate.Ms(true) * slowness,
-          .service_ms = estimate.Ms(knows_key) * slowness};
+          .service_ms = estimate.Ms(knows_key) * slowness,
+          .learned = estimate.IsLearned(knows_key)};
 }
 
 service_time_estimate& service_tracker::EstimateOf(
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -11,6 +11,7 @@
 #include "routing/entry_place.h"
 #include "routing/placing.h"
 #include "routing/placing_request.h"
+#include "routing/region_plan.h"
 #include "routing/service_time_estimate.h"
 #include "routing/target_record.h"
 #include "routing/target_set.h"
@@ -41,18 +42,24 @@
   struct candidate {
     const live_target* target = nullptr;
     target_record* record = nullptr;
+    // Among targets as the region plan weighs them, and among all alike.
     double rank = 0;
+    double anywhere_rank = 0;
   };
   struct forecast {
     double wait_ms = 0;
     double service_ms = 0;
+    // Answers stand behind `service_ms`.
+    bool learned = false;
     double finish_ms() const { return wait_ms + service_ms; }
   };
 
   void Follow(const target_set& targets,
               const traffic_service* service,
               std::string_view service_name,
+              const entry_place& self,
               time_point now);
+  static std::vector<candidate> Best(std::vector<candidate> fit);
   std::vector<candidate> Candidates(const placing_request& request,
                                     const target_set& targets,
                                     const traffic_service* service,
@@ -76,6 +83,8 @@
 
   // The set that the records were last made to match.
   target_set_ptr followed_;
+  // How much of each region's targets this region's callers are to use.
+  std::map<std::string, double> plan_;
   std::map<std::string, target_record, std::less<>> records_;
   std::map<std::string, service_time_estimate, std::less<>> estimates_;
 };
