--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -81,7 +81,6 @@
   const auto now = clock_.now();
   if (std::exchange(lost_, false)) {
     const auto outage = now - last_contact_;
-    mirror_.OnRegained(outage, now);
     Log(log_level::kInfo, "store-regained",
         {{"prefix", prefix_},
          {"seconds", std::chrono::duration<double>(outage).count()}});
--- a/src/libsamphire/store/object_mirror.cc
+++ b/src/libsamphire/store/object_mirror.cc
@@ -1,36 +1,27 @@
 #include "store/object_mirror.h"
 
 #include <set>
-#include <vector>
 
 namespace samphire {
 
 namespace {
 
-// Entries that others renew lapse during an outage. Those that renew them are
-// given two seconds after it; a bit more covers the way to us.
-constexpr milliseconds kReturnTime{2400};
-// A shorter outage lets nothing lapse.
-constexpr milliseconds kShortOutage{1500};
+// Whoever renews an entry is given two seconds after an outage to do so; a bit
+// more covers the way to us.
+constexpr milliseconds kReturnTime{2200};
+// Fewer than this may well go together.
+constexpr std::size_t kMass = 8;
 
 }  // namespace
 
-// After an outage the platform lists hardly anyone: whoever had to renew an
-// entry could not. Taken at its word, an entry would turn away every caller
-// for want of targets that in truth are fine; so what is missing then is held
-// until its owner has had time to come back.
-void object_mirror::OnRegained(duration outage, time_point now) {
-  if (outage >= kShortOutage)
-    doubt_until_ = now + kReturnTime;
-}
-
 bool object_mirror::Apply(const watch_batch& batch, time_point now) {
   bool changed = false;
   std::set<std::string> listed;
+  std::vector<std::string> gone;
   for (const auto& event : batch.events) {
     listed.insert(event.key);
     if (event.version == 0) {
-      changed |= Remove(event.key, now);
+      gone.push_back(event.key);
     } else if (event.value) {
       missing_.erase(event.key);
       auto& held = objects_[event.key];
@@ -39,26 +30,33 @@
     }
   }
   if (batch.reset && batch.cursor != 0) {
-    std::vector<std::string> absent;
     for (const auto& [key, value] : objects_) {
       if (!listed.contains(key))
-        absent.push_back(key);
+        gone.push_back(key);
     }
-    for (const auto& key : absent)
-      changed |= Remove(key, now);
   }
-  return changed;
+  return Remove(gone, now) || changed;
 }
 
-bool object_mirror::Remove(const std::string& key, time_point now) {
-  if (!objects_.contains(key))
-    return false;
-  if (now < doubt_until_) {
-    missing_.try_emplace(key, doubt_until_);
-    return false;
+// After an outage the platform may list hardly anyone: whoever had to renew an
+// entry could not. Taken at its word, an entry would turn away every caller
+// for want of targets that in truth are fine. Single objects go at once; when
+// most go together, they are held until their owners had time to come back.
+bool object_mirror::Remove(const std::vector<std::string>& keys,
+                           time_point now) {
+  const bool doubted = keys.size() >= kMass && keys.size() * 2 > objects_.size();
+  bool changed = false;
+  for (const auto& key : keys) {
+    if (!objects_.contains(key))
+      continue;
+    if (doubted) {
+      missing_.try_emplace(key, now + kReturnTime);
+    } else if (!missing_.contains(key)) {
+      objects_.erase(key);
+      changed = true;
+    }
   }
-  missing_.erase(key);
-  return objects_.erase(key) > 0;
+  return changed;
 }
 
 bool object_mirror::Expire(time_point now) {
--- a/src/libsamphire/store/object_mirror.h
+++ b/src/libsamphire/store/object_mirror.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock_source.h"
 #include "store/watch_batch.h"
@@ -18,8 +19,6 @@
 
   // Takes in what a watch told; true if the objects changed.
   bool Apply(const watch_batch& batch, time_point now);
-  // The platform answers again after an outage of the given length.
-  void OnRegained(duration outage, time_point now);
   // Lets go of what was missing for long enough; true if anything was.
   bool Expire(time_point now);
   // When Expire is due, if it is.
@@ -29,11 +28,10 @@
   const object_map& objects() const { return objects_; }
 
  private:
-  bool Remove(const std::string& key, time_point now);
+  bool Remove(const std::vector<std::string>& keys, time_point now);
 
   object_map objects_;
-  // Until then an object that is missing may only be late to come back.
-  time_point doubt_until_;
+  // Objects that are held though they were told to be gone, and until when.
   std::map<std::string, time_point> missing_;
 };
 
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -176,7 +176,6 @@
   Log(log_level::kInfo, "request",
       {{"request", request_.id},
        {"route", request_.route->name},
-       {"TMPkey", request_.headers.get(context_.headers.affinity_key, "-")},
        {"service", service_},
        {"config_version", request_.manifest->version()},
        {"code", static_cast<int>(code)},
