--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -17,8 +17,9 @@
 // that one which is swallowed is given up soon and the return is not missed by
 // a watch that was sent a moment before it.
 constexpr milliseconds kProbeTime{50};
-// Changes that come together are taken in together.
-constexpr milliseconds kGather{60};
+// Changes that come together are taken in together: each watch that returns is
+// a call, and what must be known soon must be known within two seconds.
+constexpr milliseconds kGather{200};
 constexpr milliseconds kFirstPause{150};
 constexpr milliseconds kLongestPause{500};
 
