Let a few entries of each region watch the store and the others follow them

Ruled out: longer watches alone (a swallowed one hides the store's return). A watcher that loses the store refuses its peers within 1.6 s, and they turn to the store themselves.

--- /dev/null
+++ b/src/libsamphire/store/object_relay.cc
@@ -0,0 +1,97 @@
+#include "store/object_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+// A watch of the platform returns at least once a second; what was not
+// confirmed for so long stands behind a platform or a link that is in trouble.
+constexpr milliseconds kFresh{1600};
+// About a minute of changes on a busy day. Whoever is further behind gets
+// everything.
+constexpr std::size_t kMaxLog = 2000;
+// How often a waiting peer's call looks whether the copy is still fresh.
+constexpr milliseconds kLookAgain{300};
+
+}  // namespace
+
+void object_relay::Publish(const std::string& prefix,
+                           const watch_batch& batch) {
+  // Lost history: a new listing follows.
+  if (batch.cursor == 0)
+    return;
+  std::lock_guard guard(lock_);
+  auto& held = copies_[prefix];
+  held.confirmed = clock_.now();
+  Take(held, batch);
+  changed_.notify_all();
+}
+
+void object_relay::Take(copy& held, const watch_batch& batch) {
+  if (batch.reset) {
+    held.objects.clear();
+    held.log.clear();
+    held.floor = batch.cursor;
+  }
+  for (const auto& event : batch.events) {
+    if (event.version == 0)
+      held.objects.erase(event.key);
+    else if (event.value)
+      held.objects[event.key] = {event.version, *event.value};
+    if (!batch.reset)
+      held.log.push_back({batch.cursor, event});
+  }
+  while (held.log.size() > kMaxLog) {
+    held.floor = held.log.front().revision;
+    held.log.pop_front();
+  }
+  held.cursor = batch.cursor;
+}
+
+result<watch_batch> object_relay::Watch(const std::string& prefix,
+                                        std::uint64_t cursor,
+                                        milliseconds wait) {
+  const auto until = clock_.now() + wait;
+  std::unique_lock guard(lock_);
+  while (true) {
+    const auto& held = copies_[prefix];
+    if (!IsFresh(held))
+      return MakeError(result_code::kStoreUnreachable, "no fresh copy");
+    if (cursor < held.floor)
+      return Snapshot(held);
+    auto batch = Since(held, cursor);
+    const auto now = clock_.now();
+    if (!batch.events.empty() || now >= until)
+      return batch;
+    const auto left = std::chrono::ceil<milliseconds>(until - now);
+    changed_.wait_for(guard, std::min(left, kLookAgain));
+  }
+}
+
+bool object_relay::IsFresh(const copy& held) const {
+  return held.cursor != 0 && clock_.now() - held.confirmed <= kFresh;
+}
+
+watch_batch object_relay::Snapshot(const copy& held) {
+  watch_batch batch{.cursor = held.cursor, .reset = true, .events = {}};
+  for (const auto& [key, object] : held.objects)
+    batch.events.push_back({key, object.version, object.value});
+  return batch;
+}
+
+// Whoever comes from another source may be ahead; it must not be taken back.
+watch_batch object_relay::Since(const copy& held, std::uint64_t cursor) {
+  watch_batch batch{.cursor = std::max(cursor, held.cursor),
+                    .reset = false,
+                    .events = {}};
+  for (const auto& each : held.log) {
+    if (each.revision > cursor)
+      batch.events.push_back(each.event);
+  }
+  return batch;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/store/object_relay.h
@@ -0,0 +1,63 @@
+#ifndef STORE_OBJECT_RELAY_H_
+#define STORE_OBJECT_RELAY_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "base/clock_source.h"
+#include "base/result.h"
+#include "store/watch_batch.h"
+
+namespace samphire {
+
+// Hands on to peers what this entry's own watches of the platform told, under
+// the platform's own revisions, so that a peer can change between sources.
+class object_relay {
+ public:
+  explicit object_relay(const clock_source& clock) : clock_(clock) {}
+
+  // A watch of the platform has returned.
+  void Publish(const std::string& prefix, const watch_batch& batch);
+
+  // As a watch of the platform from `cursor`, but kStoreUnreachable once what
+  // is known here is too old to be relied on.
+  result<watch_batch> Watch(const std::string& prefix,
+                            std::uint64_t cursor,
+                            milliseconds wait);
+
+ private:
+  struct held_object {
+    std::uint64_t version = 0;
+    std::string value;
+  };
+  struct logged_event {
+    std::uint64_t revision = 0;
+    store_event event;
+  };
+  struct copy {
+    std::map<std::string, held_object> objects;
+    std::deque<logged_event> log;
+    // Events up to this revision are no longer in the log.
+    std::uint64_t floor = 0;
+    std::uint64_t cursor = 0;
+    time_point confirmed;
+  };
+
+  bool IsFresh(const copy& held) const;
+  static watch_batch Snapshot(const copy& held);
+  static watch_batch Since(const copy& held, std::uint64_t cursor);
+  static void Take(copy& held, const watch_batch& batch);
+
+  const clock_source& clock_;
+  std::mutex lock_;
+  std::condition_variable changed_;
+  std::map<std::string, copy> copies_;
+};
+
+}  // namespace samphire
+
+#endif  // STORE_OBJECT_RELAY_H_
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -12,7 +12,9 @@
     : public boost::intrusive_ref_counter<entry_list,
                                           boost::thread_safe_counter> {
   std::vector<std::string> names;
+  // Of each, in the order of the names.
   std::vector<std::string> caller_addresses;
+  std::vector<std::string> peer_addresses;
   // Entries of all regions, as far as known.
   std::size_t fleet_size = 1;
 };
--- /dev/null
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -0,0 +1,112 @@
+#include "traffic/shared_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/peer_post.h"
+#include "traffic/mirror_messages.h"
+
+namespace samphire {
+
+namespace {
+
+// A watcher's own watch returns this often, which tells it and its peers that
+// the platform is still there. Few entries pay for it.
+constexpr milliseconds kPlatformWait{1000};
+// A peer that stands still is given up after this and the margin, so that a
+// change is seen elsewhere within two seconds and a half.
+constexpr milliseconds kPeerWait{1500};
+constexpr milliseconds kPeerMargin{500};
+// When no watcher has a fresh copy, the platform is mostly down, and a whole
+// fleet that asks it at once would be its next trouble.
+constexpr milliseconds kPlatformPause{1500};
+
+}  // namespace
+
+shared_store::shared_store(object_store& platform,
+                           object_relay& relay,
+                           connection_pool& pool,
+                           peer_signer& signer,
+                           const clock_source& clock,
+                           watcher_list watchers)
+    : platform_(platform),
+      relay_(relay),
+      pool_(pool),
+      signer_(signer),
+      clock_(clock),
+      watchers_(std::move(watchers)) {}
+
+result<watch_batch> shared_store::Watch(const std::string& prefix,
+                                        std::uint64_t cursor,
+                                        milliseconds wait) {
+  const auto watchers = watchers_();
+  for (const auto& peer : watchers) {
+    auto batch = AskPeer(peer, prefix, cursor, std::min(wait, kPeerWait));
+    if (batch)
+      return batch;
+  }
+  return AskPlatform(prefix, cursor, std::min(wait, kPlatformWait),
+                     watchers.empty());
+}
+
+result<watch_batch> shared_store::AskPeer(const std::string& peer,
+                                          const std::string& prefix,
+                                          std::uint64_t cursor,
+                                          milliseconds wait) {
+  const mirror_ask ask{.prefix = prefix,
+                       .cursor = cursor,
+                       .wait_ms = static_cast<std::uint32_t>(wait.count())};
+  BOOST_OUTCOME_TRY(bytes, PostToPeer(pool_, signer_, peer, kMirrorPath,
+                                      EncodeBinary(ask), wait + kPeerMargin));
+  auto batch = DecodeBinary<watch_batch>(bytes);
+  if (!batch)
+    return MakeError(result_code::kPeerMalformed, peer);
+  return std::move(*batch);
+}
+
+result<watch_batch> shared_store::AskPlatform(const std::string& prefix,
+                                              std::uint64_t cursor,
+                                              milliseconds wait,
+                                              bool watches) {
+  if (!watches && !MayAskPlatform())
+    return MakeError(result_code::kStoreUnreachable, "no watcher is fresh");
+  auto batch = platform_.Watch(prefix, cursor, wait);
+  if (batch) {
+    relay_.Publish(prefix, batch.value());
+  } else if (!watches) {
+    std::lock_guard guard(lock_);
+    not_before_ = clock_.now() + kPlatformPause;
+  }
+  return batch;
+}
+
+bool shared_store::MayAskPlatform() {
+  std::lock_guard guard(lock_);
+  return clock_.now() >= not_before_;
+}
+
+result<store_object> shared_store::Get(const std::string& key) {
+  return platform_.Get(key);
+}
+
+result<std::uint64_t> shared_store::Put(const std::string& key,
+                                        const std::string& value,
+                                        std::uint64_t expected) {
+  return platform_.Put(key, value, expected);
+}
+
+result<void> shared_store::Delete(const std::string& key,
+                                  std::uint64_t expected) {
+  return platform_.Delete(key, expected);
+}
+
+result<std::vector<store_object>> shared_store::List(
+    const std::string& prefix) {
+  return platform_.List(prefix);
+}
+
+result<std::vector<instance_info>> shared_store::Instances() {
+  return platform_.Instances();
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/shared_store.h
@@ -0,0 +1,68 @@
+#ifndef TRAFFIC_SHARED_STORE_H_
+#define TRAFFIC_SHARED_STORE_H_
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/clock_source.h"
+#include "gateway/peer_signer.h"
+#include "proxy/connection_pool.h"
+#include "store/object_relay.h"
+#include "store/object_store.h"
+
+namespace samphire {
+
+// The platform's store as a fleet shares it: a few entries of each region
+// watch the platform, the others watch those, and turn to the platform
+// themselves only when no watcher has a fresh copy.
+class shared_store final : public object_store {
+ public:
+  // Peer addresses of the region's watchers; empty in a watcher.
+  using watcher_list = std::function<std::vector<std::string>()>;
+
+  shared_store(object_store& platform,
+               object_relay& relay,
+               connection_pool& pool,
+               peer_signer& signer,
+               const clock_source& clock,
+               watcher_list watchers);
+
+  result<store_object> Get(const std::string& key) override;
+  result<std::uint64_t> Put(const std::string& key,
+                            const std::string& value,
+                            std::uint64_t expected) override;
+  result<void> Delete(const std::string& key, std::uint64_t expected) override;
+  result<std::vector<store_object>> List(const std::string& prefix) override;
+  result<watch_batch> Watch(const std::string& prefix,
+                            std::uint64_t cursor,
+                            milliseconds wait) override;
+  result<std::vector<instance_info>> Instances() override;
+
+ private:
+  result<watch_batch> AskPeer(const std::string& peer,
+                              const std::string& prefix,
+                              std::uint64_t cursor,
+                              milliseconds wait);
+  result<watch_batch> AskPlatform(const std::string& prefix,
+                                  std::uint64_t cursor,
+                                  milliseconds wait,
+                                  bool watches);
+  bool MayAskPlatform();
+
+  object_store& platform_;
+  object_relay& relay_;
+  connection_pool& pool_;
+  peer_signer& signer_;
+  const clock_source& clock_;
+  const watcher_list watchers_;
+  std::mutex lock_;
+  // An entry that is no watcher leaves a platform that failed it alone until
+  // then.
+  time_point not_before_;
+};
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_SHARED_STORE_H_
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -7,7 +7,10 @@
 
 #include "base/log.h"
 #include "gateway/text_handler.h"
+#include "membership/rendezvous.h"
 #include "traffic/handler_factory.h"
+#include "traffic/mirror_handler.h"
+#include "traffic/shared_store.h"
 #include "traffic/traffic_handler.h"
 
 namespace samphire {
@@ -20,6 +23,13 @@
 constexpr milliseconds kNewsTime{1200};
 // Kept for the last answers, out of the time until the process is killed.
 constexpr milliseconds kStopMargin{500};
+// Watchers of the platform in a region: two, so that one may be cut off or
+// stand still; one where each spared watch is a quarter of the cost.
+constexpr std::size_t kWatchers = 2;
+constexpr std::size_t kFewWatchers = 1;
+constexpr std::size_t kSmallRegion = 4;
+// Three watches for each entry of the largest region that was measured.
+constexpr std::uint32_t kPeerConnections = 256;
 // Metrics are read by a few collectors.
 constexpr std::uint32_t kMetricsConnections = 16;
 // Callers may use an idle connection up to the declared time; one that is
@@ -65,7 +75,7 @@
       transport_(settings_.peer_address,
                  settings_.place.instance,
                  incarnation_,
-                 std::move(keys),
+                 keys,
                  clock_,
                  metrics_),
       membership_(SelfMember(settings_, incarnation_),
@@ -74,6 +84,10 @@
                   clock_,
                   metrics_,
                   incarnation_),
+      signer_(std::move(keys),
+              {settings_.place.instance, incarnation_},
+              clock_),
+      relay_(clock_),
       context_{settings_, headers_, state_, shards_, pool_, clock_, metrics_},
       caller_front_(
           settings_.caller_address,
@@ -89,6 +103,14 @@
                                     [this] { return CountersText(); });
           }),
           {.max_connections = kMetricsConnections},
+          metrics_),
+      peer_front_(
+          settings_.peer_address,
+          new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
+            return new mirror_handler(relay_, signer_, settings_.peer_address,
+                                      metrics_);
+          }),
+          {.max_connections = kPeerConnections},
           metrics_) {
   membership_.on_member_changed = [this](const member& /*changed*/) {
     FollowMembers();
@@ -104,6 +126,7 @@
   membership_.AddSeeds(settings_.seeds);
   transport_.Start();
   membership_.Start();
+  peer_front_.Start();
   caller_front_.Start();
   metrics_front_.Start();
   Log(log_level::kInfo, "started",
@@ -154,6 +177,7 @@
       continue;
     list->names.push_back(each.name);
     list->caller_addresses.push_back(each.caller_address);
+    list->peer_addresses.push_back(each.peer_address);
   }
   list->fleet_size = std::max<std::size_t>(1, list->names.size());
   for (const auto& region : membership_.regions())
@@ -161,6 +185,28 @@
   state_.entries().Replace(std::move(owned));
 }
 
+std::unique_ptr<object_store> traffic_node::Share(object_store& platform) {
+  return std::make_unique<shared_store>(platform, relay_, pool_, signer_,
+                                        clock_, [this] { return Watchers(); });
+}
+
+std::vector<std::string> traffic_node::Watchers() const {
+  const auto entries = state_.entries().Get();
+  const auto count =
+      entries->names.size() <= kSmallRegion ? kFewWatchers : kWatchers;
+  const auto chosen = PickByRendezvous("watcher", entries->names, count);
+  std::vector<std::string> addresses;
+  for (const auto& name : chosen) {
+    if (name == settings_.place.instance)
+      return {};
+    const auto found =
+        std::find(entries->names.begin(), entries->names.end(), name);
+    addresses.push_back(entries->peer_addresses[static_cast<std::size_t>(
+        found - entries->names.begin())]);
+  }
+  return addresses;
+}
+
 std::string traffic_node::CountersText() {
   return metrics_.Render();
 }
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -3,16 +3,20 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/system_clock_source.h"
 #include "front/front_server.h"
+#include "gateway/peer_signer.h"
 #include "membership/membership_service.h"
 #include "metrics/metrics.h"
 #include "peer/udp_peer_transport.h"
 #include "proxy/connection_pool.h"
+#include "store/object_relay.h"
+#include "store/object_store.h"
 #include "traffic/service_shards.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
@@ -43,6 +47,9 @@
   // Peer addresses that were learned elsewhere.
   void AddSeeds(const std::vector<std::string>& addresses);
 
+  // The platform's store as this fleet shares it. The node must outlive it.
+  std::unique_ptr<object_store> Share(object_store& platform);
+
   bool IsReady() const { return state_.IsReady(); }
   // The live entries of this region that callers may use.
   std::vector<std::string> CallerAddresses() const;
@@ -52,6 +59,8 @@
 
  private:
   void FollowMembers();
+  // Peer addresses of the region's watchers; empty if this is one.
+  std::vector<std::string> Watchers() const;
   std::string CountersText();
 
   const traffic_settings settings_;
@@ -64,9 +73,12 @@
   connection_pool pool_;
   udp_peer_transport transport_;
   membership_service membership_;
+  peer_signer signer_;
+  object_relay relay_;
   traffic_context context_;
   front_server caller_front_;
   front_server metrics_front_;
+  front_server peer_front_;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/tests/store/object_relay_test.cc
@@ -0,0 +1,75 @@
+#include "store/object_relay.h"
+
+#include <catch2/catch.hpp>
+
+#include "support/manual_clock.h"
+
+using namespace samphire;
+using namespace std::chrono_literals;
+
+namespace {
+
+watch_batch Batch(std::uint64_t cursor,
+                  bool reset,
+                  std::vector<store_event> events) {
+  return {.cursor = cursor, .reset = reset, .events = std::move(events)};
+}
+
+}  // namespace
+
+TEST_CASE("a peer gets everything first, then only what changed") {
+  manual_clock clock;
+  object_relay relay(clock);
+  relay.Publish("k/", Batch(5, true, {{"k/a", 3, "A"}, {"k/b", 4, "B"}}));
+  const auto all = relay.Watch("k/", 0, 0ms);
+  REQUIRE(all);
+  CHECK(all.value().reset);
+  CHECK(all.value().events.size() == 2);
+  relay.Publish("k/", Batch(8, false, {{"k/a", 0, {}}, {"k/c", 8, "C"}}));
+  const auto more = relay.Watch("k/", all.value().cursor, 0ms);
+  REQUIRE(more);
+  CHECK_FALSE(more.value().reset);
+  CHECK(more.value().cursor == 8);
+  CHECK(more.value().events.size() == 2);
+  CHECK(relay.Watch("k/", 0, 0ms).value().events.size() == 2);
+}
+
+// The watcher loses the platform. Peers that went on trusting its copy would
+// send work to targets that left, and miss a new configuration for good.
+TEST_CASE("a copy that is not confirmed is not handed on") {
+  manual_clock clock;
+  object_relay relay(clock);
+  CHECK_FALSE(relay.Watch("k/", 0, 0ms));
+  relay.Publish("k/", Batch(5, true, {}));
+  CHECK(relay.Watch("k/", 5, 0ms));
+  clock.Advance(2s);
+  CHECK(relay.Watch("k/", 5, 0ms).error().code ==
+        result_code::kStoreUnreachable);
+  relay.Publish("k/", Batch(5, false, {}));
+  CHECK(relay.Watch("k/", 5, 0ms));
+}
+
+// A peer followed the platform itself and is ahead of the watcher it turns to.
+// Taken back, it would apply an older state as if it were news.
+TEST_CASE("a peer that is ahead is not taken back") {
+  manual_clock clock;
+  object_relay relay(clock);
+  relay.Publish("k/", Batch(5, true, {{"k/a", 3, "A"}}));
+  const auto batch = relay.Watch("k/", 9, 0ms);
+  REQUIRE(batch);
+  CHECK(batch.value().cursor == 9);
+  CHECK(batch.value().events.empty());
+}
+
+TEST_CASE("a peer that missed dropped history gets everything") {
+  manual_clock clock;
+  object_relay relay(clock);
+  relay.Publish("k/", Batch(5, true, {{"k/a", 3, "A"}}));
+  relay.Publish("k/", Batch(0, true, {}));
+  relay.Publish("k/", Batch(20, true, {{"k/b", 15, "B"}}));
+  const auto batch = relay.Watch("k/", 5, 0ms);
+  REQUIRE(batch);
+  CHECK(batch.value().reset);
+  REQUIRE(batch.value().events.size() == 1);
+  CHECK(batch.value().events[0].key == "k/b");
+}
