--- a/src/libsamphire/routing/target_set.cc
+++ b/src/libsamphire/routing/target_set.cc
@@ -1,5 +1,6 @@
 #include "routing/target_set.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace samphire {
@@ -18,6 +19,16 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+std::size_t target_set::open_count() const {
+  std::size_t open = 0;
+  for (const auto& [service, targets] : by_service_) {
+    open += static_cast<std::size_t>(
+        std::count_if(targets.begin(), targets.end(),
+                      [this](const auto& target) { return IsOpen(target); }));
+  }
+  return open;
+}
+
 bool target_set::IsOpen(const live_target& target) const {
   return !target.draining && !evacuated_.contains(target.failure_domain);
 }
--- a/src/libsamphire/routing/target_set.h
+++ b/src/libsamphire/routing/target_set.h
@@ -28,6 +28,8 @@
   bool IsOpen(const live_target& target) const;
   const std::set<std::string>& evacuated_domains() const { return evacuated_; }
   std::size_t size() const { return size_; }
+  // Targets that may be given new work.
+  std::size_t open_count() const;
 
  private:
   std::map<std::string, std::vector<live_target>, std::less<>> by_service_;
--- a/src/libsamphire/store/object_mirror.cc
+++ b/src/libsamphire/store/object_mirror.cc
@@ -17,12 +17,14 @@
 bool object_mirror::Apply(const watch_batch& batch, time_point now) {
   bool changed = false;
   std::set<std::string> listed;
-  std::vector<std::string> gone;
+  std::set<std::string> gone;
   for (const auto& event : batch.events) {
     listed.insert(event.key);
     if (event.version == 0) {
-      gone.push_back(event.key);
+      gone.insert(event.key);
     } else if (event.value) {
+      // One batch may tell that an object went and that it came back.
+      gone.erase(event.key);
       missing_.erase(event.key);
       auto& held = objects_[event.key];
       changed |= held != *event.value;
@@ -32,7 +34,7 @@
   if (batch.reset && batch.cursor != 0) {
     for (const auto& [key, value] : objects_) {
       if (!listed.contains(key))
-        gone.push_back(key);
+        gone.insert(key);
     }
   }
   return Remove(gone, now) || changed;
@@ -42,7 +44,7 @@
 // entry could not. Taken at its word, an entry would turn away every caller
 // for want of targets that in truth are fine. Single objects go at once; when
 // most go together, they are held until their owners had time to come back.
-bool object_mirror::Remove(const std::vector<std::string>& keys,
+bool object_mirror::Remove(const std::set<std::string>& keys,
                            time_point now) {
   const bool doubted = keys.size() >= kMass && keys.size() * 2 > objects_.size();
   bool changed = false;
--- a/src/libsamphire/store/object_mirror.h
+++ b/src/libsamphire/store/object_mirror.h
@@ -3,8 +3,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "base/clock_source.h"
 #include "store/watch_batch.h"
@@ -28,7 +28,7 @@
   const object_map& objects() const { return objects_; }
 
  private:
-  bool Remove(const std::vector<std::string>& keys, time_point now);
+  bool Remove(const std::set<std::string>& keys, time_point now);
 
   object_map objects_;
   // Objects that are held though they were told to be gone, and until when.
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -151,10 +151,22 @@
 
 void traffic_node::SetTargets(std::vector<live_target> targets) {
   state_.SetTargets(std::move(targets));
+  LogTargets();
 }
 
 void traffic_node::SetEvacuatedDomains(std::set<std::string> domains) {
   state_.SetEvacuatedDomains(std::move(domains));
+  LogTargets();
+}
+
+void traffic_node::LogTargets() const {
+  const auto targets = state_.targets();
+  if (!targets)
+    return;
+  Log(log_level::kInfo, "targets-changed",
+      {{"targets", targets->size()},
+       {"open", targets->open_count()},
+       {"evacuated_domains", targets->evacuated_domains().size()}});
 }
 
 void traffic_node::AddSeeds(const std::vector<std::string>& addresses) {
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -59,6 +59,7 @@
 
  private:
   void FollowMembers();
+  void LogTargets() const;
   // Peer addresses of the region's watchers; empty if this is one.
   std::vector<std::string> Watchers() const;
   std::string CountersText();
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -4,6 +4,7 @@
 #include "manifest_reader.h"
 #include "platform_adapter/wire_text.h"
 #include "settings_reader.h"
+#include "target_cache.h"
 #include "target_reader.h"
 
 using namespace samphire;
@@ -130,3 +131,25 @@
   CHECK(broken.error().pointer == "/region");
   CHECK(ReadSettings("{").error().code == result_code::kJsonSyntax);
 }
+
+// A target said for how long it stays cold. Others come and go meanwhile, and
+// with each of them the list is read again; the time must not start anew.
+TEST_CASE("a target is cold for as long as it said, whatever others do") {
+  target_cache cache(kRegions);
+  const auto cold =
+      Replaced(TargetObject("10.0.0.1:80", "reads"), R"("0ms")", R"("2s")");
+  object_mirror::object_map entries = {{"servers/a", cold}};
+  CHECK(cache.Read(entries, kNow).at(0).cold_until == kNow + 2s);
+  entries["servers/b"] = TargetObject("10.0.0.2:80", "reads");
+  const auto later = cache.Read(entries, kNow + 5s);
+  REQUIRE(later.size() == 2);
+  CHECK(later[0].cold_until == kNow + 2s);
+}
+
+TEST_CASE("an entry that can't be read hides no other") {
+  target_cache cache(kRegions);
+  const object_mirror::object_map entries = {
+      {"servers/a", "junk"}, {"servers/b", TargetObject("10.0.0.2:80", "s")}};
+  CHECK(cache.Read(entries, kNow).size() == 1);
+  CHECK(cache.Read(entries, kNow).size() == 1);
+}
--- a/tests/store/object_mirror_test.cc
+++ b/tests/store/object_mirror_test.cc
@@ -56,3 +56,19 @@
   CHECK_FALSE(mirror.Apply({.cursor = 0, .reset = true}, kStart));
   CHECK(mirror.objects().size() == 20);
 }
+
+// The watch goes on after an outage in which entries lapsed and came back; one
+// batch tells both. Taken as gone, a third of the targets stayed unused for
+// good, and callers waited for the rest.
+TEST_CASE("an object that went and came back within one batch is there") {
+  object_mirror mirror;
+  mirror.Apply(Listing(20, 5), kStart);
+  watch_batch batch{.cursor = 90, .reset = false, .events = {}};
+  for (int i = 0; i < 20; ++i)
+    batch.events.push_back({"t/" + std::to_string(i), 0, {}});
+  for (int i = 0; i < 15; ++i)
+    batch.events.push_back({"t/" + std::to_string(i), 80, "again"});
+  mirror.Apply(batch, kStart);
+  mirror.Expire(kStart + milliseconds(2300));
+  CHECK(mirror.objects().size() == 15);
+}
