--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -25,7 +25,14 @@
 
 // A later choice must promise this much less time than an earlier one: two
 // entries whose views differ a little should still choose alike.
-constexpr double kWorthMoving = 0.8;
+constexpr double kWorthMoving = 0.6;
+
+// A target that doesn't know the key is a way out only while at most this share
+// of its slots is taken, by this request too. Work without the key takes three
+// times as long; given to targets that are busy, it makes their own keys wait
+// and pushes them out of memory, and an overload of a second lasts for minutes.
+constexpr double kIdleShare = 0.5;
+
 
 // Entries of its region that may send to a cold target. Bound to few, their
 // sum holds without talk: each has a fixed share.
@@ -69,6 +76,8 @@
   double shortest_excess = std::numeric_limits<double>::infinity();
   for (const auto& each : candidates) {
     const auto outlook = Forecast(each, request, now);
+    if (&each != &candidates.front() && !outlook.knows_key && !outlook.idle)
+      continue;
     const double patience =
         std::max(objective - outlook.service_ms, objective / 2);
     // A guess is no ground to turn anybody away, or no answer would ever teach
@@ -234,12 +243,14 @@
   const auto& estimate = EstimateOf(request);
   const double slots = std::max(1U, each.target->slots);
   const double slowness = std::max(1.0, each.record->slowness());
-  const double ahead =
-      std::max(0.0, each.record->Load(now) + 1 - slots) / slots;
+  const double load = each.record->Load(now);
+  const double ahead = std::max(0.0, load + 1 - slots) / slots;
   const bool knows_key = each.record->KnowsKey(request.key_hash, now);
   return {.wait_ms = ahead * estimate.Ms(true) * slowness,
           .service_ms = estimate.Ms(knows_key) * slowness,
-          .learned = estimate.IsLearned(knows_key)};
+          .learned = estimate.IsLearned(knows_key),
+          .knows_key = knows_key,
+          .idle = load + 1 <= kIdleShare * slots};
 }
 
 service_time_estimate& service_tracker::EstimateOf(
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -51,6 +51,9 @@
     double service_ms = 0;
     // Answers stand behind `service_ms`.
     bool learned = false;
+    bool knows_key = false;
+    // There are slots to spare.
+    bool idle = false;
     double finish_ms() const { return wait_ms + service_ms; }
   };
 
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -13,13 +13,17 @@
 // A watcher's own watch returns this often, which tells it and its peers that
 // the platform is still there. Few entries pay for it.
 constexpr milliseconds kPlatformWait{1000};
-// A peer that stands still is given up after this and the margin, so that a
-// change is seen elsewhere within two seconds and a half.
-constexpr milliseconds kPeerWait{1500};
-constexpr milliseconds kPeerMargin{500};
+// A peer that stands still is given up after this and the margin; with two such
+// peers a change is still seen within three seconds.
+constexpr milliseconds kPeerWait{1000};
+constexpr milliseconds kPeerMargin{250};
+// And not asked again for so long.
+constexpr milliseconds kPeerPause{3000};
 // When no watcher has a fresh copy, the platform is mostly down, and a whole
 // fleet that asks it at once would be its next trouble.
-constexpr milliseconds kPlatformPause{1500};
+constexpr milliseconds kPlatformPause{1000};
+// Stands for the platform among the sources that are left alone for a while.
+const std::string kPlatformName = "platform";
 
 }  // namespace
 
@@ -41,9 +45,12 @@
                                         milliseconds wait) {
   const auto watchers = watchers_();
   for (const auto& peer : watchers) {
+    if (!MayAsk(peer))
+      continue;
     auto batch = AskPeer(peer, prefix, cursor, std::min(wait, kPeerWait));
     if (batch)
       return batch;
+    Pause(peer, kPeerPause);
   }
   return AskPlatform(prefix, cursor, std::min(wait, kPlatformWait),
                      watchers.empty());
@@ -68,21 +75,26 @@
                                               std::uint64_t cursor,
                                               milliseconds wait,
                                               bool watches) {
-  if (!watches && !MayAskPlatform())
+  if (!watches && !MayAsk(kPlatformName))
     return MakeError(result_code::kStoreUnreachable, "no watcher is fresh");
   auto batch = platform_.Watch(prefix, cursor, wait);
   if (batch) {
     relay_.Publish(prefix, batch.value());
   } else if (!watches) {
-    std::lock_guard guard(lock_);
-    not_before_ = clock_.now() + kPlatformPause;
+    Pause(kPlatformName, kPlatformPause);
   }
   return batch;
 }
 
-bool shared_store::MayAskPlatform() {
+bool shared_store::MayAsk(const std::string& source) {
   std::lock_guard guard(lock_);
-  return clock_.now() >= not_before_;
+  const auto found = not_before_.find(source);
+  return found == not_before_.end() || clock_.now() >= found->second;
+}
+
+void shared_store::Pause(const std::string& source, milliseconds pause) {
+  std::lock_guard guard(lock_);
+  not_before_[source] = clock_.now() + pause;
 }
 
 result<store_object> shared_store::Get(const std::string& key) {
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -2,6 +2,7 @@
 #define TRAFFIC_SHARED_STORE_H_
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -49,7 +50,10 @@
                                   std::uint64_t cursor,
                                   milliseconds wait,
                                   bool watches);
-  bool MayAskPlatform();
+  // A source that failed is left alone for a while, so that the next call goes
+  // to one that works at once.
+  bool MayAsk(const std::string& source);
+  void Pause(const std::string& source, milliseconds pause);
 
   object_store& platform_;
   object_relay& relay_;
@@ -58,9 +62,8 @@
   const clock_source& clock_;
   const watcher_list watchers_;
   std::mutex lock_;
-  // An entry that is no watcher leaves a platform that failed it alone until
-  // then.
-  time_point not_before_;
+  // Until when a peer, by its address, or the platform is left alone.
+  std::map<std::string, time_point> not_before_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -88,6 +88,12 @@
     end.reason = connected.error().code;
     return true;
   }
+  // On a machine that is short of processor time a request may have waited so
+  // long that its caller has left; sent now, it would be work for nobody.
+  if (caller_.IsGone()) {
+    Fail(result_code::kCallerGone, end);
+    return true;
+  }
   end.may_have_run = true;
   if (const auto sent = exchange.Send(HeadFor(target), request_.body); !sent)
     Fail(sent.error().code, end);
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -7,6 +7,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
@@ -269,6 +272,26 @@
   CHECK(std::chrono::steady_clock::now() - left < 500ms);
 }
 
+// The entry was so short of processor time that its caller left before the
+// request was read. Sent on, it would be work that nobody waits for.
+TEST_CASE("the request of a caller that has left is not sent on") {
+  rig r;
+  r.StartReady();
+  for (int i = 0; i < 5; ++i) {
+    Poco::Net::StreamSocket caller{
+        Poco::Net::SocketAddress(r.settings.traffic.caller_address)};
+    // Corked, the request and the close leave in one piece.
+    caller.setOption(IPPROTO_TCP, TCP_CORK, 1);
+    const std::string bytes =
+        "GET /read/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: z\r\n\r\n";
+    caller.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    caller.close();
+  }
+  std::this_thread::sleep_for(300ms);
+  CHECK(r.read_1.arrivals + r.read_2.arrivals == 0);
+  CHECK(r.Request().status == 200);
+}
+
 TEST_CASE("a target that says it leaves gets nothing more") {
   rig r;
   r.StartReady();
--- a/tests/routing/service_tracker_test.cc
+++ b/tests/routing/service_tracker_test.cc
@@ -130,6 +130,26 @@
   CHECK(retry_after <= 1s);
 }
 
+// Demand is twice what warm targets can do. Work that spills over to busy
+// targets without the key takes three times as long there, so that spilling
+// makes the overload last: callers see seconds of it turn into minutes.
+TEST_CASE("an overload does not spill keys to targets that are busy") {
+  rig tracked;
+  // All targets are busy with keys of their own.
+  for (int key = 0; key < 64; ++key) {
+    const auto wish = Wish("own " + std::to_string(key));
+    tracked.Place(wish, kStart);
+  }
+  const auto wish = Wish("hot");
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 50; ++i) {
+    const auto each = tracked.Place(wish, kStart);
+    if (const auto* attempt = std::get_if<placed_attempt>(&each))
+      ++placed[attempt->target.id];
+  }
+  CHECK(placed.size() <= 1);
+}
+
 // Nobody knows any key yet, so even an idle target takes longer than the
 // objective. Refused for that, callers would never be served at all.
 TEST_CASE("callers are served while no target knows any key") {
