--- a/src/libsamphire/gateway/caller_answer.cc
+++ b/src/libsamphire/gateway/caller_answer.cc
@@ -31,8 +31,7 @@
                              Poco::Net::HTTPServerResponse& response,
                              note_headers notes)
     : response_(response),
-      socket_(
-          static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket()),
+      socket_(static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket()),
       notes_(notes) {}
 
 // Date, Age and the body are the target's, unchanged: a reading must show its
--- a/src/libsamphire/routing/region_plan.cc
+++ b/src/libsamphire/routing/region_plan.cc
@@ -30,10 +30,10 @@
   for (const auto& [region, slots] : room) {
     if (slots <= 0)
       continue;
-    const double used =
-        region == from ? std::min(demand, slots)
-        : spare > 0    ? over * std::max(0.0, slots - demand) / spare
-                       : 0;
+    const double used = region == from ? std::min(demand, slots)
+                        : spare > 0
+                            ? over * std::max(0.0, slots - demand) / spare
+                            : 0;
     factors[region] = used / slots;
   }
   return factors;
--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -33,7 +33,6 @@
 // and pushes them out of memory, and an overload of a second lasts for minutes.
 constexpr double kIdleShare = 0.5;
 
-
 // Entries of its region that may send to a cold target. Bound to few, their
 // sum holds without talk: each has a fixed share.
 constexpr std::size_t kColdSenders = 3;
@@ -96,8 +95,8 @@
     }
   }
   if (chosen == nullptr) {
-    const auto wait = milliseconds(
-        static_cast<std::int64_t>(std::max(0.0, shortest_excess)));
+    const auto wait =
+        milliseconds(static_cast<std::int64_t>(std::max(0.0, shortest_excess)));
     return placing_refusal{.reason = result_code::kQueueFull,
                            .retry_after = std::max(kLeastRetryAfter, wait)};
   }
@@ -186,9 +185,9 @@
     const auto planned = plan_.find(target.region);
     const double share = planned == plan_.end() ? 0 : planned->second;
     const double weight = target.slots * std::max(kUnplanned, share);
-    const candidate each{
-        &target, &record, TargetRank(request.key_hash, target.id, weight),
-        TargetRank(request.key_hash, target.id, target.slots)};
+    const candidate each{&target, &record,
+                         TargetRank(request.key_hash, target.id, weight),
+                         TargetRank(request.key_hash, target.id, target.slots)};
     (record.fails_in_part() ? failing : fit).push_back(each);
   }
   // When most fail in part, avoiding them would only pile all work on the
@@ -231,8 +230,7 @@
       PickByRendezvous("cold " + target.id, entries, kColdSenders);
   if (!Contains(senders, self.instance))
     return false;
-  const double share =
-      std::floor(service->cold_rate * kColdUse / kColdSenders);
+  const double share = std::floor(service->cold_rate * kColdUse / kColdSenders);
   return static_cast<double>(record.ColdSends(now)) < std::max(1.0, share);
 }
 
@@ -255,8 +253,7 @@
 
 service_time_estimate& service_tracker::EstimateOf(
     const placing_request& request) {
-  return estimates_.try_emplace(request.route, request.objective)
-      .first->second;
+  return estimates_.try_emplace(request.route, request.objective).first->second;
 }
 
 }  // namespace samphire
--- a/src/libsamphire/routing/target_record.cc
+++ b/src/libsamphire/routing/target_record.cc
@@ -114,10 +114,9 @@
   if (end.result == attempt_result::kAnswered) {
     keys_[key_hash] = now;
     if (keys_.size() > kMaxKeys) {
-      keys_.erase(std::min_element(keys_.begin(), keys_.end(),
-                                   [](const auto& a, const auto& b) {
-                                     return a.second < b.second;
-                                   }));
+      keys_.erase(std::min_element(
+          keys_.begin(), keys_.end(),
+          [](const auto& a, const auto& b) { return a.second < b.second; }));
     }
   }
 }
--- a/src/libsamphire/routing/target_record.h
+++ b/src/libsamphire/routing/target_record.h
@@ -16,7 +16,8 @@
 class target_record {
  public:
   // What the target says of itself changed. A new start forgets all.
-  void Describe(const live_target& target, const traffic_service* service,
+  void Describe(const live_target& target,
+                const traffic_service* service,
                 time_point now);
 
   // Work running or waiting there, of this entry and as far as known of others.
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -43,12 +43,12 @@
 // nothing, so it is merely unanswered.
 error Unanswered(const http_call& what, std::string detail) {
   return MakeError(what.writes ? result_code::kStoreOutcomeUnknown
-                                : result_code::kStoreUnreachable,
+                               : result_code::kStoreUnreachable,
                    std::move(detail));
 }
 
-// 429 and 503 are the platform's word that it did nothing. Other 5xx may come from
-// something in between, after the write was passed on.
+// 429 and 503 are the platform's word that it did nothing. Other 5xx may come
+// from something in between, after the write was passed on.
 error RefusalOf(const http_call& what, int status) {
   auto detail = fmt::format("status {}", status);
   switch (status) {
@@ -97,9 +97,8 @@
   return last;
 }
 
-result<http_reply> http_caller::TryPool(
-    http_connection_pool& pool,
-    const http_call& what) {
+result<http_reply> http_caller::TryPool(http_connection_pool& pool,
+                                        const http_call& what) {
   BOOST_OUTCOME_TRY(session, pool.Take());
   auto got = Exchange(*session, what);
   if (got && session->getKeepAlive())
@@ -107,9 +106,8 @@
   return got;
 }
 
-result<http_reply> http_caller::Exchange(
-    Poco::Net::HTTPClientSession& session,
-    const http_call& what) {
+result<http_reply> http_caller::Exchange(Poco::Net::HTTPClientSession& session,
+                                         const http_call& what) {
   const auto deadline = clock_.now() + what.timeout;
   try {
     session.setTimeout(Poco::Timespan(what.timeout.count() * 1000));
--- a/src/libsamphire/store/http_object_store.cc
+++ b/src/libsamphire/store/http_object_store.cc
@@ -38,9 +38,11 @@
     : caller_(std::move(options), clock), metrics_(metrics) {}
 
 result<store_object> http_object_store::Get(const std::string& key) {
-  BOOST_OUTCOME_TRY(
-      got,
-      Call({store_call::kGet, ObjectUri(key), {}, 0, caller_.options().answer_timeout}));
+  BOOST_OUTCOME_TRY(got, Call({store_call::kGet,
+                               ObjectUri(key),
+                               {},
+                               0,
+                               caller_.options().answer_timeout}));
   const auto& etag = got.etag;
   const bool number = !etag.empty() && etag.size() < 20 &&
                       std::all_of(etag.begin(), etag.end(),
@@ -58,7 +60,8 @@
   const auto version = ReadVersion(got.body);
   // It took effect, but without its version the caller must read it back.
   if (!version)
-    return Counted(Unanswered(http_call{.writes = true}, "answer without a version"));
+    return Counted(
+        Unanswered(http_call{.writes = true}, "answer without a version"));
   return version.value();
 }
 
@@ -88,14 +91,18 @@
                                              milliseconds wait) {
   const auto uri = fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}",
                                Encode(prefix), cursor, wait.count());
-  return Read({store_call::kWatch, uri, {}, 0, wait + caller_.options().watch_margin},
-              ReadBatch);
+  return Read(
+      {store_call::kWatch, uri, {}, 0, wait + caller_.options().watch_margin},
+      ReadBatch);
 }
 
 result<std::vector<instance_info>> http_object_store::Instances() {
-  return Read(
-      {store_call::kInstances, "/v1/instances", {}, 0, caller_.options().answer_timeout},
-      ReadInstances);
+  return Read({store_call::kInstances,
+               "/v1/instances",
+               {},
+               0,
+               caller_.options().answer_timeout},
+              ReadInstances);
 }
 
 template <typename T>
--- a/src/libsamphire/store/object_mirror.cc
+++ b/src/libsamphire/store/object_mirror.cc
@@ -44,9 +44,9 @@
 // entry could not. Taken at its word, an entry would turn away every caller
 // for want of targets that in truth are fine. Single objects go at once; when
 // most go together, they are held until their owners had time to come back.
-bool object_mirror::Remove(const std::set<std::string>& keys,
-                           time_point now) {
-  const bool doubted = keys.size() >= kMass && keys.size() * 2 > objects_.size();
+bool object_mirror::Remove(const std::set<std::string>& keys, time_point now) {
+  const bool doubted =
+      keys.size() >= kMass && keys.size() * 2 > objects_.size();
   bool changed = false;
   for (const auto& key : keys) {
     if (!objects_.contains(key))
--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -84,9 +84,8 @@
 
 // Whoever comes from another source may be ahead; it must not be taken back.
 watch_batch object_relay::Since(const copy& held, std::uint64_t cursor) {
-  watch_batch batch{.cursor = std::max(cursor, held.cursor),
-                    .reset = false,
-                    .events = {}};
+  watch_batch batch{
+      .cursor = std::max(cursor, held.cursor), .reset = false, .events = {}};
   for (const auto& each : held.log) {
     if (each.revision > cursor)
       batch.events.push_back(each.event);
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -50,8 +50,8 @@
     }
     const auto& attempt = std::get<placed_attempt>(placed);
     ++attempts_;
-    auto end = target_exchange(context_, request_, caller_, sink_)
-                   .Run(attempt.target);
+    auto end =
+        target_exchange(context_, request_, caller_, sink_).Run(attempt.target);
     Report(attempt, end);
     if (end.may_have_run) {
       may_have_run_ = true;
@@ -75,9 +75,9 @@
   wish_.objective = request_.route->latency_objective;
   wish_.time_left = std::chrono::floor<milliseconds>(request_.deadline - now);
   return context_.shards.services.With(service_, [&](auto& services) {
-    return services[service_].tracker.Place(
-        wish_, *targets, Service(), service_, context_.settings.place,
-        entries->names, now);
+    return services[service_].tracker.Place(wish_, *targets, Service(),
+                                            service_, context_.settings.place,
+                                            entries->names, now);
   });
 }
 
@@ -161,18 +161,17 @@
        {"load_before", attempt.load_before},
        {"knows_key", attempt.knows_key},
        {"result", NameOf(kAttemptResultNames, end.attempt.result)},
-       {"ms", std::chrono::duration<double, std::milli>(end.attempt.took)
-                  .count()}});
+       {"ms",
+        std::chrono::duration<double, std::milli>(end.attempt.took).count()}});
 }
 
 void traffic_dispatcher::LogOutcome(result_code code, int status) const {
   const std::chrono::duration<double, std::milli> took =
       context_.clock.now() - request_.arrived;
-  context_.counters.Observe("request_seconds",
-                            code == result_code::kOk
-                                ? "outcome=\"answered\""
-                                : "outcome=\"failed\"",
-                            std::chrono::duration_cast<duration>(took));
+  context_.counters.Observe(
+      "request_seconds",
+      code == result_code::kOk ? "outcome=\"answered\"" : "outcome=\"failed\"",
+      std::chrono::duration_cast<duration>(took));
   Log(log_level::kInfo, "request",
       {{"request", request_.id},
        {"route", request_.route->name},
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -44,11 +44,13 @@
   read.method = request.getMethod();
   read.headers = request;
   const auto waits = CallerWaits(request, context);
-  read.deadline = read.arrived + std::min(std::max(milliseconds{1}, waits - kWayBack),
-                                          read.route->timeout);
+  read.deadline =
+      read.arrived + std::min(std::max(milliseconds{1}, waits - kWayBack),
+                              read.route->timeout);
   const auto& limits = read.manifest->limits();
-  BOOST_OUTCOME_TRY(body, request.ReadBody(limits.max_body_bytes,
-                                           read.arrived + limits.header_timeout));
+  BOOST_OUTCOME_TRY(body,
+                    request.ReadBody(limits.max_body_bytes,
+                                     read.arrived + limits.header_timeout));
   read.body = std::move(body);
   // Requests without a key are spread by their own ids.
   read.key_hash = KeyHash(request.get(context.headers.affinity_key, read.id));
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -37,10 +37,9 @@
   platform_settings settings;
   auto& traffic = settings.traffic;
   traffic.place = {"entry-1", "a-1", "a"};
-  for (auto* address :
-       {&traffic.caller_address, &traffic.readiness_address,
-        &traffic.lookup_address, &traffic.peer_address,
-        &traffic.metrics_address})
+  for (auto* address : {&traffic.caller_address, &traffic.readiness_address,
+                        &traffic.lookup_address, &traffic.peer_address,
+                        &traffic.metrics_address})
     *address = FreeAddress();
   traffic.peer_key = kKey;
   settings.store_addresses = {store};
@@ -140,8 +139,9 @@
   CHECK(got.status == 200);
   CHECK(got.body == "GET /read/x?a=1 question");
   CHECK(got.stamp.starts_with("stamp.i-read"));
-  CHECK(r.Request({.method = "POST", .path = "/write/y", .body = "claim"})
-            .body == "POST /write/y claim");
+  CHECK(
+      r.Request({.method = "POST", .path = "/write/y", .body = "claim"}).body ==
+      "POST /write/y claim");
   CHECK(r.Request({.path = "/nowhere/"}).status == 404);
   const auto lookup =
       Ask(r.settings.traffic.lookup_address,
@@ -248,7 +248,8 @@
   CHECK(got.status == 504);
   CHECK(took >= 780ms);
   CHECK(took < 1300ms);
-  CHECK(Eventually([&] { return r.read_1.cancelled + r.read_2.cancelled == 1; }));
+  CHECK(
+      Eventually([&] { return r.read_1.cancelled + r.read_2.cancelled == 1; }));
 }
 
 // A caller gives up and closes. Its work would go on at the target, and in a
@@ -268,7 +269,8 @@
     caller.close();
   }
   const auto left = std::chrono::steady_clock::now();
-  CHECK(Eventually([&] { return r.read_1.cancelled + r.read_2.cancelled == 1; }));
+  CHECK(
+      Eventually([&] { return r.read_1.cancelled + r.read_2.cancelled == 1; }));
   CHECK(std::chrono::steady_clock::now() - left < 500ms);
 }
 
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -62,9 +62,8 @@
   const auto whole = ManifestObject("0000001f");
   CHECK_FALSE(ReadManifest(Replaced(whole, R"("0000001f")", R"("new")")));
   CHECK_FALSE(ReadManifest(Replaced(whole, R"("kind":"safe",)", "")));
-  CHECK_FALSE(
-      ReadManifest(Replaced(whole, R"("service":"reads","timeout")",
-                            R"("service":7,"timeout")")));
+  CHECK_FALSE(ReadManifest(Replaced(whole, R"("service":"reads","timeout")",
+                                    R"("service":7,"timeout")")));
   CHECK_FALSE(ReadManifest("{"));
   CHECK_FALSE(ReadManifest(R"({"spec":[]})"));
 }
@@ -73,8 +72,7 @@
   const auto manifest = ReadManifest(Replaced(
       ManifestObject("01"), R"("kind":"safe")", R"("kind":"new-kind")"));
   REQUIRE(manifest);
-  CHECK_FALSE(
-      manifest.value()->FindRoute("h.example", "/read/x")->idempotent);
+  CHECK_FALSE(manifest.value()->FindRoute("h.example", "/read/x")->idempotent);
 }
 
 TEST_CASE("a target's entry is read") {
@@ -83,9 +81,8 @@
   CHECK(target.value().region == "a");
   CHECK(target.value().slots == 4);
   CHECK_FALSE(target.value().draining);
-  CHECK(Read(TargetObject("10.0.0.1:80", "reads", "draining"))
-            .value()
-            .draining);
+  CHECK(
+      Read(TargetObject("10.0.0.1:80", "reads", "draining")).value().draining);
 }
 
 // Another writer, or a fault, leaves an entry with fields missing or of
@@ -106,9 +103,9 @@
 }
 
 TEST_CASE("the start that a target tells is kept") {
-  const auto target = Read(Replaced(TargetObject("10.0.0.1:80", "reads"),
-                                    R"("address")",
-                                    R"("born":1770000000000,"address")"));
+  const auto target =
+      Read(Replaced(TargetObject("10.0.0.1:80", "reads"), R"("address")",
+                    R"("born":1770000000000,"address")"));
   REQUIRE(target);
   CHECK(target.value().started_ms == 1770000000000);
 }
--- a/tests/platform_adapter/stand_in_platform.cc
+++ b/tests/platform_adapter/stand_in_platform.cc
@@ -111,11 +111,10 @@
                std::map<std::string, std::string>& query) {
     if (world_.history_gone.exchange(false))
       return {410, "{}"};
-    const auto batch =
-        world_.objects_
-            .Watch(prefix, std::stoull(query["watch"]),
-                   milliseconds(std::stol(query["waitMs"])))
-            .value();
+    const auto batch = world_.objects_
+                           .Watch(prefix, std::stoull(query["watch"]),
+                                  milliseconds(std::stol(query["waitMs"])))
+                           .value();
     if (batch.reset)
       return {410, "{}"};
     std::string events;
@@ -144,8 +143,7 @@
     const bool create = method == "POST";
     const auto key =
         create ? path + "/" + meta->getValue<std::string>("name") : path;
-    const auto expected =
-        create ? 0 : meta->getValue<Poco::UInt64>("rev");
+    const auto expected = create ? 0 : meta->getValue<Poco::UInt64>("rev");
     const auto written = world_.objects_.Put(key, body, expected);
     if (!written)
       return {409, "{}"};
@@ -180,8 +178,7 @@
 void stand_in_platform::Write(const std::string& key,
                               const std::string& value) {
   const auto got = objects_.Get(key);
-  const auto written =
-      objects_.Put(key, value, got ? got.value().version : 0);
+  const auto written = objects_.Put(key, value, got ? got.value().version : 0);
   if (!written)
     throw std::runtime_error("stand-in write failed: " + key);
 }
--- a/tests/proxy/body_reader_test.cc
+++ b/tests/proxy/body_reader_test.cc
@@ -73,8 +73,8 @@
 
 TEST_CASE("an answer whose end can't be told is refused") {
   Poco::Net::HTTPResponse head;
-  CHECK(std::holds_alternative<until_close_body>(
-      FramingOf(head, false).value()));
+  CHECK(
+      std::holds_alternative<until_close_body>(FramingOf(head, false).value()));
   head.setContentLength(5);
   head.setChunkedTransferEncoding(true);
   head.set("Content-Length", "5");
--- a/tests/routing/service_tracker_test.cc
+++ b/tests/routing/service_tracker_test.cc
@@ -245,8 +245,8 @@
   auto draining = Target("draining");
   draining.draining = true;
   rig tracked;
-  tracked.targets = target_set_ptr(new target_set(
-      {evacuated, draining, Target("abroad", "b")}, {"dark"}));
+  tracked.targets = target_set_ptr(
+      new target_set({evacuated, draining, Target("abroad", "b")}, {"dark"}));
   auto wish = Wish("key");
   wish.home_regions = {"a"};
   CHECK(std::holds_alternative<placing_refusal>(tracked.Place(wish, kStart)));
--- a/tests/store/object_mirror_test.cc
+++ b/tests/store/object_mirror_test.cc
@@ -28,7 +28,8 @@
 // The platform comes back from an outage in which nobody could renew an entry,
 // and lists almost none. Without the doubt every caller is refused for two
 // seconds for want of targets that are all alive.
-TEST_CASE("objects that vanish together are held until they had time to return") {
+TEST_CASE(
+    "objects that vanish together are held until they had time to return") {
   object_mirror mirror;
   mirror.Apply(Listing(20, 5), kStart);
   CHECK_FALSE(mirror.Apply(Listing(2, 9), kStart));
