--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -11,7 +11,10 @@
 
 namespace {
 
-constexpr std::array<command, 13> kCommands{{
+// A fleet's worth of files on one command line.
+constexpr std::size_t kMaxLogFiles = 1000;
+
+constexpr std::array<command, 14> kCommands{{
     {"check", "FILE", 1, 1, command_need::kNothing, CheckFile,
      "checks a declaration; needs no entry",
      "samphirectl check examples/nivel-claro.json"},
@@ -48,6 +51,10 @@
     {"witness", "ID", 1, 1, command_need::kOperator, WitnessProposal,
      "accepts another operator's proposal",
      "samphirectl witness 3f0c --operator=auditor"},
+    {"explain", "LOG-FILE... REQUEST-ID", 2, kMaxLogFiles + 1,
+     command_need::kNothing, ExplainRequest,
+     "tells a request's story from the logs of entries",
+     "samphirectl explain entry-1.log entry-2.log 9c41d07be2a35f68"},
     {"lookup", "SERVICE [CLIENT-IP] --caller_url=URL", 1, 2,
      command_need::kCallerUrl, LookUp,
      "shows which entries a caller is told to use",
@@ -56,7 +63,7 @@
 }};
 
 constexpr std::string_view kHelpEnd = R"(
-Every command but check and lookup needs
+Every command but check, explain and lookup needs
   --operator_url=URL[,URL...]  operator ports, tried in turn
   --token_file=FILE            the operator token
 Commands that change something need --operator=NAME, which stays in the
--- a/src/libsamphire/routing/placing.h
+++ b/src/libsamphire/routing/placing.h
@@ -1,6 +1,7 @@
 #ifndef ROUTING_PLACING_H_
 #define ROUTING_PLACING_H_
 
+#include <cstddef>
 #include <variant>
 
 #include "base/clock_source.h"
@@ -23,6 +24,9 @@
   result_code reason = result_code::kNoTargetAvailable;
   // When there may be room.
   milliseconds retry_after{0};
+  // Targets that were looked at, and the least time to wait at one of them.
+  std::size_t candidates = 0;
+  milliseconds wait{0};
 };
 
 using placing = std::variant<placed_attempt, placing_refusal>;
--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -65,44 +65,61 @@
     return placing_refusal{.reason = result_code::kNoTargetAvailable,
                            .retry_after = kNoTargetRetryAfter};
   }
-  // An answer is worth most within its objective. Where even an idle target
-  // takes longer than that, as all do before they know any key, callers are
-  // still served: then it is only the queue that must stay short.
-  const double objective = static_cast<double>(request.objective.count());
-  const double time_left = static_cast<double>(request.time_left.count());
   const candidate* chosen = nullptr;
   forecast best;
-  double shortest_excess = std::numeric_limits<double>::infinity();
+  forecast nearest{.wait_ms = std::numeric_limits<double>::infinity()};
   for (const auto& each : candidates) {
+    const bool first = &each == &candidates.front();
     const auto outlook = Forecast(each, request, now);
-    if (&each != &candidates.front() && !outlook.knows_key && !outlook.idle)
+    if (!first && !outlook.knows_key && !outlook.idle)
       continue;
-    const double patience =
-        std::max(objective - outlook.service_ms, objective / 2);
-    // A guess is no ground to turn anybody away, or no answer would ever teach
-    // better: a route that was just added would stay refused for good.
-    const bool in_time = outlook.wait_ms <= patience &&
-                         (!outlook.learned || outlook.finish_ms() < time_left);
-    shortest_excess = std::min(shortest_excess, outlook.wait_ms - patience);
-    if (!in_time)
+    if (outlook.wait_ms < nearest.wait_ms)
+      nearest = outlook;
+    if (!IsInTime(outlook, request))
       continue;
-    if (chosen == nullptr) {
-      chosen = &each;
-      best = outlook;
-    } else if (outlook.finish_ms() < kWorthMoving * best.finish_ms()) {
+    if (chosen == nullptr ||
+        outlook.finish_ms() < kWorthMoving * best.finish_ms()) {
       chosen = &each;
       best = outlook;
     }
   }
-  if (chosen == nullptr) {
-    const auto wait =
-        milliseconds(static_cast<std::int64_t>(std::max(0.0, shortest_excess)));
-    return placing_refusal{.reason = result_code::kQueueFull,
-                           .retry_after = std::max(kLeastRetryAfter, wait)};
-  }
+  if (chosen == nullptr)
+    return Full(nearest, candidates.size(), request);
   return Start(*chosen, request, now);
 }
 
+// An answer is worth most within its objective. Where even an idle target takes
+// longer than that, as all do before they know any key, callers are still
+// served: then it is only the queue that must stay short.
+double service_tracker::Patience(const forecast& outlook,
+                                 const placing_request& request) {
+  const double objective = static_cast<double>(request.objective.count());
+  return std::max(objective - outlook.service_ms, objective / 2);
+}
+
+// A guess is no ground to turn anybody away, or no answer would ever teach
+// better: a route that was just added would stay refused for good.
+bool service_tracker::IsInTime(const forecast& outlook,
+                               const placing_request& request) {
+  const double time_left = static_cast<double>(request.time_left.count());
+  return outlook.wait_ms <= Patience(outlook, request) &&
+         (!outlook.learned || outlook.finish_ms() < time_left);
+}
+
+// The caller is told to come back when the queue that was nearest to being
+// short enough will be.
+placing_refusal service_tracker::Full(const forecast& nearest,
+                                      std::size_t candidates,
+                                      const placing_request& request) {
+  const double over =
+      std::max(0.0, nearest.wait_ms - Patience(nearest, request));
+  return {.reason = result_code::kQueueFull,
+          .retry_after =
+              std::max(kLeastRetryAfter, milliseconds(std::llround(over))),
+          .candidates = candidates,
+          .wait = milliseconds(std::llround(nearest.wait_ms))};
+}
+
 placing service_tracker::Start(const candidate& chosen,
                                const placing_request& request,
                                time_point now) {
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -79,6 +79,13 @@
   forecast Forecast(const candidate& each,
                     const placing_request& request,
                     time_point now);
+  // How long a queue may be for an answer that is worth waiting for, in ms.
+  static double Patience(const forecast& outlook,
+                         const placing_request& request);
+  static bool IsInTime(const forecast& outlook, const placing_request& request);
+  static placing_refusal Full(const forecast& nearest,
+                              std::size_t candidates,
+                              const placing_request& request);
   service_time_estimate& EstimateOf(const placing_request& request);
   placing Start(const candidate& chosen,
                 const placing_request& request,
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -41,7 +41,7 @@
 // of it: a lost answer and a lost request look the same from here. Taking one
 // for "not run" would let a caller run it a second time. A read changes
 // nothing, so it is merely unanswered.
-error Unanswered(const http_call& what, std::string detail) {
+error Unanswered(const store_http_call& what, std::string detail) {
   return MakeError(what.writes ? result_code::kStoreOutcomeUnknown
                                : result_code::kStoreUnreachable,
                    std::move(detail));
@@ -49,7 +49,7 @@
 
 // 429 and 503 are the platform's word that it did nothing. Other 5xx may come
 // from something in between, after the write was passed on.
-error RefusalOf(const http_call& what, int status) {
+error RefusalOf(const store_http_call& what, int status) {
   auto detail = fmt::format("status {}", status);
   switch (status) {
     case 404:
@@ -79,7 +79,7 @@
 
 // Goes on to the next address only while the call surely had no effect, which
 // for a read is always.
-result<http_reply> http_caller::Call(const http_call& what) {
+result<store_http_reply> http_caller::Call(const store_http_call& what) {
   const auto first = preferred_.load();
   error last = MakeError(result_code::kStoreUnreachable, "no address");
   for (std::size_t i = 0; i < pools_.size(); ++i) {
@@ -97,8 +97,8 @@
   return last;
 }
 
-result<http_reply> http_caller::TryPool(http_connection_pool& pool,
-                                        const http_call& what) {
+result<store_http_reply> http_caller::TryPool(http_connection_pool& pool,
+                                              const store_http_call& what) {
   BOOST_OUTCOME_TRY(session, pool.Take());
   auto got = Exchange(*session, what);
   if (got && session->getKeepAlive())
@@ -106,8 +106,9 @@
   return got;
 }
 
-result<http_reply> http_caller::Exchange(Poco::Net::HTTPClientSession& session,
-                                         const http_call& what) {
+result<store_http_reply> http_caller::Exchange(
+    Poco::Net::HTTPClientSession& session,
+    const store_http_call& what) {
   const auto deadline = clock_.now() + what.timeout;
   try {
     session.setTimeout(Poco::Timespan(what.timeout.count() * 1000));
@@ -124,7 +125,7 @@
     session.sendRequest(head) << what.body << std::flush;
     Poco::Net::HTTPResponse response;
     auto& in = session.receiveResponse(response);
-    http_reply got;
+    store_http_reply got;
     got.status = response.getStatus();
     got.etag = response.get("Etag", "");
     got.body = ReadBody(in, response.getContentLength64(), clock_, deadline);
--- a/src/libsamphire/store/http_caller.h
+++ b/src/libsamphire/store/http_caller.h
@@ -8,9 +8,9 @@
 
 #include "base/clock_source.h"
 #include "base/result.h"
-#include "store/http_call.h"
 #include "store/http_connection_pool.h"
 #include "store/http_store_options.h"
+#include "store/store_http_call.h"
 
 namespace samphire {
 
@@ -21,14 +21,15 @@
   http_caller(http_store_options options, const clock_source& clock);
 
   // kStoreUnreachable: it had no effect. kStoreOutcomeUnknown: it may have.
-  result<http_reply> Call(const http_call& what);
+  result<store_http_reply> Call(const store_http_call& what);
 
   const http_store_options& options() const { return options_; }
 
  private:
-  result<http_reply> TryPool(http_connection_pool& pool, const http_call& what);
-  result<http_reply> Exchange(Poco::Net::HTTPClientSession& session,
-                              const http_call& what);
+  result<store_http_reply> TryPool(http_connection_pool& pool,
+                                   const store_http_call& what);
+  result<store_http_reply> Exchange(Poco::Net::HTTPClientSession& session,
+                                    const store_http_call& what);
 
   const http_store_options options_;
   const clock_source& clock_;
@@ -38,9 +39,9 @@
 };
 
 // What a status other than success means for the call.
-error RefusalOf(const http_call& what, int status);
+error RefusalOf(const store_http_call& what, int status);
 // A call whose answer did not come whole.
-error Unanswered(const http_call& what, std::string detail);
+error Unanswered(const store_http_call& what, std::string detail);
 
 }  // namespace samphire
 
--- a/src/libsamphire/store/http_object_store.cc
+++ b/src/libsamphire/store/http_object_store.cc
@@ -60,8 +60,8 @@
   const auto version = ReadVersion(got.body);
   // It took effect, but without its version the caller must read it back.
   if (!version)
-    return Counted(
-        Unanswered(http_call{.writes = true}, "answer without a version"));
+    return Counted(Unanswered(store_http_call{.writes = true},
+                              "answer without a version"));
   return version.value();
 }
 
@@ -115,16 +115,16 @@
   return value;
 }
 
-result<http_reply> http_object_store::Call(const request& what) {
+result<store_http_reply> http_object_store::Call(const request& what) {
   metrics_.Count(
       "store_calls_total",
       fmt::format("kind=\"{}\"", NameOf(kStoreCallNames, what.call)));
-  http_call call{.method = MethodOf(what.call),
-                 .uri = what.uri,
-                 .headers = {},
-                 .body = what.body,
-                 .writes = Writes(what.call),
-                 .timeout = what.timeout};
+  store_http_call call{.method = MethodOf(what.call),
+                       .uri = what.uri,
+                       .headers = {},
+                       .body = what.body,
+                       .writes = Writes(what.call),
+                       .timeout = what.timeout};
   if (call.writes)
     call.headers.emplace_back("If-Match", std::to_string(what.expected));
   auto got = caller_.Call(call);
--- a/src/libsamphire/store/http_object_store.h
+++ b/src/libsamphire/store/http_object_store.h
@@ -42,7 +42,7 @@
     milliseconds timeout{0};
   };
   // Calls and counts; the answer is a whole one with status 200.
-  result<http_reply> Call(const request& what);
+  result<store_http_reply> Call(const request& what);
   // What a read made of a whole answer, counted if it could not be read.
   template <typename T>
   result<T> Read(const request& what,
--- a/src/libsamphire/store/http_call.h
+++ b/src/libsamphire/store/store_http_call.h
@@ -1,5 +1,5 @@
-#ifndef STORE_HTTP_CALL_H_
-#define STORE_HTTP_CALL_H_
+#ifndef STORE_STORE_HTTP_CALL_H_
+#define STORE_STORE_HTTP_CALL_H_
 
 #include <string>
 #include <utility>
@@ -10,7 +10,7 @@
 namespace samphire {
 
 // One call to the platform over HTTP.
-struct http_call {
+struct store_http_call {
   std::string method;
   std::string uri;
   std::vector<std::pair<std::string, std::string>> headers;
@@ -21,7 +21,7 @@
 };
 
 // A whole answer, whatever its status.
-struct http_reply {
+struct store_http_reply {
   int status = 0;
   std::string etag;
   std::string body;
@@ -29,4 +29,4 @@
 
 }  // namespace samphire
 
-#endif  // STORE_HTTP_CALL_H_
+#endif  // STORE_STORE_HTTP_CALL_H_
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -16,8 +16,8 @@
 
 // Answers up to this size are held. Most exports fit; with tens of requests in
 // progress the memory stays at a few MB.
-constexpr std::size_t kHeldBytes = 128 * 1024;
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kHeldBytes = std::size_t{128} << 10U;
+constexpr std::size_t kPieceBytes = std::size_t{16} << 10U;
 // Two regions are some 40 to 70 ms apart and back; a target that takes longer
 // to accept is dead or cut off.
 constexpr milliseconds kConnectTimeout{250};
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -42,6 +42,7 @@
   while (true) {
     auto placed = Place();
     if (const auto* refusal = std::get_if<placing_refusal>(&placed)) {
+      LogNoPlace(*refusal);
       if (failure_)
         Finish({.answer = std::move(failure_)});
       else
@@ -50,6 +51,7 @@
     }
     const auto& attempt = std::get<placed_attempt>(placed);
     ++attempts_;
+    last_target_ = attempt.target.id;
     auto end =
         target_exchange(context_, request_, caller_, sink_).Run(attempt.target);
     Report(attempt, end);
@@ -181,7 +183,21 @@
        {"result", NameOf(code)},
        {"status", status},
        {"attempts", attempts_},
+       {"target", last_target_},
        {"ms", took.count()}});
 }
 
+void traffic_dispatcher::LogNoPlace(const placing_refusal& refusal) const {
+  const auto targets = context_.state.targets();
+  Log(log_level::kInfo, "no-place",
+      {{"request", request_.id},
+       {"service", service_},
+       {"reason", NameOf(refusal.reason)},
+       {"targets", targets->OfService(service_).size()},
+       {"candidates", refusal.candidates},
+       {"wait_ms", refusal.wait.count()},
+       {"time_left_ms", wish_.time_left.count()},
+       {"retry_after_ms", refusal.retry_after.count()}});
+}
+
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -35,6 +35,7 @@
   void LogAttempt(const placed_attempt& attempt,
                   const target_exchange_end& end) const;
   void LogOutcome(result_code code, int status) const;
+  void LogNoPlace(const placing_refusal& refusal) const;
   const traffic_service* Service() const;
 
   traffic_context& context_;
@@ -44,6 +45,7 @@
   std::string service_;
   placing_request wish_;
   std::uint32_t attempts_ = 0;
+  std::string last_target_;
   // Targets that may have run the request.
   std::uint32_t runs_ = 0;
   bool may_have_run_ = false;
--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -8,6 +8,7 @@
 #include <Poco/StreamCopier.h>
 
 #include <chrono>
+#include <thread>
 #include <utility>
 
 #include "proxy/caller_watch.h"
@@ -38,6 +39,9 @@
       Send(response, 503, "");
     } else {
       ++target_.runs;
+      target_.CountRun(request.get("Request-Id", ""));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(target_.work_ms.load()));
       Run(mood, request, response, body);
     }
   }
@@ -98,6 +102,16 @@
   threads_.joinAll();
 }
 
+std::map<std::string, int> wire_target::runs_by_id() const {
+  std::lock_guard guard(lock_);
+  return runs_by_id_;
+}
+
+void wire_target::CountRun(const std::string& id) {
+  std::lock_guard guard(lock_);
+  ++runs_by_id_[id];
+}
+
 std::string wire_target::address() const {
   return server_->socket().address().toString();
 }
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -5,7 +5,9 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace samphire::platform {
@@ -40,9 +42,17 @@
   // Runs that ended because the connection did.
   std::atomic<int> cancelled = 0;
   std::atomic<bool> stopping = false;
+  // How long a request is worked on.
+  std::atomic<int> work_ms = 0;
+
+  // How often each request was run, by its id.
+  std::map<std::string, int> runs_by_id() const;
+  void CountRun(const std::string& id);
 
  private:
   const std::string id_;
+  mutable std::mutex lock_;
+  std::map<std::string, int> runs_by_id_;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -115,7 +115,7 @@
   entries_[i] = std::make_unique<child_process>(
       "samphire-entry",
       std::vector<std::string>{"--settings=" + File(name + ".json")},
-      File(name + ".log"));
+      File(name + ".log"), child_output::kLog);
 }
 
 void fleet::SetInstance(std::size_t i, const std::string& state) {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -5,11 +5,11 @@
 #include <string>
 #include <vector>
 
-#include "child_process.h"
 #include "fleet_plan.h"
 #include "history/history_judge.h"
 #include "history/history_writer.h"
 #include "http_call.h"
+#include "support/child_process.h"
 
 namespace samphire {
 
--- a/tests/process/target_test.cc
+++ b/tests/process/target_test.cc
@@ -8,11 +8,11 @@
 #include <csignal>
 #include <thread>
 
-#include "child_process.h"
 #include "history/echo_body.h"
 #include "history/history_index.h"
 #include "history/history_reader.h"
 #include "http_call.h"
+#include "support/child_process.h"
 #include "wait_until.h"
 
 using namespace samphire;
--- a/tests/process/child_process.cc
+++ b/tests/support/child_process.cc
@@ -1,4 +1,4 @@
-#include "child_process.h"
+#include "support/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -12,7 +12,8 @@
 
 child_process::child_process(const std::string& program,
                              const std::vector<std::string>& arguments,
-                             const std::string& log_path) {
+                             const std::string& log_path,
+                             child_output output) {
   const auto path = std::string(SAMPHIRE_BIN_DIR) + "/" + program;
   std::vector<char*> argv{const_cast<char*>(path.c_str())};
   for (const auto& argument : arguments)
@@ -30,7 +31,7 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent)
       _exit(127);
-    dup2(ends[1], STDOUT_FILENO);
+    dup2(output == child_output::kLog ? log : ends[1], STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execv(path.c_str(), argv.data());
     _exit(127);
--- a/tests/process/child_process.h
+++ b/tests/support/child_process.h
@@ -9,13 +9,18 @@
 
 namespace samphire {
 
+// Where a program's standard output goes.
+enum class child_output { kReadLine, kLog };
+
 // One real program, started with arguments and killed by its pid at the end.
 class child_process {
  public:
-  // `log_path` takes what it writes to standard error.
+  // `log_path` takes what it writes to standard error, and with kLog also what
+  // it writes to standard output, which ReadLine otherwise reads.
   child_process(const std::string& program,
                 const std::vector<std::string>& arguments,
-                const std::string& log_path);
+                const std::string& log_path,
+                child_output output = child_output::kReadLine);
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -50,6 +50,10 @@
   State(way).cut = cut;
 }
 
+void relay::ResetConnections() {
+  ++resets_;
+}
+
 relay::way_state& relay::State(way way) {
   return way == way::kThere ? there_ : back_;
 }
@@ -83,8 +87,14 @@
 
 void relay::Pump(StreamSocket from, StreamSocket to, way way) {
   std::array<char, kBufferBytes> buffer{};
+  const int opened_after = resets_;
   try {
     while (!stopping_) {
+      if (resets_ != opened_after) {
+        from.setLinger(true, 0);
+        from.close();
+        return;
+      }
       if (!from.poll(kWait, Poco::Net::Socket::SELECT_READ))
         continue;
       const int count = from.receiveBytes(buffer.data(), kBufferBytes);
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -31,6 +31,8 @@
   const std::string& address() const { return address_; }
   void SetDelay(way way, std::chrono::milliseconds delay);
   void SetCut(way way, bool cut);
+  // Resets every open connection.
+  void ResetConnections();
   // Datagrams that the cut way there took.
   int lost_datagrams() const { return lost_datagrams_; }
 
@@ -58,6 +60,8 @@
   way_state back_;
   std::atomic<int> lost_datagrams_{0};
   std::atomic<bool> stopping_{false};
+  // Connections that were opened before the last reset end with it.
+  std::atomic<int> resets_{0};
   std::mutex lock_;
   std::vector<std::thread> threads_;
 };
