--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -19,13 +19,15 @@
 }  // namespace
 
 void object_relay::Publish(const std::string& prefix,
-                           const watch_batch& batch) {
+                           const watch_batch& batch,
+                           bool confirmed) {
   // Lost history: a new listing follows.
   if (batch.cursor == 0)
     return;
   std::lock_guard guard(lock_);
   auto& held = copies_[prefix];
-  held.confirmed = clock_.now();
+  if (confirmed)
+    held.confirmed = clock_.now();
   Take(held, batch);
   changed_.notify_all();
 }
@@ -71,6 +73,16 @@
   }
 }
 
+// For a peer that knows nothing at all: the platform is away, and what others
+// still go by is better than turning every caller away.
+result<watch_batch> object_relay::LastKnown(const std::string& prefix) {
+  std::lock_guard guard(lock_);
+  const auto& held = copies_[prefix];
+  if (held.cursor == 0)
+    return MakeError(result_code::kStoreUnreachable, "nothing known");
+  return Snapshot(held);
+}
+
 bool object_relay::IsFresh(const copy& held) const {
   return held.cursor != 0 && clock_.now() - held.confirmed <= kFresh;
 }
--- a/src/libsamphire/store/object_relay.h
+++ b/src/libsamphire/store/object_relay.h
@@ -20,14 +20,18 @@
  public:
   explicit object_relay(const clock_source& clock) : clock_(clock) {}
 
-  // A watch of the platform has returned.
-  void Publish(const std::string& prefix, const watch_batch& batch);
+  // A watch has returned; `confirmed` if it was the platform's own.
+  void Publish(const std::string& prefix,
+               const watch_batch& batch,
+               bool confirmed = true);
 
   // As a watch of the platform from `cursor`, but kStoreUnreachable once what
   // is known here is too old to be relied on.
   result<watch_batch> Watch(const std::string& prefix,
                             std::uint64_t cursor,
                             milliseconds wait);
+  // All that is known here, however old; kStoreUnreachable if nothing is.
+  result<watch_batch> LastKnown(const std::string& prefix);
 
  private:
   struct held_object {
--- a/src/libsamphire/traffic/mirror_handler.cc
+++ b/src/libsamphire/traffic/mirror_handler.cc
@@ -52,6 +52,10 @@
   const auto ask = DecodeBinary<mirror_ask>(body);
   if (!ask || request.getURI() != kMirrorPath)
     return MakeError(result_code::kPeerMalformed);
+  if (ask->last_known) {
+    BOOST_OUTCOME_TRY(known, relay_.LastKnown(ask->prefix));
+    return EncodeBinary(known);
+  }
   BOOST_OUTCOME_TRY(
       batch, relay_.Watch(ask->prefix, ask->cursor,
                           milliseconds(std::min(ask->wait_ms, kMaxWaitMs))));
--- a/src/libsamphire/traffic/mirror_messages.h
+++ b/src/libsamphire/traffic/mirror_messages.h
@@ -27,10 +27,12 @@
   std::string prefix;
   std::uint64_t cursor = 0;
   std::uint32_t wait_ms = 0;
+  // Everything that is known, however old, rather than what is fresh.
+  bool last_known = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(Bounded<kMaxMirrorKey>(prefix), cursor, wait_ms);
+    archive(Bounded<kMaxMirrorKey>(prefix), cursor, wait_ms, last_known);
   }
 };
 
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
 #include "gateway/peer_post.h"
-#include "traffic/mirror_messages.h"
 
 namespace samphire {
 
@@ -32,39 +32,74 @@
                            connection_pool& pool,
                            peer_signer& signer,
                            const clock_source& clock,
-                           watcher_list watchers)
+                           address_list watchers,
+                           address_list peers)
     : platform_(platform),
       relay_(relay),
       pool_(pool),
       signer_(signer),
       clock_(clock),
-      watchers_(std::move(watchers)) {}
+      watchers_(std::move(watchers)),
+      peers_(std::move(peers)) {}
 
 result<watch_batch> shared_store::Watch(const std::string& prefix,
                                         std::uint64_t cursor,
                                         milliseconds wait) {
+  auto batch = WatchFresh(prefix, cursor, wait);
+  if (!batch && cursor == 0)
+    return AskLastKnown(prefix);
+  return batch;
+}
+
+result<watch_batch> shared_store::WatchFresh(const std::string& prefix,
+                                             std::uint64_t cursor,
+                                             milliseconds wait) {
   const auto watchers = watchers_();
   for (const auto& peer : watchers) {
     if (!MayAsk(peer))
       continue;
-    auto batch = AskPeer(peer, prefix, cursor, std::min(wait, kPeerWait));
-    if (batch)
+    const auto peer_wait = std::min(wait, kPeerWait);
+    auto batch =
+        AskPeer(peer,
+                {.prefix = prefix,
+                 .cursor = cursor,
+                 .wait_ms = static_cast<std::uint32_t>(peer_wait.count())},
+                peer_wait + kPeerMargin);
+    if (batch) {
+      relay_.Publish(prefix, batch.value(), false);
       return batch;
+    }
     Pause(peer, kPeerPause);
   }
   return AskPlatform(prefix, cursor, std::min(wait, kPlatformWait),
                      watchers.empty());
 }
 
+// An entry that starts while the platform is away would refuse every caller
+// until its return, and planned restarts would empty a region one by one. Its
+// peers go on by what they knew, so it may start from that as well.
+result<watch_batch> shared_store::AskLastKnown(const std::string& prefix) {
+  for (const auto& peer : peers_()) {
+    auto batch =
+        AskPeer(peer, {.prefix = prefix, .last_known = true}, kPeerMargin);
+    if (!batch)
+      continue;
+    Log(log_level::kWarning, "started-from-peer",
+        {{"prefix", prefix},
+         {"peer", peer},
+         {"revision", batch.value().cursor},
+         {"objects", batch.value().events.size()}});
+    relay_.Publish(prefix, batch.value(), false);
+    return batch;
+  }
+  return MakeError(result_code::kStoreUnreachable, "nobody knows anything");
+}
+
 result<watch_batch> shared_store::AskPeer(const std::string& peer,
-                                          const std::string& prefix,
-                                          std::uint64_t cursor,
-                                          milliseconds wait) {
-  const mirror_ask ask{.prefix = prefix,
-                       .cursor = cursor,
-                       .wait_ms = static_cast<std::uint32_t>(wait.count())};
+                                          const mirror_ask& ask,
+                                          milliseconds timeout) {
   BOOST_OUTCOME_TRY(bytes, PostToPeer(pool_, signer_, peer, kMirrorPath,
-                                      EncodeBinary(ask), wait + kPeerMargin));
+                                      EncodeBinary(ask), timeout));
   auto batch = DecodeBinary<watch_batch>(bytes);
   if (!batch)
     return MakeError(result_code::kPeerMalformed, peer);
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -12,6 +12,7 @@
 #include "proxy/connection_pool.h"
 #include "store/object_relay.h"
 #include "store/object_store.h"
+#include "traffic/mirror_messages.h"
 
 namespace samphire {
 
@@ -20,15 +21,17 @@
 // themselves only when no watcher has a fresh copy.
 class shared_store final : public object_store {
  public:
-  // Peer addresses of the region's watchers; empty in a watcher.
-  using watcher_list = std::function<std::vector<std::string>()>;
+  using address_list = std::function<std::vector<std::string>()>;
 
+  // `watchers` are the region's, and none in a watcher; `peers` all others of
+  // the region.
   shared_store(object_store& platform,
                object_relay& relay,
                connection_pool& pool,
                peer_signer& signer,
                const clock_source& clock,
-               watcher_list watchers);
+               address_list watchers,
+               address_list peers);
 
   result<store_object> Get(const std::string& key) override;
   result<std::uint64_t> Put(const std::string& key,
@@ -42,10 +45,13 @@
   result<std::vector<instance_info>> Instances() override;
 
  private:
+  result<watch_batch> WatchFresh(const std::string& prefix,
+                                 std::uint64_t cursor,
+                                 milliseconds wait);
+  result<watch_batch> AskLastKnown(const std::string& prefix);
   result<watch_batch> AskPeer(const std::string& peer,
-                              const std::string& prefix,
-                              std::uint64_t cursor,
-                              milliseconds wait);
+                              const mirror_ask& ask,
+                              milliseconds timeout);
   result<watch_batch> AskPlatform(const std::string& prefix,
                                   std::uint64_t cursor,
                                   milliseconds wait,
@@ -60,7 +66,8 @@
   connection_pool& pool_;
   peer_signer& signer_;
   const clock_source& clock_;
-  const watcher_list watchers_;
+  const address_list watchers_;
+  const address_list peers_;
   std::mutex lock_;
   // Until when a peer, by its address, or the platform is left alone.
   std::map<std::string, time_point> not_before_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -147,11 +147,15 @@
       {{"version", manifest->version()},
        {"version_before", before ? before->version() : 0},
        {"routes", manifest->route_count()}});
+  TellPeers();
 }
 
 void traffic_node::SetTargets(std::vector<live_target> targets) {
+  const bool first = !state_.targets();
   state_.SetTargets(std::move(targets));
   LogTargets();
+  if (first)
+    TellPeers();
 }
 
 void traffic_node::SetEvacuatedDomains(std::set<std::string> domains) {
@@ -159,6 +163,16 @@
   LogTargets();
 }
 
+void traffic_node::TellPeers() {
+  const auto manifest = state_.manifest();
+  if (!manifest || !state_.targets())
+    return;
+  member_digest digest;
+  digest.config_version = manifest->version();
+  membership_.SetSelf(std::move(digest), 0);
+  FollowMembers();
+}
+
 void traffic_node::LogTargets() const {
   const auto targets = state_.targets();
   if (!targets)
@@ -188,9 +202,16 @@
     if (self && state_.leaving)
       continue;
     list->names.push_back(each.name);
-    list->caller_addresses.push_back(each.caller_address);
+    // One that has just started refuses callers until it has a configuration.
+    if (self ? IsReady() : each.digest.config_version > 0)
+      list->caller_addresses.push_back(each.caller_address);
     list->peer_addresses.push_back(each.peer_address);
   }
+  // Where none says that it has one, any may by now.
+  if (list->caller_addresses.empty()) {
+    for (const auto& each : membership_.members())
+      list->caller_addresses.push_back(each.caller_address);
+  }
   list->fleet_size = std::max<std::size_t>(1, list->names.size());
   for (const auto& region : membership_.regions())
     list->fleet_size += region.digest.entries;
@@ -198,8 +219,19 @@
 }
 
 std::unique_ptr<object_store> traffic_node::Share(object_store& platform) {
-  return std::make_unique<shared_store>(platform, relay_, pool_, signer_,
-                                        clock_, [this] { return Watchers(); });
+  return std::make_unique<shared_store>(
+      platform, relay_, pool_, signer_, clock_, [this] { return Watchers(); },
+      [this] { return Peers(); });
+}
+
+std::vector<std::string> traffic_node::Peers() const {
+  const auto entries = state_.entries().Get();
+  std::vector<std::string> addresses;
+  for (const auto& address : entries->peer_addresses) {
+    if (address != settings_.peer_address)
+      addresses.push_back(address);
+  }
+  return addresses;
 }
 
 std::vector<std::string> traffic_node::Watchers() const {
@@ -246,6 +278,11 @@
        {"seconds",
         std::chrono::duration<double>(clock_.now() - asked).count()}});
   caller_front_.Close();
+  // Connections that were taken in but not read yet are being turned away; the
+  // end of the process would reset them, and their callers could not tell
+  // whether they ran.
+  while (caller_front_.connections() > 0 && clock_.now() < last)
+    std::this_thread::sleep_for(kDrainCheck);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -60,6 +60,10 @@
  private:
   void FollowMembers();
   void LogTargets() const;
+  // That this entry has a configuration, so that callers may be sent here.
+  void TellPeers();
+  // Peer addresses of the region's other entries.
+  std::vector<std::string> Peers() const;
   // Peer addresses of the region's watchers; empty if this is one.
   std::vector<std::string> Watchers() const;
   std::string CountersText();
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -351,6 +351,22 @@
   CHECK(r.Ready());
 }
 
+// Entries are restarted one after the other while the store is away. Each that
+// comes back knows nothing, and soon a whole region refuses every caller.
+TEST_CASE("an entry that starts while the store is away learns from a peer") {
+  rig r;
+  r.StartReady();
+  r.world.refuse_with = 503;
+  auto settings = Settings(r.world.address());
+  settings.traffic.place.instance = "entry-2";
+  settings.traffic.seeds = {r.settings.traffic.peer_address};
+  platform_entry late(settings,
+                      peer_keys::Parse(settings.traffic.peer_key).value());
+  late.Start();
+  CHECK(Eventually(
+      [&] { return Ask(settings.traffic.caller_address, {}).status == 200; }));
+}
+
 TEST_CASE("a planned stop answers what runs and says at once that it leaves") {
   rig r;
   r.settings.traffic.lookup_ttl = 100ms;
--- a/tests/store/object_relay_test.cc
+++ b/tests/store/object_relay_test.cc
@@ -49,6 +49,28 @@
   CHECK(relay.Watch("k/", 5, 0ms));
 }
 
+// An entry starts while the platform is away. What its peer knew last is old,
+// but the peer itself goes by it; with nothing, every caller is refused.
+TEST_CASE("the last known state is told to one that knows nothing") {
+  manual_clock clock;
+  object_relay relay(clock);
+  CHECK_FALSE(relay.LastKnown("k/"));
+  relay.Publish("k/", Batch(5, true, {{"k/a", 3, "A"}}));
+  clock.Advance(60s);
+  const auto known = relay.LastKnown("k/");
+  REQUIRE(known);
+  CHECK(known.value().events.size() == 1);
+  CHECK(known.value().cursor == 5);
+}
+
+TEST_CASE("what a peer told is not handed on as confirmed") {
+  manual_clock clock;
+  object_relay relay(clock);
+  relay.Publish("k/", Batch(5, true, {}), false);
+  CHECK_FALSE(relay.Watch("k/", 5, 0ms));
+  CHECK(relay.LastKnown("k/"));
+}
+
 // A peer followed the platform itself and is ahead of the watcher it turns to.
 // Taken back, it would apply an older state as if it were news.
 TEST_CASE("a peer that is ahead is not taken back") {
