--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -64,7 +64,9 @@
     while (ServeOne(session)) {
     }
   } catch (const Poco::Exception& e) {
-    Log(log_level::kDebug, "connection-lost", {{"detail", e.displayText()}});
+    // Mostly a caller that went away; what else it was, the detail tells.
+    metrics_.Count("connections_lost_total");
+    Log(log_level::kInfo, "connection-lost", {{"detail", e.displayText()}});
   }
 }
 
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -15,6 +15,9 @@
   // Of each, in the order of the names.
   std::vector<std::string> caller_addresses;
   std::vector<std::string> peer_addresses;
+  // Peer addresses of all others that may know something: also of those that
+  // leave, and of some in other regions.
+  std::vector<std::string> helper_addresses;
   // Entries of all regions, as far as known.
   std::size_t fleet_size = 1;
 };
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -23,8 +23,8 @@
  public:
   using address_list = std::function<std::vector<std::string>()>;
 
-  // `watchers` are the region's, and none in a watcher; `peers` all others of
-  // the region.
+  // `watchers` are the region's, and none in a watcher; `peers` all that may
+  // tell what they knew last.
   shared_store(object_store& platform,
                object_relay& relay,
                connection_pool& pool,
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -195,10 +195,12 @@
   auto* list = new entry_list;
   boost::intrusive_ptr<const entry_list> owned(list);
   for (const auto& each : membership_.members()) {
+    const bool self = each.name == settings_.place.instance;
+    if (!self && each.state != member_state::kDead)
+      list->helper_addresses.push_back(each.peer_address);
     if (each.state != member_state::kAlive &&
         each.state != member_state::kSuspect)
       continue;
-    const bool self = each.name == settings_.place.instance;
     if (self && state_.leaving)
       continue;
     list->names.push_back(each.name);
@@ -213,8 +215,11 @@
       list->caller_addresses.push_back(each.caller_address);
   }
   list->fleet_size = std::max<std::size_t>(1, list->names.size());
-  for (const auto& region : membership_.regions())
+  for (const auto& region : membership_.regions()) {
     list->fleet_size += region.digest.entries;
+    for (const auto& contact : region.digest.contacts)
+      list->helper_addresses.push_back(contact.peer_address);
+  }
   state_.entries().Replace(std::move(owned));
 }
 
@@ -225,13 +230,7 @@
 }
 
 std::vector<std::string> traffic_node::Peers() const {
-  const auto entries = state_.entries().Get();
-  std::vector<std::string> addresses;
-  for (const auto& address : entries->peer_addresses) {
-    if (address != settings_.peer_address)
-      addresses.push_back(address);
-  }
-  return addresses;
+  return state_.entries().Get()->helper_addresses;
 }
 
 std::vector<std::string> traffic_node::Watchers() const {
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -62,7 +62,7 @@
   void LogTargets() const;
   // That this entry has a configuration, so that callers may be sent here.
   void TellPeers();
-  // Peer addresses of the region's other entries.
+  // Peer addresses of entries that may tell what they knew last.
   std::vector<std::string> Peers() const;
   // Peer addresses of the region's watchers; empty if this is one.
   std::vector<std::string> Watchers() const;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -57,6 +57,9 @@
     std::string id;
     // Its entry was asked to stop before or meanwhile.
     bool stopping = false;
+    // Which entry it was, and how long the request took.
+    std::string entry;
+    std::chrono::milliseconds took{0};
   };
   // What a caller was told of a request that may run once at most.
   struct claim {
