--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -1,5 +1,7 @@
 #include "traffic/traffic_handler.h"
 
+#include <cstdint>
+
 #include "base/log.h"
 #include "front/front_request.h"
 #include "gateway/caller_answer.h"
@@ -24,22 +26,27 @@
   if (!read) {
     if (!whole.body_read())
       response.setKeepAlive(false);
-    Refuse(sink, read.error());
+    Refuse(sink, whole.get(context_.headers.request_id, ""), read.error());
     return;
   }
   const caller_watch caller(sink.socket());
   traffic_dispatcher(context_, read.value(), caller, sink).Run();
 }
 
-void traffic_handler::Refuse(answer_sink& sink, const error& why) const {
+void traffic_handler::Refuse(answer_sink& sink,
+                             const std::string& id,
+                             const error& why) const {
   context_.counters.CountRefusal(why.code);
+  const auto manifest = context_.state.manifest();
+  const std::uint64_t version = manifest ? manifest->version() : 0;
   Log(log_level::kInfo, "request-refused-unread",
-      {{"code", static_cast<int>(why.code)},
+      {{"request", id},
+       {"config_version", version},
+       {"code", static_cast<int>(why.code)},
        {"result", NameOf(why.code)},
        {"detail", why.detail}});
-  const auto manifest = context_.state.manifest();
   sink.Refuse({.code = why.code,
-               .config_version = manifest ? manifest->version() : 0,
+               .config_version = version,
                .retry_after = kRetryAfter,
                .fine_retry_after = true});
 }
--- a/src/libsamphire/traffic/traffic_handler.h
+++ b/src/libsamphire/traffic/traffic_handler.h
@@ -5,6 +5,8 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <string>
+
 #include "base/error.h"
 #include "gateway/answer_sink.h"
 #include "traffic/traffic_context.h"
@@ -20,7 +22,7 @@
                      Poco::Net::HTTPServerResponse& response) override;
 
  private:
-  void Refuse(answer_sink& sink, const error& why) const;
+  void Refuse(answer_sink& sink, const std::string& id, const error& why) const;
 
   traffic_context& context_;
 };
