--- a/tests/routing/service_tracker_test.cc
+++ b/tests/routing/service_tracker_test.cc
@@ -28,6 +28,7 @@
 
 target_set_ptr Targets(int count) {
   std::vector<live_target> targets;
+  targets.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     targets.push_back(Target("t" + std::to_string(i)));
   return target_set_ptr(new target_set(std::move(targets), {}));
@@ -98,6 +99,7 @@
   for (int key = 0; key < 200; ++key)
     before[std::to_string(key)] = tracked.Serve(std::to_string(key), kStart);
   std::vector<live_target> left;
+  left.reserve(7);
   for (int i = 0; i < 7; ++i)
     left.push_back(Target("t" + std::to_string(i)));
   rig fresh;
@@ -223,6 +225,7 @@
   const target_set_ptr targets(new target_set({cold}, {}));
   const auto service = Service();
   std::vector<std::string> names;
+  names.reserve(10);
   for (int i = 0; i < 10; ++i)
     names.push_back("entry-" + std::to_string(i));
   int sent = 0;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -73,6 +73,7 @@
     }
   }
   std::vector<std::string> peers;
+  peers.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i)
     peers.push_back(FreeAddress());
   for (int i = 0; i < kEntries; ++i) {
@@ -125,6 +126,7 @@
     Find("starts", "no request was served within 10 s of the start");
   asking_ = true;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i)
     callers.emplace_back([this, i] { Ask(seed_ * 100 + i); });
   const auto until = std::chrono::steady_clock::now() + time;
