--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gateway/caller_handler_factory.h"
 #include "gateway/peer_handler_factory.h"
+#include "membership/new_incarnation.h"
 
 namespace samphire {
 
@@ -16,13 +17,6 @@
 // How long others may go on naming this entry after it said that it leaves.
 constexpr milliseconds kRumourTime{1500};
 
-std::uint64_t NewIncarnation() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<microseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 double Jitter() {
   std::random_device device;
   return std::uniform_real_distribution<double>(0, 1)(device);
--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -85,7 +85,7 @@
   }
   if (chosen == nullptr)
     return Full(nearest, candidates.size(), request);
-  return Start(*chosen, request, now);
+  return Start(*chosen, best, now);
 }
 
 // An answer is worth most within its objective. Where even an idle target takes
@@ -121,14 +121,12 @@
 }
 
 placing service_tracker::Start(const candidate& chosen,
-                               const placing_request& request,
+                               const forecast& outlook,
                                time_point now) {
-  placed_attempt attempt;
-  attempt.target = *chosen.target;
-  attempt.knows_key = chosen.record->KnowsKey(request.key_hash, now);
-  attempt.load_before = chosen.record->Load(now);
-  chosen.record->Started(request.key_hash, now);
-  return attempt;
+  chosen.record->Started(now);
+  return placed_attempt{.target = *chosen.target,
+                        .knows_key = outlook.knows_key,
+                        .load_before = outlook.load};
 }
 
 void service_tracker::Ended(const placing_request& request,
@@ -201,10 +199,10 @@
       continue;
     const auto planned = plan_.find(target.region);
     const double share = planned == plan_.end() ? 0 : planned->second;
-    const double weight = target.slots * std::max(kUnplanned, share);
-    const candidate each{&target, &record,
-                         TargetRank(request.key_hash, target.id, weight),
-                         TargetRank(request.key_hash, target.id, target.slots)};
+    // The rank grows with the weight alone, so one hash serves both orders.
+    const double rank = TargetRank(request.key_hash, target.id, target.slots);
+    const candidate each{&target, &record, rank * std::max(kUnplanned, share),
+                         rank};
     (record.fails_in_part() ? failing : fit).push_back(each);
   }
   // When most fail in part, avoiding them would only pile all work on the
@@ -261,7 +259,8 @@
   const double load = each.record->Load(now);
   const double ahead = std::max(0.0, load + 1 - slots) / slots;
   const bool knows_key = each.record->KnowsKey(request.key_hash, now);
-  return {.wait_ms = ahead * estimate.Ms(true) * slowness,
+  return {.load = load,
+          .wait_ms = ahead * estimate.Ms(true) * slowness,
           .service_ms = estimate.Ms(knows_key) * slowness,
           .learned = estimate.IsLearned(knows_key),
           .knows_key = knows_key,
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -47,6 +47,8 @@
     double anywhere_rank = 0;
   };
   struct forecast {
+    // Work that is there, running or waiting.
+    double load = 0;
     double wait_ms = 0;
     double service_ms = 0;
     // Answers stand behind `service_ms`.
@@ -87,9 +89,9 @@
                               std::size_t candidates,
                               const placing_request& request);
   service_time_estimate& EstimateOf(const placing_request& request);
-  placing Start(const candidate& chosen,
-                const placing_request& request,
-                time_point now);
+  static placing Start(const candidate& chosen,
+                       const forecast& outlook,
+                       time_point now);
 
   // The set that the records were last made to match.
   target_set_ptr followed_;
--- a/src/libsamphire/routing/target_record.cc
+++ b/src/libsamphire/routing/target_record.cc
@@ -70,7 +70,7 @@
   return !on_trial_ || in_flight_ == 0;
 }
 
-void target_record::Started(std::uint64_t /*key_hash*/, time_point now) {
+void target_record::Started(time_point now) {
   ++in_flight_;
   if (IsCold(now))
     cold_sends_.push_back(now);
--- a/src/libsamphire/routing/target_record.h
+++ b/src/libsamphire/routing/target_record.h
@@ -33,7 +33,7 @@
   bool IsFit(time_point now) const;
   bool fails_in_part() const { return failure_share_ > kFailingShare; }
 
-  void Started(std::uint64_t key_hash, time_point now);
+  void Started(time_point now);
   // `expected_ms` is what the estimate said; 0 if there was none.
   void Ended(std::uint64_t key_hash,
              const attempt_end& end,
@@ -41,8 +41,6 @@
              const traffic_service* service,
              time_point now);
 
-  std::uint32_t in_flight() const { return in_flight_; }
-
  private:
   // A target that fails this share of its requests is avoided.
   static constexpr double kFailingShare = 0.35;
--- a/src/libsamphire/routing/traffic_route.h
+++ b/src/libsamphire/routing/traffic_route.h
@@ -19,10 +19,6 @@
   std::vector<route_part> parts;
   // May run more than once.
   bool idempotent = false;
-  // Requests with the same affinity key are faster on the same target.
-  bool keyed = false;
-  // 0 is the most urgent.
-  std::uint32_t priority = 0;
   // The longest that a caller is kept waiting.
   milliseconds timeout{0};
   // An answer within this time is worth most to its caller.
--- a/src/libsamphire/routing/traffic_service.h
+++ b/src/libsamphire/routing/traffic_service.h
@@ -1,7 +1,6 @@
 #ifndef ROUTING_TRAFFIC_SERVICE_H_
 #define ROUTING_TRAFFIC_SERVICE_H_
 
-#include <cstdint>
 #include <string>
 
 #include "base/clock_source.h"
@@ -11,9 +10,6 @@
 // What all targets of one service have in common.
 struct traffic_service {
   std::string name;
-  std::string health_path;
-  // Connections that one target takes from all entries together.
-  std::uint32_t max_connections = 0;
   // How long a target stays cold after a start under traffic.
   milliseconds warm_up{0};
   // Requests a second that a cold target bears from all entries together.
--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-object_follower::object_follower(object_store& store,
+object_follower::object_follower(object_watcher& store,
                                  const clock_source& clock,
                                  std::string prefix,
                                  change_sink on_change)
@@ -36,15 +36,7 @@
 
 void object_follower::Start() {
   last_contact_ = clock_.now();
-  thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
-}
-
-void object_follower::Run(const std::stop_token& stop) {
-  while (!stop.stop_requested()) {
-    const auto pause = Step();
-    std::unique_lock guard(lock_);
-    wake_.wait_for(guard, stop, pause, [] { return false; });
-  }
+  thread_.Start([this] { return Step(); });
 }
 
 milliseconds object_follower::Step() {
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -1,26 +1,26 @@
 #ifndef STORE_OBJECT_FOLLOWER_H_
 #define STORE_OBJECT_FOLLOWER_H_
 
-#include <condition_variable>
+#include <cstdint>
 #include <functional>
-#include <mutex>
 #include <string>
-#include <thread>
 
 #include "base/clock_source.h"
+#include "base/error.h"
+#include "base/stoppable_thread.h"
 #include "store/object_mirror.h"
-#include "store/object_store.h"
+#include "store/object_watcher.h"
 
 namespace samphire {
 
 // Follows all objects under one prefix, with a thread of its own, for as long
-// as it lives. Needs a store whose watches tell values, and list everything
-// when asked from cursor 0.
+// as it lives. Needs a watcher that tells values, and lists everything when
+// asked from cursor 0.
 class object_follower {
  public:
   using change_sink = std::function<void(const object_mirror::object_map&)>;
 
-  object_follower(object_store& store,
+  object_follower(object_watcher& store,
                   const clock_source& clock,
                   std::string prefix,
                   change_sink on_change);
@@ -28,13 +28,12 @@
   void Start();
 
  private:
-  void Run(const std::stop_token& stop);
   // One call to the store and what follows from it; how long to pause then.
   milliseconds Step();
   milliseconds OnFailure(const error& why);
   void OnContact();
 
-  object_store& store_;
+  object_watcher& store_;
   const clock_source& clock_;
   const std::string prefix_;
   const change_sink on_change_;
@@ -44,10 +43,8 @@
   bool lost_ = false;
   time_point last_contact_;
   milliseconds pause_{0};
-  std::mutex lock_;
-  std::condition_variable_any wake_;
   // Last, so that it stops before what it uses is gone.
-  std::jthread thread_;
+  stoppable_thread thread_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/object_store.h
+++ b/src/libsamphire/store/object_store.h
@@ -5,21 +5,18 @@
 #include <string>
 #include <vector>
 
-#include "base/clock_source.h"
 #include "base/result.h"
 #include "store/instance_info.h"
+#include "store/object_watcher.h"
 #include "store/store_object.h"
-#include "store/watch_batch.h"
 
 namespace samphire {
 
 // The platform's object API. Calls block; errors are kStoreUnreachable (the
 // call did not take effect), kStoreOutcomeUnknown (it may have),
 // kStoreConflict, kStoreNotFound, kStoreValueTooLarge and kStoreRefused.
-class object_store {
+class object_store : public object_watcher {
  public:
-  virtual ~object_store() = default;
-
   virtual result<store_object> Get(const std::string& key) = 0;
 
   // Writes if the object's version is `expected` (0: it must not exist) and
@@ -31,12 +28,6 @@
                               std::uint64_t expected) = 0;
   virtual result<std::vector<store_object>> List(const std::string& prefix) = 0;
 
-  // Waits up to `wait` for writes under `prefix` after `cursor`; an empty
-  // batch means that there were none. Cursor 0 returns the present cursor.
-  virtual result<watch_batch> Watch(const std::string& prefix,
-                                    std::uint64_t cursor,
-                                    milliseconds wait) = 0;
-
   virtual result<std::vector<instance_info>> Instances() = 0;
 };
 
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-shared_store::shared_store(object_store& platform,
+shared_store::shared_store(object_watcher& platform,
                            object_relay& relay,
                            connection_pool& pool,
                            peer_signer& signer,
@@ -132,28 +132,4 @@
   not_before_[source] = clock_.now() + pause;
 }
 
-result<store_object> shared_store::Get(const std::string& key) {
-  return platform_.Get(key);
-}
-
-result<std::uint64_t> shared_store::Put(const std::string& key,
-                                        const std::string& value,
-                                        std::uint64_t expected) {
-  return platform_.Put(key, value, expected);
-}
-
-result<void> shared_store::Delete(const std::string& key,
-                                  std::uint64_t expected) {
-  return platform_.Delete(key, expected);
-}
-
-result<std::vector<store_object>> shared_store::List(
-    const std::string& prefix) {
-  return platform_.List(prefix);
-}
-
-result<std::vector<instance_info>> shared_store::Instances() {
-  return platform_.Instances();
-}
-
 }  // namespace samphire
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -11,7 +11,7 @@
 #include "gateway/peer_signer.h"
 #include "proxy/connection_pool.h"
 #include "store/object_relay.h"
-#include "store/object_store.h"
+#include "store/object_watcher.h"
 #include "traffic/mirror_messages.h"
 
 namespace samphire {
@@ -19,13 +19,13 @@
 // The platform's store as a fleet shares it: a few entries of each region
 // watch the platform, the others watch those, and turn to the platform
 // themselves only when no watcher has a fresh copy.
-class shared_store final : public object_store {
+class shared_store final : public object_watcher {
  public:
   using address_list = std::function<std::vector<std::string>()>;
 
   // `watchers` are the region's, and none in a watcher; `peers` all that may
   // tell what they knew last.
-  shared_store(object_store& platform,
+  shared_store(object_watcher& platform,
                object_relay& relay,
                connection_pool& pool,
                peer_signer& signer,
@@ -33,16 +33,9 @@
                address_list watchers,
                address_list peers);
 
-  result<store_object> Get(const std::string& key) override;
-  result<std::uint64_t> Put(const std::string& key,
-                            const std::string& value,
-                            std::uint64_t expected) override;
-  result<void> Delete(const std::string& key, std::uint64_t expected) override;
-  result<std::vector<store_object>> List(const std::string& prefix) override;
   result<watch_batch> Watch(const std::string& prefix,
                             std::uint64_t cursor,
                             milliseconds wait) override;
-  result<std::vector<instance_info>> Instances() override;
 
  private:
   result<watch_batch> WatchFresh(const std::string& prefix,
@@ -61,7 +54,7 @@
   bool MayAsk(const std::string& source);
   void Pause(const std::string& source, milliseconds pause);
 
-  object_store& platform_;
+  object_watcher& platform_;
   object_relay& relay_;
   connection_pool& pool_;
   peer_signer& signer_;
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -1,7 +1,5 @@
 #include "traffic/target_exchange.h"
 
-#include <Poco/NumberParser.h>
-
 #include <algorithm>
 #include <array>
 #include <chrono>
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -32,6 +32,7 @@
   service_ = route.parts[part].service;
   wish_.route = route.name;
   wish_.key_hash = request.key_hash;
+  wish_.objective = route.latency_objective;
   wish_.home_regions = route.home_regions;
   context_.shards.services.With(service_, [&](auto& services) {
     services[service_].retries.OnRequest(context_.clock.now());
@@ -74,7 +75,6 @@
   const auto now = context_.clock.now();
   const auto targets = context_.state.targets();
   const auto entries = context_.state.entries().Get();
-  wish_.objective = request_.route->latency_objective;
   wish_.time_left = std::chrono::floor<milliseconds>(request_.deadline - now);
   return context_.shards.services.With(service_, [&](auto& services) {
     return services[service_].tracker.Place(wish_, *targets, Service(),
--- a/src/libsamphire/traffic/traffic_headers.h
+++ b/src/libsamphire/traffic/traffic_headers.h
@@ -22,8 +22,6 @@
   std::string target_load;
   // The target did not run the request and never will.
   std::string not_run;
-  // How long a target that was probed stays cold.
-  std::string cold_left;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -7,6 +7,7 @@
 
 #include "base/log.h"
 #include "gateway/text_handler.h"
+#include "membership/new_incarnation.h"
 #include "membership/rendezvous.h"
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
@@ -40,13 +41,6 @@
 // second finds it, and this is how long it may speak up.
 constexpr milliseconds kSuspicion{2500};
 
-std::uint64_t NewIncarnation() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<microseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 member SelfMember(const traffic_settings& settings, std::uint64_t incarnation) {
   member self;
   self.name = settings.place.instance;
@@ -183,10 +177,6 @@
        {"evacuated_domains", targets->evacuated_domains().size()}});
 }
 
-void traffic_node::AddSeeds(const std::vector<std::string>& addresses) {
-  membership_.AddSeeds(addresses);
-}
-
 std::vector<std::string> traffic_node::CallerAddresses() const {
   return state_.entries().Get()->caller_addresses;
 }
@@ -194,7 +184,8 @@
 void traffic_node::FollowMembers() {
   auto* list = new entry_list;
   boost::intrusive_ptr<const entry_list> owned(list);
-  for (const auto& each : membership_.members()) {
+  const auto members = membership_.members();
+  for (const auto& each : members) {
     const bool self = each.name == settings_.place.instance;
     if (!self && each.state != member_state::kDead)
       list->helper_addresses.push_back(each.peer_address);
@@ -211,7 +202,7 @@
   }
   // Where none says that it has one, any may by now.
   if (list->caller_addresses.empty()) {
-    for (const auto& each : membership_.members())
+    for (const auto& each : members)
       list->caller_addresses.push_back(each.caller_address);
   }
   list->fleet_size = std::max<std::size_t>(1, list->names.size());
@@ -223,7 +214,7 @@
   state_.entries().Replace(std::move(owned));
 }
 
-std::unique_ptr<object_store> traffic_node::Share(object_store& platform) {
+std::unique_ptr<object_watcher> traffic_node::Share(object_watcher& platform) {
   return std::make_unique<shared_store>(
       platform, relay_, pool_, signer_, clock_, [this] { return Watchers(); },
       [this] { return Peers(); });
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -16,7 +16,7 @@
 #include "peer/udp_peer_transport.h"
 #include "proxy/connection_pool.h"
 #include "store/object_relay.h"
-#include "store/object_store.h"
+#include "store/object_watcher.h"
 #include "traffic/service_shards.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
@@ -44,11 +44,9 @@
   void SetManifest(const manifest_ptr& manifest);
   void SetTargets(std::vector<live_target> targets);
   void SetEvacuatedDomains(std::set<std::string> domains);
-  // Peer addresses that were learned elsewhere.
-  void AddSeeds(const std::vector<std::string>& addresses);
 
   // The platform's store as this fleet shares it. The node must outlive it.
-  std::unique_ptr<object_store> Share(object_store& platform);
+  std::unique_ptr<object_watcher> Share(object_watcher& platform);
 
   bool IsReady() const { return state_.IsReady(); }
   // The live entries of this region that callers may use.
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -3,7 +3,6 @@
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "routing/target_rank.h"
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -4,7 +4,6 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 
 #include <netinet/in.h>
@@ -18,6 +17,8 @@
 #include "platform_adapter/stand_in_platform.h"
 #include "platform_adapter/wire_target.h"
 #include "platform_adapter/wire_text.h"
+#include "support/free_address.h"
+#include "support/wait_until.h"
 
 using namespace samphire;
 using namespace samphire::platform;
@@ -27,12 +28,6 @@
 
 const std::string kKey = "0123456789abcdef0123456789abcdef";
 
-// A port that was free a moment ago.
-std::string FreeAddress() {
-  Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
-  return socket.address().toString();
-}
-
 platform_settings Settings(const std::string& store) {
   platform_settings settings;
   auto& traffic = settings.traffic;
@@ -80,13 +75,7 @@
 }
 
 bool Eventually(const std::function<bool()>& holds) {
-  const auto give_up = std::chrono::steady_clock::now() + 10s;
-  while (std::chrono::steady_clock::now() < give_up) {
-    if (holds())
-      return true;
-    std::this_thread::sleep_for(10ms);
-  }
-  return holds();
+  return WaitUntil(holds, 10s);
 }
 
 // One entry, the platform's store and four targets, two of each service.
--- a/tests/process/fleet.cc
+++ b/tests/process/fleet.cc
@@ -14,7 +14,7 @@
 #include "config/declaration_writer.h"
 #include "history/history_codec.h"
 #include "history/history_reader.h"
-#include "wait_until.h"
+#include "support/wait_until.h"
 
 namespace samphire {
 
--- a/tests/process/fleet_plan.cc
+++ b/tests/process/fleet_plan.cc
@@ -1,9 +1,9 @@
 #include "fleet_plan.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <fmt/format.h>
 
 #include "config/client_block_text.h"
+#include "support/free_address.h"
 
 namespace samphire {
 
@@ -84,11 +84,6 @@
 
 }  // namespace
 
-std::string FreeAddress(const std::string& ip) {
-  const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(ip, 0));
-  return probe.address().toString();
-}
-
 fleet_plan PlanFleet(int entries_per_region) {
   fleet_plan plan{.platform_address = FreeAddress("127.62.0.1"),
                   .entries = {},
--- a/tests/process/fleet_plan.h
+++ b/tests/process/fleet_plan.h
@@ -25,9 +25,6 @@
 // and "archive" (GET /archives/**, bulk).
 fleet_plan PlanFleet(int entries_per_region);
 
-// An address that nobody listens on.
-std::string FreeAddress(const std::string& ip);
-
 }  // namespace samphire
 
 #endif  // TESTS_PROCESS_FLEET_PLAN_H_
--- a/tests/process/platform_failure_test.cc
+++ b/tests/process/platform_failure_test.cc
@@ -4,7 +4,7 @@
 
 #include "fleet.h"
 #include "scenarios.h"
-#include "wait_until.h"
+#include "support/wait_until.h"
 
 using namespace samphire;
 
--- a/tests/process/relay_test.cc
+++ b/tests/process/relay_test.cc
@@ -6,7 +6,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "wait_until.h"
+#include "support/wait_until.h"
 
 using namespace samphire;
 using Poco::Net::SocketAddress;
--- a/tests/process/target_test.cc
+++ b/tests/process/target_test.cc
@@ -13,7 +13,7 @@
 #include "history/history_reader.h"
 #include "http_call.h"
 #include "support/child_process.h"
-#include "wait_until.h"
+#include "support/wait_until.h"
 
 using namespace samphire;
 
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -1,16 +1,16 @@
 #include "soak/soak_world.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <fmt/format.h>
 #include <signal.h>
 
 #include <fstream>
-#include <functional>
 #include <iterator>
 #include <map>
 
 #include "platform_adapter/wire_text.h"
 #include "soak/raw_call.h"
+#include "support/free_address.h"
+#include "support/wait_until.h"
 
 namespace samphire {
 
@@ -30,22 +30,6 @@
 constexpr std::chrono::milliseconds kRouteTimeout{800};
 constexpr std::chrono::milliseconds kLateBy{700};
 
-std::string FreeAddress() {
-  Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
-  return socket.address().toString();
-}
-
-bool Eventually(std::chrono::milliseconds time,
-                const std::function<bool()>& holds) {
-  const auto until = std::chrono::steady_clock::now() + time;
-  while (std::chrono::steady_clock::now() < until) {
-    if (holds())
-      return true;
-    std::this_thread::sleep_for(50ms);
-  }
-  return holds();
-}
-
 // Statuses that promise that the request did not run and never will.
 bool PromisesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -122,7 +106,7 @@
     return CallRaw(entries_[0]->caller_address, "GET", "/read/up", "up", "")
                .status == 200;
   };
-  if (!Eventually(10s, ready))
+  if (!WaitUntil(ready, 10s))
     Find("starts", "no request was served within 10 s of the start");
   asking_ = true;
   std::vector<std::thread> callers;
@@ -245,7 +229,7 @@
   for (auto& each : entries_) {
     heal(*each->store_link);
     if (each->leaving)
-      Eventually(6s, [&] { return !each->process->running(); });
+      WaitUntil([&] { return !each->process->running(); }, 6s);
     if (!each->process->running())
       StartEntry(*each);
   }
@@ -334,7 +318,7 @@
       return CallRaw(one->caller_address, "GET", "/read/calm", "calm", "")
                  .status == 200;
     };
-    if (!Eventually(kRecovery, whole)) {
+    if (!WaitUntil(whole, kRecovery)) {
       Find("recovery", one->caller_address + " serves nothing");
       continue;
     }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_PROCESS_CHILD_PROCESS_H_
-#define TESTS_PROCESS_CHILD_PROCESS_H_
+#ifndef TESTS_SUPPORT_CHILD_PROCESS_H_
+#define TESTS_SUPPORT_CHILD_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -45,4 +45,4 @@
 
 }  // namespace samphire
 
-#endif  // TESTS_PROCESS_CHILD_PROCESS_H_
+#endif  // TESTS_SUPPORT_CHILD_PROCESS_H_
--- a/tests/process/wait_until.h
+++ b/tests/support/wait_until.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_PROCESS_WAIT_UNTIL_H_
-#define TESTS_PROCESS_WAIT_UNTIL_H_
+#ifndef TESTS_SUPPORT_WAIT_UNTIL_H_
+#define TESTS_SUPPORT_WAIT_UNTIL_H_
 
 #include <chrono>
 #include <thread>
@@ -22,4 +22,4 @@
 
 }  // namespace samphire
 
-#endif  // TESTS_PROCESS_WAIT_UNTIL_H_
+#endif  // TESTS_SUPPORT_WAIT_UNTIL_H_
