Pass long request bodies on as they come

Cause: each request was held whole up to the configuration's limit, which is 64 MiB there; four such uploads at once are the memory of an instance, which is then killed with everything that it serves. Ruled out: refusing by size (the operator's limit allows them); a file (no instance has a disk); holding all and bounding the sum (refuses what could be served). Now: 128 KiB are held, so that claims and readings can be sent again; what is longer goes to one target as it comes, under its length or in chunks, and is never sent again. A body that breaks off never looks whole to a target. Before: the first byte reached a target after the last had come.

--- a/src/libsamphire/front/front_request.cc
+++ b/src/libsamphire/front/front_request.cc
@@ -4,10 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <istream>
-
-#include "front/session_input_buf.h"
-#include "proxy/body_reader.h"
 
 namespace samphire {
 
@@ -48,41 +44,22 @@
                              Poco::Net::HTTPServerParams* params)
     : HTTPServerRequestImpl(response, session, params), session_(session) {}
 
-// Requests are held whole, unlike answers: only a whole one may be dispatched,
-// and one that is tried again has to be sent again.
+result<request_body*> front_request::OpenBody(std::uint64_t limit,
+                                              time_point deadline) {
+  BOOST_OUTCOME_TRY(framing, RequestFraming(*this));
+  body_.emplace(session_, framing, limit, deadline);
+  return &*body_;
+}
+
 result<std::string> front_request::ReadBody(std::uint64_t limit,
                                             time_point deadline) {
-  BOOST_OUTCOME_TRY(framing, RequestFraming(*this));
-  const auto* fixed = std::get_if<fixed_length_body>(&framing);
-  if (fixed != nullptr && fixed->length > limit)
-    return MakeError(result_code::kBodyTooLarge);
-  const bool bodyless = std::holds_alternative<no_body>(framing) ||
-                        (fixed != nullptr && fixed->length == 0);
+  BOOST_OUTCOME_TRY(source, OpenBody(limit, deadline));
   std::string body;
-  if (bodyless) {
-    body_read_ = true;
-    return body;
-  }
-  session_input_buf buffer(session_, deadline);
-  std::istream input(&buffer);
-  body_reader reader(input, framing);
   std::array<char, kPieceBytes> piece;
-  while (true) {
-    const auto got = reader.Read(piece);
-    if (!got) {
-      return MakeError(buffer.late() ? result_code::kRequestTooSlow
-                                     : result_code::kMalformedRequest,
-                       "the body is not whole");
-    }
-    if (got.value() == 0)
-      break;
-    body.append(piece.data(), got.value());
-    if (body.size() > limit)
-      return MakeError(result_code::kBodyTooLarge);
+  while (!source->ended()) {
+    BOOST_OUTCOME_TRY(got, source->Read(piece));
+    body.append(piece.data(), got);
   }
-  // Bytes that were read beyond the body are a next request, which would be
-  // lost: such a connection ends here.
-  body_read_ = buffer.in_avail() <= 0;
   return body;
 }
 
--- a/src/libsamphire/front/session_input_buf.h
+++ b/src/libsamphire/front/session_input_buf.h
@@ -13,6 +13,7 @@
  public:
   session_input_buf(front_session& session, time_point deadline);
 
+  void set_deadline(time_point deadline) { deadline_ = deadline; }
   bool late() const { return late_; }
 
  private:
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -2,11 +2,13 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Timespan.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 namespace samphire {
 
@@ -16,6 +18,16 @@
 // with more, its bytes are not to be trusted.
 constexpr int kMaxLateAnswers = 2;
 
+constexpr std::size_t kPieceBytes = std::size_t{16} << 10U;
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+// An empty chunk would be taken for the last.
+std::string ChunkOf(std::string_view bytes) {
+  if (bytes.empty())
+    return {};
+  return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
 milliseconds TimeLeft(time_point deadline) {
   return std::chrono::ceil<milliseconds>(deadline -
                                          std::chrono::steady_clock::now());
@@ -75,24 +87,47 @@
 }
 
 result<void> http_exchange::Send(const Poco::Net::HTTPRequest& head,
-                                 std::string_view body) {
+                                 std::string_view body,
+                                 body_source* rest) {
   head_request_ = head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+  const bool chunked = head.getChunkedTransferEncoding();
   std::ostringstream text;
   head.write(text);
   stage_ = exchange_stage::kSending;
+  BOOST_OUTCOME_TRYV(
+      SendBytes(text.str() + (chunked ? ChunkOf(body) : std::string(body))));
+  if (rest != nullptr) {
+    BOOST_OUTCOME_TRYV(SendRest(*rest, chunked));
+  }
+  stage_ = exchange_stage::kAwaitingHead;
+  return Success();
+}
+
+result<void> http_exchange::SendBytes(std::string_view bytes) {
   try {
     const auto left = std::max(milliseconds{1}, TimeLeft(deadline_));
     connection_->socket.setSendTimeout(
         Poco::Timespan(microseconds(left).count()));
-    SendAll(connection_->socket, text.str() + std::string(body));
+    SendAll(connection_->socket, bytes);
   } catch (const Poco::Exception& e) {
     stale_ = connection_->reused;
     return MakeError(result_code::kTargetFailed, e.displayText());
   }
-  stage_ = exchange_stage::kAwaitingHead;
   return Success();
 }
 
+result<void> http_exchange::SendRest(body_source& rest, bool chunked) {
+  std::vector<char> piece(kPieceBytes);
+  while (true) {
+    BOOST_OUTCOME_TRY(got, rest.Read(piece));
+    if (got == 0)
+      return chunked ? SendBytes(kLastChunk) : result<void>(Success());
+    const std::string_view bytes(piece.data(), got);
+    BOOST_OUTCOME_TRYV(
+        SendBytes(chunked ? ChunkOf(bytes) : std::string(bytes)));
+  }
+}
+
 // A target may answer a request twice, the second time when the connection
 // already carries the next request. Taken for that one's answer it would reach
 // another caller; so answers that echo another request's id are passed over.
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -14,6 +14,7 @@
 #include "base/clock_source.h"
 #include "base/result.h"
 #include "proxy/body_reader.h"
+#include "proxy/body_source.h"
 #include "proxy/caller_watch.h"
 #include "proxy/connection_pool.h"
 #include "proxy/exchange_options.h"
@@ -39,7 +40,11 @@
   // `fresh` asks for a new connection: a request that may not be repeated must
   // not be lost to a connection that the other side was just closing.
   result<void> Connect(bool fresh);
-  result<void> Send(const Poco::Net::HTTPRequest& head, std::string_view body);
+  // `rest` is what follows `body`, if that isn't all. Where it fails, so does
+  // the request, with its reason; the other side then never sees a whole one.
+  result<void> Send(const Poco::Net::HTTPRequest& head,
+                    std::string_view body,
+                    body_source* rest = nullptr);
   result<Poco::Net::HTTPResponse*> ReadHead();
   // 0 at the end of the whole body.
   result<std::size_t> ReadBody(std::span<char> buffer);
@@ -51,6 +56,8 @@
   const body_framing& framing() const { return framing_; }
 
  private:
+  result<void> SendBytes(std::string_view bytes);
+  result<void> SendRest(body_source& rest, bool chunked);
   error FailureOf(result_code otherwise) const;
   result<void> ReadOneHead();
   bool IsForAnother() const;
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -30,6 +30,15 @@
   return std::nullopt;
 }
 
+// Nothing that speaks against the target: its caller left, or sent a body that
+// did not come whole.
+bool IsCallersFault(result_code code) {
+  return code == result_code::kCallerGone ||
+         code == result_code::kMalformedRequest ||
+         code == result_code::kBodyTooLarge ||
+         code == result_code::kRequestTooSlow;
+}
+
 }  // namespace
 
 target_exchange::target_exchange(const traffic_context& context,
@@ -38,12 +47,15 @@
                                  answer_sink& sink)
     : context_(context), request_(request), caller_(caller), sink_(sink) {}
 
-// What may not be repeated goes out on a new connection: on a reused one that
-// the target was just closing, nobody could tell whether it ran.
+// What may not be repeated, or can't be for want of its whole body, goes out on
+// a new connection: on a reused one that the target was just closing, nobody
+// could tell whether it ran.
 target_exchange_end target_exchange::Run(const live_target& target) {
   const auto started = context_.clock.now();
   target_exchange_end end;
-  if (!TryOnce(target, !request_.route->idempotent, end)) {
+  const bool once =
+      !request_.route->idempotent || request_.body_rest != nullptr;
+  if (!TryOnce(target, once, end)) {
     end = {};
     TryOnce(target, true, end);
   }
@@ -63,15 +75,23 @@
   head.set(context_.headers.deadline,
            std::to_string(std::max<std::int64_t>(1, left.count())));
   head.set(context_.headers.expected_target, target.id);
-  if (!request_.body.empty() ||
-      request_.headers.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) ||
-      request_.headers.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING)) {
-    head.setContentLength(static_cast<std::streamsize>(request_.body.size()));
-  }
+  SetBodyFraming(head);
   head.setKeepAlive(true);
   return head;
 }
 
+void target_exchange::SetBodyFraming(Poco::Net::HTTPRequest& head) const {
+  const bool has_body =
+      request_.headers.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) ||
+      request_.headers.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+  if (request_.body_rest == nullptr && has_body)
+    head.setContentLength64(static_cast<Poco::Int64>(request_.body.size()));
+  else if (request_.body_rest != nullptr && request_.body_length)
+    head.setContentLength64(static_cast<Poco::Int64>(*request_.body_length));
+  else if (request_.body_rest != nullptr)
+    head.setChunkedTransferEncoding(true);
+}
+
 bool target_exchange::TryOnce(const live_target& target,
                               bool fresh,
                               target_exchange_end& end) {
@@ -93,7 +113,10 @@
     return true;
   }
   end.may_have_run = true;
-  if (const auto sent = exchange.Send(HeadFor(target), request_.body); !sent)
+  end.body_spent = request_.body_rest != nullptr;
+  if (const auto sent =
+          exchange.Send(HeadFor(target), request_.body, request_.body_rest);
+      !sent)
     Fail(sent.error().code, end);
   else
     TakeAnswer(exchange, end);
@@ -185,7 +208,7 @@
 
 void target_exchange::Fail(result_code code, target_exchange_end& end) const {
   end.reason = code;
-  if (code == result_code::kCallerGone)
+  if (IsCallersFault(code))
     end.attempt.result = attempt_result::kCallerGone;
   else if (code == result_code::kDeadlineExceeded)
     end.attempt.result = attempt_result::kTimedOut;
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -16,6 +16,8 @@
   result_code reason = result_code::kOk;
   // The request may be running or have run there.
   bool may_have_run = false;
+  // A long body was taken from the caller, so it can't be sent again.
+  bool body_spent = false;
   // The answer began to stream to the caller: nothing else may be said.
   bool streamed = false;
   // A whole answer that was not passed on yet.
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -100,7 +100,8 @@
 // connection that was never made, proves that it did not run. All else draws
 // on the budget that all entries share, unless no target was reached.
 bool traffic_dispatcher::MayTryAgain(const target_exchange_end& end) {
-  if (end.streamed || end.reason == result_code::kCallerGone ||
+  if (end.streamed || end.body_spent ||
+      end.reason == result_code::kCallerGone ||
       end.reason == result_code::kDeadlineExceeded)
     return false;
   if (end.answer && end.attempt.result != attempt_result::kTargetError)
@@ -139,7 +140,9 @@
 
 // A status that promises "not run" is given only when no attempt can have run.
 void traffic_dispatcher::Refuse(result_code code, milliseconds retry_after) {
-  if (may_have_run_ && InfoOf(code).http_status == 503)
+  if (may_have_run_ && code == result_code::kRequestTooSlow)
+    code = result_code::kDeadlineExceeded;
+  else if (may_have_run_ && InfoOf(code).http_status == 503)
     code = result_code::kTargetFailed;
   else if (!may_have_run_ && code == result_code::kDeadlineExceeded)
     code = result_code::kQueueExpired;
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -29,6 +29,9 @@
     Refuse(sink, whole.get(context_.headers.request_id, ""), read.error());
     return;
   }
+  // If it is refused, the rest of its body stays unread on the connection.
+  if (read.value().body_rest != nullptr)
+    response.setKeepAlive(false);
   const caller_watch caller(sink.socket());
   traffic_dispatcher(context_, read.value(), caller, sink).Run();
 }
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -4,14 +4,16 @@
 #include <Poco/Net/NameValueCollection.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/clock_source.h"
+#include "proxy/body_source.h"
 #include "routing/traffic_manifest.h"
 
 namespace samphire {
 
-// One caller's request, understood and read whole.
+// One caller's request, understood.
 struct traffic_request {
   // Keeps `route` alive.
   manifest_ptr manifest;
@@ -22,7 +24,13 @@
   // With its query.
   std::string path;
   Poco::Net::NameValueCollection headers;
+  // The body, or the first part of a long one.
   std::string body;
+  // Where the rest of a long body comes from, else null. It comes once, so
+  // such a request can be sent once only.
+  body_source* body_rest = nullptr;
+  // Of the whole body, where the caller told it.
+  std::optional<std::uint64_t> body_length;
   std::uint64_t key_hash = 0;
   time_point arrived;
   // The caller has its answer by then: its own time or the route's, whichever
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -3,7 +3,7 @@
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
-#include <utility>
+#include <array>
 
 #include "routing/target_rank.h"
 
@@ -14,6 +14,8 @@
 // An answer that leaves at the caller's very last millisecond comes too late;
 // this is the way back and the time to write it.
 constexpr milliseconds kWayBack{10};
+constexpr std::size_t kHeldBytes = std::size_t{128} << 10U;
+constexpr std::size_t kPieceBytes = std::size_t{16} << 10U;
 
 // A nonsense deadline is passed over: the route's own timeout bounds the wait.
 milliseconds CallerWaits(const front_request& request,
@@ -26,6 +28,28 @@
   return milliseconds(std::min(told, kLongest));
 }
 
+// Claims and readings are a few KB; held whole, they can be sent again, and a
+// caller on a slow link holds no target's slot while it sends. What is longer
+// is passed on as it comes: the limit on bodies is tens of MB, and a few such
+// uploads at once would be more than the memory of an instance.
+result<void> ReadBodyStart(front_request& request, traffic_request& read) {
+  const auto& limits = read.manifest->limits();
+  BOOST_OUTCOME_TRY(body,
+                    request.OpenBody(limits.max_body_bytes,
+                                     read.arrived + limits.header_timeout));
+  read.body_length = body->length();
+  std::array<char, kPieceBytes> piece;
+  while (!body->ended() && read.body.size() < kHeldBytes) {
+    BOOST_OUTCOME_TRY(got, body->Read(piece));
+    read.body.append(piece.data(), got);
+  }
+  if (!body->ended()) {
+    body->set_deadline(read.deadline);
+    read.body_rest = body;
+  }
+  return Success();
+}
+
 }  // namespace
 
 result<traffic_request> ReadTrafficRequest(front_request& request,
@@ -46,11 +70,7 @@
   read.deadline =
       read.arrived + std::min(std::max(milliseconds{1}, waits - kWayBack),
                               read.route->timeout);
-  const auto& limits = read.manifest->limits();
-  BOOST_OUTCOME_TRY(body,
-                    request.ReadBody(limits.max_body_bytes,
-                                     read.arrived + limits.header_timeout));
-  read.body = std::move(body);
+  BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
   // Requests without a key are spread by their own ids.
   read.key_hash = KeyHash(request.get(context.headers.affinity_key, read.id));
   return read;
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -141,6 +141,52 @@
             .body.find("store_calls_total") != std::string::npos);
 }
 
+// A field station uploads a season's readings while others do the same. Held
+// whole, a few such bodies fill an instance's memory, and it is killed with
+// everything that it serves.
+TEST_CASE("a long upload reaches its target before it has left its caller") {
+  rig r;
+  r.StartReady();
+  const std::string half(500'000, 'u');
+  Poco::Net::HTTPClientSession session{
+      Poco::Net::SocketAddress(r.settings.traffic.caller_address)};
+  Poco::Net::HTTPRequest request("POST", "/write/y", "HTTP/1.1");
+  request.setHost("h.example");
+  request.set("Request-Id", "id-1");
+  request.set("Request-Deadline", "5000");
+  const bool chunked = GENERATE(false, true);
+  if (chunked)
+    request.setChunkedTransferEncoding(true);
+  else
+    request.setContentLength(1'000'000);
+  auto& body = session.sendRequest(request);
+  body << half << std::flush;
+  CHECK(
+      Eventually([&] { return r.write_1.arrivals + r.write_2.arrivals == 1; }));
+  body << half << std::flush;
+  Poco::Net::HTTPResponse response;
+  std::string got;
+  Poco::StreamCopier::copyToString(session.receiveResponse(response), got);
+  CHECK(response.getStatus() == 200);
+  CHECK(got == "POST /write/y " + half + half);
+  CHECK_FALSE(response.getKeepAlive());
+}
+
+// No target would take the upload. Its caller is told so and when to come back,
+// though it is still sending.
+TEST_CASE("a long upload that is not taken is refused as not run") {
+  rig r;
+  r.StartReady();
+  r.write_1.mood = target_mood::kShed;
+  r.write_2.mood = target_mood::kShed;
+  const auto got = r.Request({.method = "POST",
+                              .path = "/write/y",
+                              .body = std::string(1'000'000, 'u')});
+  CHECK(got.status == 503);
+  CHECK_FALSE(got.retry_after.empty());
+  CHECK(r.write_1.runs + r.write_2.runs == 0);
+}
+
 TEST_CASE("requests with one key stay at one target") {
   rig r;
   r.StartReady();
--- a/tests/proxy/http_exchange_test.cc
+++ b/tests/proxy/http_exchange_test.cc
@@ -56,6 +56,43 @@
   }
 }
 
+// A body that comes in the given pieces and then ends, or fails.
+class listed_pieces final : public body_source {
+ public:
+  explicit listed_pieces(std::vector<std::string> pieces,
+                         result_code end = result_code::kOk)
+      : pieces_(std::move(pieces)), end_(end) {}
+
+  result<std::size_t> Read(std::span<char> buffer) override {
+    if (next_ == pieces_.size()) {
+      if (end_ != result_code::kOk)
+        return MakeError(end_);
+      return std::size_t{0};
+    }
+    const auto& piece = pieces_[next_++];
+    std::copy(piece.begin(), piece.end(), buffer.begin());
+    return piece.size();
+  }
+
+ private:
+  const std::vector<std::string> pieces_;
+  const result_code end_;
+  std::size_t next_ = 0;
+};
+
+// Everything that comes on a connection until nothing does for a while.
+std::string TakeAll(Poco::Net::StreamSocket& socket) {
+  std::string seen;
+  std::array<char, 4096> buffer{};
+  while (socket.poll(Poco::Timespan(100'000), Poco::Net::Socket::SELECT_READ)) {
+    const int got = socket.receiveBytes(buffer.data(), buffer.size());
+    if (got <= 0)
+      break;
+    seen.append(buffer.data(), static_cast<std::size_t>(got));
+  }
+  return seen;
+}
+
 Poco::Net::HTTPRequest Get() {
   Poco::Net::HTTPRequest request("GET", "/x", "HTTP/1.1");
   request.setHost("target");
@@ -252,3 +289,51 @@
   caller.close();
   CHECK(exchange.ReadHead().error().code == result_code::kCallerGone);
 }
+
+TEST_CASE("a long body is passed on as it comes, under a length or in chunks") {
+  const bool chunked = GENERATE(false, true);
+  std::string seen;
+  scripted_target target({[&](auto& socket) {
+    seen = TakeAll(socket);
+    Answer(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }});
+  connection_pool pool;
+  const caller_watch nobody;
+  Poco::Net::HTTPRequest head("POST", "/x", "HTTP/1.1");
+  if (chunked)
+    head.setChunkedTransferEncoding(true);
+  else
+    head.setContentLength(15);
+  listed_pieces rest({" second", " third"});
+  {
+    http_exchange exchange(pool, target.address(), nobody,
+                           std::chrono::steady_clock::now() + 5s);
+    REQUIRE(exchange.Connect(true));
+    REQUIRE(exchange.Send(head, "1.", &rest));
+    REQUIRE(exchange.ReadHead());
+  }
+  const auto body = seen.substr(seen.find("\r\n\r\n") + 4);
+  CHECK(body == (chunked ? "2\r\n1.\r\n7\r\n second\r\n6\r\n third\r\n0\r\n\r\n"
+                         : "1. second third"));
+}
+
+// A technician's link breaks in the middle of an upload. Ended as if it were
+// whole, half of it would be filed.
+TEST_CASE("a body that breaks off on its way never looks whole to a target") {
+  std::string seen;
+  scripted_target target({[&](auto& socket) { seen = TakeAll(socket); }});
+  connection_pool pool;
+  const caller_watch nobody;
+  Poco::Net::HTTPRequest head("POST", "/x", "HTTP/1.1");
+  head.setChunkedTransferEncoding(true);
+  listed_pieces rest({" second"}, result_code::kMalformedRequest);
+  {
+    http_exchange exchange(pool, target.address(), nobody,
+                           std::chrono::steady_clock::now() + 5s);
+    REQUIRE(exchange.Connect(true));
+    const auto sent = exchange.Send(head, "1.", &rest);
+    REQUIRE_FALSE(sent);
+    CHECK(sent.error().code == result_code::kMalformedRequest);
+  }
+  CHECK_FALSE(seen.ends_with("0\r\n\r\n"));
+}
