Let the demo move work between regions, under the caps

Cause: nothing in the demo made work leave its home region, so shift-cap was reported as not judged and could not have been found broken. Ruled out: an overload of one region, which would need five times the load and make the demo's latencies meaningless.

--- a/scripts/demo-lib/deployment.sh
+++ b/scripts/demo-lib/deployment.sh
@@ -112,7 +112,8 @@
 }
 
 # What an operator does during the load: one target is drained, one entry is
-# stopped as planned.
+# stopped as planned, and the last region's targets are drained, so that its
+# callers' work moves to the others, under the caps on shifted work.
 operate() {
   local name=$1 target=$2 time_us busiest stop_pid
   sleep 4
@@ -130,4 +131,10 @@
   kill -TERM "$stop_pid"
   while kill -0 "$stop_pid" 2>/dev/null; do sleep 0.05; done
   echo "{\"event\":\"planned-stop\",\"time_us\":$(now_us),\"subject\":\"${entries[busiest]}\",\"over\":true}" >>"$history"
+  time_us=$(now_us)
+  if ctl --output=json drain add demo-region --scope=region --subject="${regions[-1]}" \
+    --starts_at="$(date -u -d '+1 second' +%FT%TZ)" \
+    --deadline="$(date -u -d '+120 seconds' +%FT%TZ)" >"$work/$name-region.out" 2>&1; then
+    note_accepted "$time_us" "$work/$name-region.out"
+  fi
 }
