Put changed settings in force without a restart

Cause: the settings were read once. SIGHUP only checked the file, so a new failure domain's targets stayed unused, and changed bounds unheeded, until somebody restarted the entry. Ruled out: restarting by itself (cuts connections, forgets what was learned). Also logs of attempts: age of the load report, slow answers at level info, and a line when a target is ejected.

--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -53,6 +53,7 @@
   cursor_ = batch.value().cursor;
   bool changed = mirror_.Apply(batch.value(), clock_.now());
   changed |= mirror_.Expire(clock_.now());
+  changed |= tell_again_.exchange(false);
   if ((changed || !told_once_) && cursor_ != 0) {
     told_once_ = true;
     on_change_(mirror_.objects());
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -1,6 +1,7 @@
 #ifndef STORE_OBJECT_FOLLOWER_H_
 #define STORE_OBJECT_FOLLOWER_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,6 +27,9 @@
                   change_sink on_change);
 
   void Start();
+  // Has the present objects told again within a few seconds: what they mean
+  // to the sink has changed.
+  void TellAgain() { tell_again_ = true; }
 
  private:
   // One call to the store and what follows from it; how long to pause then.
@@ -40,6 +44,7 @@
   object_mirror mirror_;
   std::uint64_t cursor_ = 0;
   bool told_once_ = false;
+  std::atomic<bool> tell_again_ = false;
   bool lost_ = false;
   time_point last_contact_;
   milliseconds pause_{0};
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -85,11 +85,19 @@
 
 void traffic_dispatcher::Report(const placed_attempt& attempt,
                                 const target_exchange_end& end) {
-  context_.shards.services.With(service_, [&](auto& services) {
-    services[service_].tracker.Ended(wish_, attempt, end.attempt, Service(),
-                                     context_.clock.now());
-  });
+  const auto pause =
+      context_.shards.services.With(service_, [&](auto& services) {
+        return services[service_].tracker.Ended(
+            wish_, attempt, end.attempt, Service(), context_.clock.now());
+      });
   LogAttempt(attempt, end);
+  if (pause > milliseconds{0}) {
+    Log(log_level::kWarning, "target-ejected",
+        {{"request", request_.id},
+         {"service", service_},
+         {"target", attempt.target.id},
+         {"pause_ms", pause.count()}});
+  }
 }
 
 const traffic_service* traffic_dispatcher::Service() const {
@@ -115,9 +123,9 @@
   if (end.attempt.result == attempt_result::kConnectFailed)
     return true;
   const auto fleet = context_.state.entries().Get()->fleet_size;
+  const auto bounds = context_.state.bounds();
   return context_.shards.services.With(service_, [&](auto& services) {
-    return services[service_].retries.TryTake(context_.settings.retries, fleet,
-                                              now);
+    return services[service_].retries.TryTake(bounds->retries, fleet, now);
   });
 }
 
@@ -157,13 +165,16 @@
 
 void traffic_dispatcher::LogAttempt(const placed_attempt& attempt,
                                     const target_exchange_end& end) const {
-  const bool plain = end.attempt.result == attempt_result::kAnswered;
+  const bool plain = end.attempt.result == attempt_result::kAnswered &&
+                     end.attempt.took <= wish_.objective;
+  constexpr milliseconds kNoReport{-1};
   Log(plain ? log_level::kDebug : log_level::kInfo, "attempt",
       {{"request", request_.id},
        {"target", attempt.target.id},
        {"failure_domain", attempt.target.failure_domain},
        {"number", attempts_},
        {"load_before", attempt.load_before},
+       {"load_age_ms", attempt.load_age.value_or(kNoReport).count()},
        {"knows_key", attempt.knows_key},
        {"result", NameOf(kAttemptResultNames, end.attempt.result)},
        {"ms",
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -106,6 +106,7 @@
           }),
           {.max_connections = kPeerConnections},
           metrics_) {
+  state_.SetBounds(settings_.bounds);
   membership_.on_member_changed = [this](const member& /*changed*/) {
     FollowMembers();
   };
@@ -130,6 +131,14 @@
        {"incarnation", incarnation_}});
 }
 
+void traffic_node::SetBounds(const traffic_bounds& bounds) {
+  state_.SetBounds(bounds);
+}
+
+void traffic_node::AddSeeds(const std::vector<std::string>& seeds) {
+  membership_.AddSeeds(seeds);
+}
+
 void traffic_node::SetManifest(const manifest_ptr& manifest) {
   const auto before = state_.manifest();
   if (!state_.SetManifest(manifest))
@@ -255,9 +264,10 @@
   FollowMembers();
   membership_.AnnounceLeaving();
   caller_front_.SetPhase(front_phase::kLeaving);
-  const auto last = asked + settings_.stop_grace - kStopMargin;
+  const auto bounds = state_.bounds();
+  const auto last = asked + bounds->stop_grace - kStopMargin;
   const auto serve_until =
-      std::min(asked + settings_.lookup_ttl + kNewsTime, last);
+      std::min(asked + bounds->lookup_ttl + kNewsTime, last);
   std::this_thread::sleep_until(serve_until);
   caller_front_.SetPhase(front_phase::kTurningAway);
   while (caller_front_.active() > 0 && clock_.now() < last)
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -41,6 +41,9 @@
   // then finishes what runs. Blocks until done.
   void Drain();
 
+  // From the moment of the call, without a restart.
+  void SetBounds(const traffic_bounds& bounds);
+  void AddSeeds(const std::vector<std::string>& seeds);
   void SetManifest(const manifest_ptr& manifest);
   void SetTargets(std::vector<live_target> targets);
   void SetEvacuatedDomains(std::set<std::string> domains);
@@ -51,7 +54,7 @@
   bool IsReady() const { return state_.IsReady(); }
   // The live entries of this region that callers may use.
   std::vector<std::string> CallerAddresses() const;
-  const traffic_settings& settings() const { return settings_; }
+  milliseconds lookup_ttl() const { return state_.bounds()->lookup_ttl; }
   const clock_source& clock() const { return clock_; }
   metrics& counters() { return metrics_; }
 
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -5,9 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "base/clock_source.h"
 #include "routing/entry_place.h"
-#include "routing/retry_bound.h"
+#include "traffic/traffic_bounds.h"
 
 namespace samphire {
 
@@ -24,11 +23,7 @@
   // Signs messages between entries; the same in the whole fleet.
   std::string peer_key;
   std::uint32_t max_connections = 1024;
-  retry_bound retries;
-  // How long callers may keep a look-up's answer.
-  milliseconds lookup_ttl{2000};
-  // From the request to stop until the process is killed.
-  milliseconds stop_grace{6000};
+  traffic_bounds bounds;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_state.cc
+++ b/src/libsamphire/traffic/traffic_state.cc
@@ -26,6 +26,10 @@
   Publish();
 }
 
+void traffic_state::SetBounds(const traffic_bounds& bounds) {
+  bounds_.Replace(new traffic_bounds(bounds));
+}
+
 void traffic_state::Publish() {
   if (targets_known_)
     targets_.Replace(target_set_ptr(new target_set(listed_, evacuated_)));
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -11,6 +11,7 @@
 #include "routing/traffic_manifest.h"
 #include "steering/shared_snapshot.h"
 #include "traffic/entry_list.h"
+#include "traffic/traffic_bounds.h"
 
 namespace samphire {
 
@@ -28,6 +29,10 @@
   target_set_ptr targets() const { return targets_.Get(); }
   const shared_snapshot<entry_list>& entries() const { return entries_; }
   shared_snapshot<entry_list>& entries() { return entries_; }
+  shared_snapshot<traffic_bounds>::pointer bounds() const {
+    return bounds_.Get();
+  }
+  void SetBounds(const traffic_bounds& bounds);
 
   std::atomic<bool> leaving = false;
 
@@ -43,6 +48,8 @@
   std::set<std::string> evacuated_;
   shared_snapshot<traffic_manifest> manifest_;
   shared_snapshot<target_set> targets_;
+  shared_snapshot<traffic_bounds> bounds_{
+      boost::intrusive_ptr<const traffic_bounds>(new traffic_bounds)};
   shared_snapshot<entry_list> entries_{
       boost::intrusive_ptr<const entry_list>(new entry_list)};
 };
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -187,6 +187,31 @@
   CHECK(r.write_1.runs + r.write_2.runs == 0);
 }
 
+// The operator adds a failure domain and shortens how long look-ups are kept.
+// An entry that reads its settings at its start only would leave the targets
+// there idle until somebody restarts it.
+TEST_CASE("settings that change are in force without a restart") {
+  rig r;
+  r.StartReady();
+  wire_target moved{"i-new-1"};
+  for (auto* target : {&r.read_1, &r.read_2})
+    r.world.Write("servers/" + target->id(),
+                  TargetObject(target->address(), "reads", "draining"));
+  r.world.Write("servers/" + moved.id(),
+                Replaced(TargetObject(moved.address(), "reads"), "a-1", "a-2"));
+  CHECK(Eventually([&] { return r.Request().status == 503; }));
+  auto settings = r.settings;
+  settings.regions["a-2"] = "a";
+  settings.traffic.bounds.lookup_ttl = 700ms;
+  r.entry->Apply(settings);
+  CHECK(Eventually([&] { return r.Request().status == 200; }));
+  CHECK(moved.runs > 0);
+  const auto lookup =
+      Ask(r.settings.traffic.lookup_address,
+          {.path = "/samphirewinch/resolve?name=h.example&region=a&zone=a-1"});
+  CHECK(lookup.body.find("\"700ms\"") != std::string::npos);
+}
+
 TEST_CASE("requests with one key stay at one target") {
   rig r;
   r.StartReady();
@@ -404,8 +429,8 @@
 
 TEST_CASE("a planned stop answers what runs and says at once that it leaves") {
   rig r;
-  r.settings.traffic.lookup_ttl = 100ms;
-  r.settings.traffic.stop_grace = 3000ms;
+  r.settings.traffic.bounds.lookup_ttl = 100ms;
+  r.settings.traffic.bounds.stop_grace = 3000ms;
   r.StartReady();
   std::thread stop([&] { r.entry->Drain(); });
   CHECK(Eventually([&] { return !r.Ready(); }));
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -1,8 +1,13 @@
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 
 #include "duration_text.h"
 #include "manifest_reader.h"
 #include "platform_adapter/wire_text.h"
+#include "settings_file.h"
 #include "settings_reader.h"
 #include "target_cache.h"
 #include "target_reader.h"
@@ -20,14 +25,6 @@
   return ReadTarget("i-1", value, kRegions, kNow);
 }
 
-std::string Replaced(std::string text,
-                     const std::string& what,
-                     const std::string& by) {
-  const auto at = text.find(what);
-  REQUIRE(at != std::string::npos);
-  return text.replace(at, what.size(), by);
-}
-
 }  // namespace
 
 TEST_CASE("durations have a unit") {
@@ -120,15 +117,30 @@
               "retryBudgetSlack=x"]})";
   const auto settings = ReadSettings(whole);
   REQUIRE(settings);
-  CHECK(settings.value().traffic.stop_grace == 7s);
-  CHECK(settings.value().traffic.retries.ratio == Approx(0.3));
-  CHECK(settings.value().traffic.retries.slack == Approx(60));
+  CHECK(settings.value().traffic.bounds.stop_grace == 7s);
+  CHECK(settings.value().traffic.bounds.retries.ratio == Approx(0.3));
+  CHECK(settings.value().traffic.bounds.retries.slack == Approx(60));
   const auto broken = ReadSettings(Replaced(whole, "region", "realm"));
   REQUIRE_FALSE(broken);
   CHECK(broken.error().pointer == "/region");
   CHECK(ReadSettings("{").error().code == result_code::kJsonSyntax);
 }
 
+TEST_CASE("a settings file tells when it was replaced") {
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("samphire-settings-" + std::to_string(getpid()));
+  std::ofstream(path) << "{";
+  settings_file file(path.string());
+  CHECK(file.IsReplaced());
+  CHECK(file.Load().error().code == result_code::kJsonSyntax);
+  CHECK_FALSE(file.IsReplaced());
+  std::filesystem::last_write_time(path,
+                                   std::filesystem::last_write_time(path) + 1s);
+  CHECK(file.IsReplaced());
+  std::filesystem::remove(path);
+  CHECK_FALSE(file.IsReplaced());
+}
+
 // A target said for how long it stays cold. Others come and go meanwhile, and
 // with each of them the list is read again; the time must not start anew.
 TEST_CASE("a target is cold for as long as it said, whatever others do") {
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -1,5 +1,7 @@
 #include "platform_adapter/wire_text.h"
 
+#include <stdexcept>
+
 #include <fmt/format.h>
 
 namespace samphire::platform {
@@ -34,4 +36,13 @@
                  "protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]}})";
 }
 
+std::string Replaced(std::string text,
+                     const std::string& what,
+                     const std::string& by) {
+  const auto at = text.find(what);
+  if (at == std::string::npos)
+    throw std::invalid_argument(what + " isn't there");
+  return text.replace(at, what.size(), by);
+}
+
 }  // namespace samphire::platform
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -14,6 +14,11 @@
 // and whose "/write/" may not and goes to "writes".
 std::string ManifestObject(const std::string& version);
 
+// `text` with the first `what` replaced.
+std::string Replaced(std::string text,
+                     const std::string& what,
+                     const std::string& by);
+
 }  // namespace samphire::platform
 
 #endif  // TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
