Share a region's followers among its watchers

Cause: all entries agreed on the watchers and on the order in which to ask them, so the first one carried its whole region and the second nothing. Ruled out: a second tier of relays (a silent cut of a watcher would be noticed after 3.3 s, over the bound of 2.5 s); more watchers at any size (each is a priced watch of the store). Now each entry asks the watchers of its own failure domain first, else in an order of its own; regions of more than 50 entries have one watcher for 25.

--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -13,8 +13,10 @@
                                           boost::thread_safe_counter> {
   std::vector<std::string> names;
   // Of each, in the order of the names.
-  std::vector<std::string> caller_addresses;
+  std::vector<std::string> failure_domains;
   std::vector<std::string> peer_addresses;
+  // Of those that callers may use.
+  std::vector<std::string> caller_addresses;
   // Peer addresses of all others that may know something: also of those that
   // leave, and of some in other regions.
   std::vector<std::string> helper_addresses;
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -41,6 +41,7 @@
     if (self && leaving)
       continue;
     list->names.push_back(each.name);
+    list->failure_domains.push_back(each.failure_domain);
     // One that has just started refuses callers until it has a configuration.
     if (self ? self_ready : each.digest.config_version > 0)
       list->caller_addresses.push_back(each.caller_address);
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -8,11 +8,11 @@
 #include "base/log.h"
 #include "gateway/text_handler.h"
 #include "membership/new_incarnation.h"
-#include "membership/rendezvous.h"
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
 #include "traffic/shared_store.h"
 #include "traffic/traffic_handler.h"
+#include "traffic/watcher_choice.h"
 
 namespace samphire {
 
@@ -24,11 +24,6 @@
 constexpr milliseconds kNewsTime{1200};
 // Kept for the last answers, out of the time until the process is killed.
 constexpr milliseconds kStopMargin{500};
-// Watchers of the platform in a region: two, so that one may be cut off or
-// stand still; one where each spared watch is a quarter of the cost.
-constexpr std::size_t kWatchers = 2;
-constexpr std::size_t kFewWatchers = 1;
-constexpr std::size_t kSmallRegion = 4;
 // Three watches for each entry of the largest region that was measured.
 constexpr std::uint32_t kPeerConnections = 256;
 // Metrics are read by a few collectors.
@@ -212,20 +207,7 @@
 }
 
 std::vector<std::string> traffic_node::Watchers() const {
-  const auto entries = state_.entries().Get();
-  const auto count =
-      entries->names.size() <= kSmallRegion ? kFewWatchers : kWatchers;
-  const auto chosen = PickByRendezvous("watcher", entries->names, count);
-  std::vector<std::string> addresses;
-  for (const auto& name : chosen) {
-    if (name == settings_.place.instance)
-      return {};
-    const auto found =
-        std::find(entries->names.begin(), entries->names.end(), name);
-    addresses.push_back(entries->peer_addresses[static_cast<std::size_t>(
-        found - entries->names.begin())]);
-  }
-  return addresses;
+  return WatchersFor(settings_.place, *state_.entries().Get());
 }
 
 std::string traffic_node::CountersText() {
