--- a/src/ctl/explain_command.cc
+++ b/src/ctl/explain_command.cc
@@ -28,7 +28,7 @@
     text += line.text + "\n";
   if (text.empty())
     return context.out.Refused(
-        MakeError(result_code::kUsage, "no line names request " + request));
+        MakeError(result_code::kRequestNotLogged, request));
   text += fmt::format("lines that are no JSON: {}", story.unreadable());
   return context.out.Done(text);
 }
--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -186,6 +186,9 @@
     {kNotInForceYet, "not-in-force-yet", 504, true,
      "Accepted, but not every entry has confirmed it in the time given."},
     {kUsage, "usage", 400, false, "The command line can't be understood."},
+    {kRequestNotLogged, "request-not-logged", 404, false,
+     "No line of these logs names the request: it was not read there, or its "
+     "process was gone first."},
 });
 
 }  // namespace
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -114,6 +114,7 @@
   kEntryUnreachable = 5010,
   kNotInForceYet = 5011,
   kUsage = 5012,
+  kRequestNotLogged = 5013,
 };
 
 // What the table says of a code.
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -186,6 +186,7 @@
                              std::string_view first,
                              target_exchange_end& end) {
   end.streamed = true;
+  end.streamed_status = head.getStatus();
   sink_.Begin(head, exchange.framing(), answer_note{});
   bool taken = sink_.Write(first);
   std::array<char, kPieceBytes> piece;
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -20,6 +20,8 @@
   bool body_spent = false;
   // The answer began to stream to the caller: nothing else may be said.
   bool streamed = false;
+  // Of the answer that streamed.
+  int streamed_status = 0;
   // A whole answer that was not passed on yet.
   std::optional<held_answer> answer;
 };
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -132,7 +132,7 @@
 
 void traffic_dispatcher::Finish(target_exchange_end end) {
   if (end.streamed || end.reason == result_code::kCallerGone) {
-    LogOutcome(end.reason, 0);
+    LogOutcome(end.reason, end.streamed_status);
     if (!end.streamed)
       sink_.Abort();
     return;
