Tell equal keys of two routes apart

Both routes number their objects alike and share a service. Ruled out: eviction (targets keep 50 keys and have 24 of each route).

--- a/src/libsamphire/routing/target_rank.h
+++ b/src/libsamphire/routing/target_rank.h
@@ -9,6 +9,8 @@
 // The hash of an affinity key or, without one, of whatever tells a request
 // from others.
 std::uint64_t KeyHash(std::string_view key);
+// The same for a key of one route's requests.
+std::uint64_t KeyHash(std::string_view route, std::string_view key);
 
 // How high a target ranks for a key, by weighted rendezvous hashing: every
 // entry that knows the same targets ranks them alike, a target that comes or
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -72,7 +72,8 @@
                               read.route->timeout);
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
   // Requests without a key are spread by their own ids.
-  read.key_hash = KeyHash(request.get(context.headers.affinity_key, read.id));
+  read.key_hash = KeyHash(read.route->name,
+                          request.get(context.headers.affinity_key, read.id));
   return read;
 }
 
--- a/tests/routing/service_tracker_test.cc
+++ b/tests/routing/service_tracker_test.cc
@@ -45,7 +45,7 @@
 placing_request Wish(const std::string& key) {
   placing_request wish;
   wish.route = "r";
-  wish.key_hash = KeyHash(key);
+  wish.key_hash = KeyHash(wish.route, key);
   wish.objective = 250ms;
   wish.time_left = 800ms;
   return wish;
@@ -93,6 +93,22 @@
   }
 }
 
+// Receipts and transfers are both numbered from one. A target that has receipt
+// 7 in memory was taken to have transfer 7, too; its caller waited three times
+// as long as it was promised, at a target that others could have relieved.
+TEST_CASE("equal keys of two routes are different objects") {
+  rig tracked;
+  tracked.targets = target_set_ptr(new target_set({Target("t")}, {}));
+  tracked.Serve("7", kStart);
+  auto other = Wish("7");
+  other.route = "transfers";
+  other.key_hash = KeyHash(other.route, "7");
+  const auto placed = tracked.Place(other, kStart + 1ms);
+  CHECK_FALSE(std::get<placed_attempt>(placed).knows_key);
+  CHECK(std::get<placed_attempt>(tracked.Place(Wish("7"), kStart + 1ms))
+            .knows_key);
+}
+
 TEST_CASE("a target that leaves moves only its own keys") {
   rig tracked;
   std::map<std::string, std::string> before;
