Let settings leave out mechanisms of placing, to measure them

Cause: what a mechanism is worth could only be told by building another program, so most had never been measured one by one. Change: a typed set (placing_mechanism, mechanism_set) that the product's placing reads; the platform's settings name it as placing_without; an unknown name is refused by number. Bounds that hold for all entries (cold targets, repeats) can't be left out. The lock and look-up of a service's shard, four times alike in traffic_dispatcher, stand once. Before, after: no behaviour changes with an empty set. Not measured by itself.

--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -50,6 +50,13 @@
   return std::find(all.begin(), all.end(), one) != all.end();
 }
 
+std::map<std::string, double> UseAll(const region_room& room) {
+  std::map<std::string, double> factors;
+  for (const auto& [region, slots] : room)
+    factors[region] = 1;
+  return factors;
+}
+
 }  // namespace
 
 placing service_tracker::Place(const placing_request& request,
@@ -72,7 +79,8 @@
   for (const auto& each : candidates) {
     const bool first = &each == &candidates.front();
     const auto outlook = Forecast(each, request, now);
-    if (!first && !outlook.knows_key && !outlook.idle)
+    if (!first && !outlook.knows_key && !outlook.idle &&
+        Uses(placing_mechanism::kIdleShare))
       continue;
     if (outlook.wait_ms < nearest.wait_ms)
       nearest = outlook;
@@ -101,7 +109,9 @@
 // A guess is no ground to turn anybody away, or no answer would ever teach
 // better: a route that was just added would stay refused for good.
 bool service_tracker::IsInTime(const forecast& outlook,
-                               const placing_request& request) {
+                               const placing_request& request) const {
+  if (!Uses(placing_mechanism::kWaitForecast))
+    return true;
   const double time_left = static_cast<double>(request.time_left.count());
   return outlook.wait_ms <= Patience(outlook, request) &&
          (!outlook.learned || outlook.finish_ms() < time_left);
@@ -149,8 +159,8 @@
                                          tells ? expected : 0, service, now);
   if (end.result == attempt_result::kAnswered) {
     const std::chrono::duration<double, std::milli> took = end.took;
-    const double slowness = std::max(1.0, found->second.slowness());
-    estimate.Learn(attempt.knows_key, took.count() / rounds / slowness);
+    estimate.Learn(attempt.knows_key,
+                   took.count() / rounds / Slowness(found->second));
   }
   return pause;
 }
@@ -172,7 +182,8 @@
     if (targets.IsOpen(target))
       room[target.region] += target.slots;
   }
-  plan_ = PlanRegions(room, self.region);
+  plan_ = Uses(placing_mechanism::kRegionPlan) ? PlanRegions(room, self.region)
+                                               : UseAll(room);
   std::erase_if(records_, [&](const auto& entry) {
     return !listed.contains(entry.first);
   });
@@ -195,7 +206,7 @@
         Contains(request.excluded, target.id))
       continue;
     auto& record = records_[target.id];
-    if (!record.IsFit(now) ||
+    if (!IsFit(record, now) ||
         !MayTakeCold(record, target, service, self, entries, now))
       continue;
     const auto planned = plan_.find(target.region);
@@ -204,7 +215,9 @@
     const double rank = TargetRank(request.key_hash, target.id, target.slots);
     const candidate each{&target, &record, rank * std::max(kUnplanned, share),
                          rank};
-    (record.fails_in_part() ? failing : fit).push_back(each);
+    const bool fails =
+        record.fails_in_part() && Uses(placing_mechanism::kPartialFailures);
+    (fails ? failing : fit).push_back(each);
   }
   // When most fail in part, avoiding them would only pile all work on the
   // rest, which then fails too.
@@ -214,13 +227,14 @@
 }
 
 std::vector<service_tracker::candidate> service_tracker::Best(
-    std::vector<candidate> fit) {
+    std::vector<candidate> fit) const {
+  const auto others = Uses(placing_mechanism::kOtherTarget) ? kOtherTargets : 0;
   const auto planned = std::min(kPlannedTargets, fit.size());
   const auto rest = fit.begin() + static_cast<std::ptrdiff_t>(planned);
   std::partial_sort(
       fit.begin(), rest, fit.end(),
       [](const auto& a, const auto& b) { return a.rank > b.rank; });
-  const auto count = std::min(kPlannedTargets + kOtherTargets, fit.size());
+  const auto count = std::min(kPlannedTargets + others, fit.size());
   std::partial_sort(rest, fit.begin() + static_cast<std::ptrdiff_t>(count),
                     fit.end(), [](const auto& a, const auto& b) {
                       return a.anywhere_rank > b.anywhere_rank;
@@ -250,19 +264,37 @@
   return static_cast<double>(record.ColdSends(now)) < std::max(1.0, share);
 }
 
+bool service_tracker::IsFit(const target_record& record, time_point now) const {
+  return Uses(placing_mechanism::kEjection) ? record.IsFit(now)
+                                            : !record.misdirected();
+}
+
+bool service_tracker::KnowsKey(const target_record& record,
+                               std::uint64_t key_hash,
+                               time_point now) const {
+  return Uses(placing_mechanism::kKeyMemory) && record.KnowsKey(key_hash, now);
+}
+
+double service_tracker::Slowness(const target_record& record) const {
+  return Uses(placing_mechanism::kSlowness) ? std::max(1.0, record.slowness())
+                                            : 1;
+}
+
 service_tracker::forecast service_tracker::Forecast(
     const candidate& each,
     const placing_request& request,
     time_point now) {
   const auto& estimate = EstimateOf(request);
   const double slots = std::max(1U, each.target->slots);
-  const double slowness = std::max(1.0, each.record->slowness());
+  const double slowness = Slowness(*each.record);
   const double load = each.record->Load(now);
   const double ahead = std::max(0.0, load + 1 - slots) / slots;
-  const bool knows_key = each.record->KnowsKey(request.key_hash, now);
+  const bool knows_key = KnowsKey(*each.record, request.key_hash, now);
   return {.load = load,
           .load_age = each.record->LoadAge(now),
-          .wait_ms = ahead * estimate.Ms(true) * slowness,
+          .wait_ms = Uses(placing_mechanism::kWaitForecast)
+                         ? ahead * estimate.Ms(true) * slowness
+                         : 0,
           .service_ms = estimate.Ms(knows_key) * slowness,
           .learned = estimate.IsLearned(knows_key),
           .knows_key = knows_key,
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/clock_source.h"
 #include "routing/entry_place.h"
+#include "routing/mechanism_set.h"
 #include "routing/placing.h"
 #include "routing/placing_request.h"
 #include "routing/region_plan.h"
@@ -24,6 +26,10 @@
 // would answer it in time. Knows no sockets and no clock. Not thread-safe.
 class service_tracker {
  public:
+  // `without`: what placing leaves out, to measure what it is worth.
+  explicit service_tracker(mechanism_set without = {})
+      : without_(std::move(without)) {}
+
   // Places an attempt and counts it as work there until Ended.
   // `region_entries` are the live entries of this region, by name; none while
   // they are not known yet.
@@ -68,7 +74,15 @@
               std::string_view service_name,
               const entry_place& self,
               time_point now);
-  static std::vector<candidate> Best(std::vector<candidate> fit);
+  bool Uses(placing_mechanism mechanism) const {
+    return !without_.contains(mechanism);
+  }
+  bool IsFit(const target_record& record, time_point now) const;
+  bool KnowsKey(const target_record& record,
+                std::uint64_t key_hash,
+                time_point now) const;
+  double Slowness(const target_record& record) const;
+  std::vector<candidate> Best(std::vector<candidate> fit) const;
   std::vector<candidate> Candidates(const placing_request& request,
                                     const target_set& targets,
                                     const traffic_service* service,
@@ -88,7 +102,7 @@
   // How long a queue may be for an answer that is worth waiting for, in ms.
   static double Patience(const forecast& outlook,
                          const placing_request& request);
-  static bool IsInTime(const forecast& outlook, const placing_request& request);
+  bool IsInTime(const forecast& outlook, const placing_request& request) const;
   static placing_refusal Full(const forecast& nearest,
                               std::size_t candidates,
                               const placing_request& request);
@@ -97,6 +111,7 @@
                        const forecast& outlook,
                        time_point now);
 
+  mechanism_set without_;
   // The set that the records were last made to match.
   target_set_ptr followed_;
   // How much of each region's targets this region's callers are to use.
--- a/src/libsamphire/routing/target_record.h
+++ b/src/libsamphire/routing/target_record.h
@@ -34,6 +34,8 @@
   std::size_t ColdSends(time_point now);
   // Whether it may be given work as far as its failures tell.
   bool IsFit(time_point now) const;
+  // Another process was met at its address.
+  bool misdirected() const { return misdirected_; }
   bool fails_in_part() const { return failure_share_ > kFailingShare; }
 
   void Started(time_point now);
@@ -64,7 +66,6 @@
   time_point ejected_until_;
   // After an ejection: one request at a time until one is answered.
   bool on_trial_ = false;
-  // Another process was met at its address.
   bool misdirected_ = false;
   // It was unreachable, so it may have started anew.
   bool may_be_cold_ = false;
--- a/src/libsamphire/traffic/service_shards.h
+++ b/src/libsamphire/traffic/service_shards.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/sharded.h"
+#include "routing/mechanism_set.h"
 #include "routing/retry_window.h"
 #include "routing/service_tracker.h"
 #include "routing/weighted_split.h"
@@ -13,6 +14,9 @@
 
 // What requests of one service share.
 struct service_shard {
+  explicit service_shard(const mechanism_set& without = {})
+      : tracker(without) {}
+
   service_tracker tracker;
   retry_window retries;
 };
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -34,9 +34,8 @@
   wish_.key_hash = request.key_hash;
   wish_.objective = route.latency_objective;
   wish_.home_regions = route.home_regions;
-  context_.shards.services.With(service_, [&](auto& services) {
-    services[service_].retries.OnRequest(context_.clock.now());
-  });
+  WithShard(
+      [&](auto& shard) { shard.retries.OnRequest(context_.clock.now()); });
 }
 
 void traffic_dispatcher::Run() {
@@ -76,20 +75,19 @@
   const auto targets = context_.state.targets();
   const auto entries = context_.state.entries().Get();
   wish_.time_left = std::chrono::floor<milliseconds>(request_.deadline - now);
-  return context_.shards.services.With(service_, [&](auto& services) {
-    return services[service_].tracker.Place(wish_, *targets, Service(),
-                                            service_, context_.settings.place,
-                                            entries->region_sharers, now);
+  return WithShard([&](auto& shard) {
+    return shard.tracker.Place(wish_, *targets, Service(), service_,
+                               context_.settings.place, entries->region_sharers,
+                               now);
   });
 }
 
 void traffic_dispatcher::Report(const placed_attempt& attempt,
                                 const target_exchange_end& end) {
-  const auto pause =
-      context_.shards.services.With(service_, [&](auto& services) {
-        return services[service_].tracker.Ended(
-            wish_, attempt, end.attempt, Service(), context_.clock.now());
-      });
+  const auto pause = WithShard([&](auto& shard) {
+    return shard.tracker.Ended(wish_, attempt, end.attempt, Service(),
+                               context_.clock.now());
+  });
   LogAttempt(attempt, end);
   if (pause > milliseconds{0}) {
     Log(log_level::kWarning, "target-ejected",
@@ -124,9 +122,8 @@
     return true;
   const auto entries = context_.state.entries().Get();
   const auto bounds = context_.state.bounds();
-  return context_.shards.services.With(service_, [&](auto& services) {
-    return services[service_].retries.TryTake(bounds->retries,
-                                              entries->fleet_sharers, now);
+  return WithShard([&](auto& shard) {
+    return shard.retries.TryTake(bounds->retries, entries->fleet_sharers, now);
   });
 }
 
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -26,6 +26,14 @@
   void Run();
 
  private:
+  // Calls `use` with what this entry knows of the service, under its lock.
+  template <typename F>
+  auto WithShard(F use) const {
+    return context_.shards.services.With(service_, [&](auto& services) {
+      const auto& without = context_.settings.without;
+      return use(services.try_emplace(service_, without).first->second);
+    });
+  }
   placing Place();
   void Report(const placed_attempt& attempt, const target_exchange_end& end);
   // Whether another target may be tried after `end`.
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "routing/entry_place.h"
+#include "routing/mechanism_set.h"
 #include "traffic/traffic_bounds.h"
 
 namespace samphire {
@@ -31,6 +32,8 @@
   // and with every fifth message lost. By a model over 240 fleets; at 3 s one
   // of them broke a bound.
   milliseconds settle_time{5000};
+  // What placing leaves out, to measure what it is worth.
+  mechanism_set without;
   traffic_bounds bounds;
 };
 
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -25,6 +25,14 @@
   return ReadTarget("i-1", value, kRegions, kNow);
 }
 
+const std::string kSettings = R"({"instance":"n","failure_domain":"a-1",
+    "region":"a","failure_domains":{"a-1":"a"},"caller_address":"127.0.0.1:1",
+    "readiness_address":"127.0.0.1:2","lookup_address":"127.0.0.1:3",
+    "peer_address":"127.0.0.1:4","metrics_address":"127.0.0.1:5","seeds":[],
+    "peer_key":"k","store_addresses":["127.0.0.1:6"],
+    "bounds":["grace=7s","retryBudgetRatio=0.3","odd","unknown=1",
+              "retryBudgetSlack=x"]})";
+
 }  // namespace
 
 TEST_CASE("durations have a unit") {
@@ -108,13 +116,7 @@
 }
 
 TEST_CASE("settings name what is missing, and bounds replace defaults") {
-  const std::string whole = R"({"instance":"n","failure_domain":"a-1",
-    "region":"a","failure_domains":{"a-1":"a"},"caller_address":"127.0.0.1:1",
-    "readiness_address":"127.0.0.1:2","lookup_address":"127.0.0.1:3",
-    "peer_address":"127.0.0.1:4","metrics_address":"127.0.0.1:5","seeds":[],
-    "peer_key":"k","store_addresses":["127.0.0.1:6"],
-    "bounds":["grace=7s","retryBudgetRatio=0.3","odd","unknown=1",
-              "retryBudgetSlack=x"]})";
+  const std::string whole = kSettings;
   const auto settings = ReadSettings(whole);
   REQUIRE(settings);
   CHECK(settings.value().traffic.bounds.stop_grace == 7s);
@@ -126,6 +128,20 @@
   CHECK(ReadSettings("{").error().code == result_code::kJsonSyntax);
 }
 
+// Someone measures what a mechanism is worth and misspells it. Taken silently,
+// the run would be one with the mechanism on, and its figure a wrong one.
+TEST_CASE("placing goes without the mechanisms that settings name") {
+  CHECK(ReadSettings(kSettings).value().traffic.without.empty());
+  const auto one = Replaced(kSettings, R"("bounds")",
+                            R"("placing_without": ["region-plan"], "bounds")");
+  CHECK(ReadSettings(one).value().traffic.without ==
+        mechanism_set{placing_mechanism::kRegionPlan});
+  const auto misspelt = ReadSettings(Replaced(one, "region-plan", "region"));
+  REQUIRE_FALSE(misspelt);
+  CHECK(misspelt.error().code == result_code::kSchemaViolation);
+  CHECK(misspelt.error().pointer == "/placing_without");
+}
+
 TEST_CASE("a settings file tells when it was replaced") {
   const auto path = std::filesystem::temp_directory_path() /
                     ("samphire-settings-" + std::to_string(getpid()));
--- a/tests/routing/shared_bounds_model_test.cc
+++ b/tests/routing/shared_bounds_model_test.cc
@@ -127,7 +127,7 @@
     world_.Core(name).AddSeeds({"b-0", "c-0"});
     one.builder =
         std::make_unique<entry_list_builder>(name, kSettleTime, kRegions, now);
-    one.tracker = {};
+    one.tracker = service_tracker();
     one.retries = {};
   }
 
