Remember for a minute which target knows a key

Ruled out: eviction by time (targets keep a number of keys, not an age). The test fails with ten seconds and passes with a minute.

--- a/src/libsamphire/routing/target_record.cc
+++ b/src/libsamphire/routing/target_record.cc
@@ -11,7 +11,12 @@
 // in which a target's queue turns over.
 constexpr double kReportHalfLifeMs = 800;
 // A key that this entry has not sent for so long may have been pushed out.
-constexpr milliseconds kKeyMemory{10'000};
+// Entries of a region share its keys, so a target has mostly seen a key since
+// this entry sent it last: with ten seconds, a fifth of the requests went to a
+// target that knew the key while this entry thought it did not. Measured on
+// eight days of three installations: payoff 0.8735 against 0.8719, that of the
+// worst-served failure domain 0.8455 against 0.8411.
+constexpr milliseconds kKeyMemory{60'000};
 // About what a target remembers; above it the oldest are dropped here too.
 constexpr std::size_t kMaxKeys = 64;
 // Lost answers in a row before a target is left alone. One alone may be a
--- a/tests/routing/service_tracker_test.cc
+++ b/tests/routing/service_tracker_test.cc
@@ -109,6 +109,19 @@
             .knows_key);
 }
 
+// An inspector's bundle comes every half minute. Its target keeps it in memory,
+// since other entries send it too; an entry that forgets this first promises
+// three times the time and turns callers away that would have been served.
+TEST_CASE("a key that comes twice a minute stays known") {
+  rig tracked;
+  const auto first = tracked.Serve("bundle", kStart);
+  const auto again = tracked.Place(Wish("bundle"), kStart + 30s);
+  CHECK(std::get<placed_attempt>(again).target.id == first);
+  CHECK(std::get<placed_attempt>(again).knows_key);
+  const auto late = tracked.Place(Wish("bundle"), kStart + 61s);
+  CHECK_FALSE(std::get<placed_attempt>(late).knows_key);
+}
+
 TEST_CASE("a target that leaves moves only its own keys") {
   rig tracked;
   std::map<std::string, std::string> before;
