--- a/src/ctl/command_table.cc
+++ b/src/ctl/command_table.cc
@@ -14,7 +14,7 @@
 // A fleet's worth of files on one command line.
 constexpr std::size_t kMaxLogFiles = 1000;
 
-constexpr std::array<command, 14> kCommands{{
+constexpr std::array<command, 15> kCommands{{
     {"check", "FILE", 1, 1, command_need::kNothing, CheckFile,
      "checks a declaration; needs no entry",
      "samphirectl check examples/nivel-claro.json"},
@@ -55,6 +55,10 @@
      command_need::kNothing, ExplainRequest,
      "tells a request's story from the logs of entries",
      "samphirectl explain entry-1.log entry-2.log 9c41d07be2a35f68"},
+    {"losses", "LOG-FILE...", 1, kMaxLogFiles, command_need::kNothing,
+     SummarizeLosses,
+     "tells from the logs of entries which requests were late or not served",
+     "samphirectl losses entry-1.log entry-2.log"},
     {"lookup", "SERVICE [CLIENT-IP] --caller_url=URL", 1, 2,
      command_need::kCallerUrl, LookUp,
      "shows which entries a caller is told to use",
@@ -63,7 +67,7 @@
 }};
 
 constexpr std::string_view kHelpEnd = R"(
-Every command but check, explain and lookup needs
+Every command but check, explain, losses and lookup needs
   --operator_url=URL[,URL...]  operator ports, tried in turn
   --token_file=FILE            the operator token
 Commands that change something need --operator=NAME, which stays in the
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -20,6 +20,7 @@
 exit_code ListUnresolved(command_context& context);
 exit_code WitnessProposal(command_context& context);
 exit_code ExplainRequest(command_context& context);
+exit_code SummarizeLosses(command_context& context);
 exit_code LookUp(command_context& context);
 
 }  // namespace samphire
