--- /dev/null
+++ b/bench/routing.cc
@@ -0,0 +1,133 @@
+// Plays scenarios of placing under load and shows what became of the callers.
+//   bench_routing [--only=NAME] [--seeds=N] [--without=MECHANISM,...] [--each]
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "routing/lab_run.h"
+
+ABSL_FLAG(std::string, only, "", "run only scenarios whose name holds this");
+ABSL_FLAG(int, seeds, 5, "seeds of each scenario, from 1");
+ABSL_FLAG(std::vector<std::string>, without, {}, "mechanisms to leave out");
+ABSL_FLAG(bool, each, false, "leave out each mechanism in turn as well");
+
+namespace samphire {
+
+namespace {
+
+// A figure over several seeds.
+struct spread {
+  double mean = 0;
+  double deviation = 0;
+};
+
+template <typename F>
+spread Over(const std::vector<lab_report>& reports, F figure) {
+  const auto count = static_cast<double>(reports.size());
+  spread over;
+  for (const auto& report : reports)
+    over.mean += figure(report) / count;
+  for (const auto& report : reports)
+    over.deviation += std::pow(figure(report) - over.mean, 2) / count;
+  over.deviation = std::sqrt(over.deviation);
+  return over;
+}
+
+double ShareOf(std::uint64_t part, std::uint64_t all) {
+  return all == 0 ? 0 : static_cast<double>(part) / static_cast<double>(all);
+}
+
+void PrintHead() {
+  fmt::print(
+      "{:16} {:18} {:>15} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7}\n",
+      "scenario", "without", "payoff", "route", "domain", "second", "late",
+      "refuse", "fail", "domains", "regions");
+}
+
+void PrintRow(const lab_scenario& scenario,
+              const std::string& without,
+              const std::vector<lab_report>& reports) {
+  const auto payoff =
+      Over(reports, [](const auto& r) { return r.all.payoff(); });
+  const auto mean = [&](auto figure) { return Over(reports, figure).mean; };
+  fmt::print(
+      "{:16} {:18} {:.4f} +-{:.4f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} {:6.3f} "
+      "{:6.3f} {:7.3f} {:7.3f}\n",
+      scenario.name, without, payoff.mean, payoff.deviation,
+      mean([](const auto& r) { return r.worst_route(); }),
+      mean([](const auto& r) { return r.worst_domain(); }),
+      mean([](const auto& r) { return r.worst_second(); }),
+      mean([](const auto& r) { return ShareOf(r.all.late, r.all.asked); }),
+      mean([](const auto& r) { return ShareOf(r.all.refused, r.all.asked); }),
+      mean([](const auto& r) { return ShareOf(r.all.failed, r.all.asked); }),
+      mean([](const auto& r) {
+        return ShareOf(r.bytes_between_domains, r.bytes);
+      }),
+      mean([](const auto& r) {
+        return ShareOf(r.bytes_between_regions, r.bytes);
+      }));
+}
+
+void Play(lab_scenario scenario, const std::string& without) {
+  std::vector<lab_report> reports;
+  for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+    scenario.seed = static_cast<std::uint64_t>(seed);
+    reports.push_back(RunLab(scenario));
+  }
+  PrintRow(scenario, without, reports);
+}
+
+std::optional<mechanism_set> Named(const std::vector<std::string>& names) {
+  mechanism_set set;
+  for (const auto& name : names) {
+    const auto mechanism = ValueOf(kPlacingMechanismNames, name);
+    if (!mechanism) {
+      fmt::print(stderr, "no such mechanism: {}\n", name);
+      return std::nullopt;
+    }
+    set.insert(*mechanism);
+  }
+  return set;
+}
+
+int Main() {
+  const auto names = absl::GetFlag(FLAGS_without);
+  const auto without = Named(names);
+  if (!without)
+    return 2;
+  fmt::print(
+      "payoff: 1 in time, {} late, of all requests; worst route, domain "
+      "and second; shares of requests and bytes\n",
+      lab_tally::kLateWorth);
+  PrintHead();
+  for (auto scenario : LabScenarios()) {
+    if (scenario.name.find(absl::GetFlag(FLAGS_only)) == std::string::npos)
+      continue;
+    scenario.without = *without;
+    Play(scenario,
+         names.empty() ? "-" : fmt::format("{}", fmt::join(names, ",")));
+    if (!absl::GetFlag(FLAGS_each))
+      continue;
+    for (const auto& [mechanism, name] : kPlacingMechanismNames) {
+      scenario.without = {mechanism};
+      Play(scenario, std::string(name));
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace samphire
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  return samphire::Main();
+}
