Don't take a busy target for a failing one

Requests that timed out counted as failures, so a target with a queue lost all its keys to targets that had to learn them.

--- a/src/libsamphire/routing/target_record.cc
+++ b/src/libsamphire/routing/target_record.cc
@@ -30,10 +30,13 @@
 constexpr double kMaxSlowness = 12;
 constexpr milliseconds kColdWindow{1000};
 
+// An attempt that ran out of time speaks of the target's queue and speed, which
+// are counted by themselves. Taken for a failure as well, it drives all keys
+// off a target that is merely busy, and each has to be learned elsewhere.
 bool IsFailure(attempt_result result) {
   return result == attempt_result::kTargetError ||
          result == attempt_result::kConnectFailed ||
-         result == attempt_result::kLost || result == attempt_result::kTimedOut;
+         result == attempt_result::kLost;
 }
 
 }  // namespace
