Let one piece of code serve where the change had written it twice

Cause: read again as a whole, the change held twins: names of mechanisms were parsed in the settings reader and in bench_routing; log lines were found, parsed and their files read in explain and in losses; the size of a request's body was worked out in the dispatcher and in the exchange; PlanRegions and PlanDomains differed by one factor. The laboratory kept counters that nothing read. Ruled out: candidates that point to their open target in place of copying two pointers (no simpler); one type for the lab's tallies and run_report (they count different things, alike in shape only). After: MechanismsOf, log_line and ReadLogFiles, traffic_request::body_bytes, PlanRoom; lab counters and an unused draw are gone.

--- a/bench/routing.cc
+++ b/bench/routing.cc
@@ -4,10 +4,8 @@
 #include <absl/flags/parse.h>
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,24 +82,13 @@
   PrintRow(scenario, without, reports);
 }
 
-std::optional<mechanism_set> Named(const std::vector<std::string>& names) {
-  mechanism_set set;
-  for (const auto& name : names) {
-    const auto mechanism = ValueOf(kPlacingMechanismNames, name);
-    if (!mechanism) {
-      fmt::print(stderr, "no such mechanism: {}\n", name);
-      return std::nullopt;
-    }
-    set.insert(*mechanism);
-  }
-  return set;
-}
-
 int Main() {
   const auto names = absl::GetFlag(FLAGS_without);
-  const auto without = Named(names);
-  if (!without)
+  const auto without = MechanismsOf(names);
+  if (!without) {
+    fmt::print(stderr, "{}\n", without.error().detail);
     return 2;
+  }
   fmt::print(
       "payoff: 1 in time, {} late, of all requests; worst route, domain "
       "and second; shares of requests and bytes\n",
@@ -110,7 +97,7 @@
   for (auto scenario : LabScenarios()) {
     if (scenario.name.find(absl::GetFlag(FLAGS_only)) == std::string::npos)
       continue;
-    scenario.without = *without;
+    scenario.without = without.value();
     Play(scenario,
          names.empty() ? "-" : fmt::format("{}", fmt::join(names, ",")));
     if (!absl::GetFlag(FLAGS_each))
--- a/bench/routing/lab_fleet.cc
+++ b/bench/routing/lab_fleet.cc
@@ -106,10 +106,10 @@
 }
 
 void lab_fleet::Begin(const lab_trouble& trouble) {
-  if (trouble.kind == lab_trouble_kind::kBurst)
+  if (trouble.kind == lab_trouble_kind::kBurst) {
     burst_ = trouble.strength;
-  if (trouble.kind == lab_trouble_kind::kBurst)
     return;
+  }
   for (auto* target : Struck(trouble)) {
     if (trouble.kind == lab_trouble_kind::kSlowTargets)
       target->slowness = trouble.strength;
@@ -198,38 +198,35 @@
   const auto over = std::make_shared<bool>(false);
   item->key_hash = asked->key_hash;
   item->cold_work = asked->route->cold_work;
-  item->on_end = [this, asked, placed, sent, hop, over](auto end) {
-    events_.After(hop, [this, asked, placed, sent, over, end] {
+  item->on_end = [this, asked, placed, sent, hop, over](auto result) {
+    events_.After(hop, [this, asked, placed, sent, over, result] {
       if (!std::exchange(*over, true))
-        OnEnd(asked, placed, end, events_.now() - sent);
+        OnEnd(asked, placed, result, events_.now() - sent);
     });
   };
   events_.After(hop, [&target, item] {
     if (!item->cancelled)
       target.Submit(item);
   });
-  events_.At(asked->asked + asked->route->deadline,
-             [this, asked, placed, sent, over, item, &target] {
-               if (std::exchange(*over, true))
-                 return;
-               target.Cancel(item);
-               OnEnd(asked, placed, {.result = attempt_result::kTimedOut},
-                     events_.now() - sent);
-             });
+  events_.At(asked->asked + asked->route->deadline, [this, asked, placed, sent,
+                                                     over, item, &target] {
+    if (std::exchange(*over, true))
+      return;
+    target.Cancel(item);
+    OnEnd(asked, placed, attempt_result::kTimedOut, events_.now() - sent);
+  });
 }
 
 void lab_fleet::OnEnd(const request_ptr& asked,
                       const placed_attempt& placed,
-                      lab_target::work_end end,
+                      attempt_result result,
                       duration took) {
   const auto& target = *targets_.at(placed.target.id);
-  attempt_end told{.result = end.result, .took = took};
-  const bool answered = end.result == attempt_result::kAnswered;
-  if (answered) {
+  attempt_end told{.result = result, .took = took};
+  const bool answered = result == attempt_result::kAnswered;
+  if (answered)
     told.body_bytes = asked->route->request_bytes + asked->route->answer_bytes;
-    report_.cold_runs += end.was_cold ? 1 : 0;
-  }
-  if (answered || end.result == attempt_result::kTargetRefused)
+  if (answered || result == attempt_result::kTargetRefused)
     told.report = target.Report();
   auto& at = *asked->at;
   at.tracker.Ended(WishOf(*asked), placed, told, &service_, events_.now());
@@ -237,24 +234,23 @@
     OnAnswered(asked, placed.target);
     return;
   }
-  if (end.result == attempt_result::kTimedOut) {
-    ++report_.timed_out;
+  if (result == attempt_result::kTimedOut) {
     Fail(asked);
     return;
   }
   asked->tried.push_back(placed.target.id);
-  const bool may_have_run = end.result == attempt_result::kTargetError ||
-                            end.result == attempt_result::kLost;
+  const bool may_have_run =
+      result == attempt_result::kTargetError || result == attempt_result::kLost;
   if (may_have_run && !asked->route->idempotent) {
     Fail(asked);
     return;
   }
   const bool may_repeat =
-      end.result == attempt_result::kConnectFailed ||
+      result == attempt_result::kConnectFailed ||
       at.retries.TryTake(kRetries, entries_.size(), events_.now());
   if (may_repeat && asked->attempts < kMaxAttempts)
     Attempt(asked);
-  else if (end.result == attempt_result::kTargetRefused)
+  else if (result == attempt_result::kTargetRefused)
     OnRefused(asked, milliseconds{100});
   else
     Fail(asked);
--- a/bench/routing/lab_fleet.h
+++ b/bench/routing/lab_fleet.h
@@ -62,7 +62,7 @@
   void Send(const request_ptr& asked, const placed_attempt& placed);
   void OnEnd(const request_ptr& asked,
              const placed_attempt& placed,
-             lab_target::work_end end,
+             attempt_result result,
              duration took);
   void OnRefused(const request_ptr& asked, milliseconds retry_after);
   void OnAnswered(const request_ptr& asked, const live_target& target);
@@ -71,9 +71,6 @@
   void Count(const request& asked, F count);
   placing_request WishOf(const request& asked) const;
   duration HopTo(const live_target& target, const entry& from) const;
-  double Part() {
-    return std::uniform_real_distribution<double>(0, 1)(random_);
-  }
 
   const lab_scenario& scenario_;
   std::mt19937_64 random_;
--- a/bench/routing/lab_report.h
+++ b/bench/routing/lab_report.h
@@ -35,9 +35,6 @@
   std::uint64_t bytes = 0;
   std::uint64_t bytes_between_domains = 0;
   std::uint64_t bytes_between_regions = 0;
-  std::uint64_t timed_out = 0;
-  // Work on an object that the target did not have in memory.
-  std::uint64_t cold_runs = 0;
 
   double worst_route() const { return Worst(by_route); }
   double worst_domain() const { return Worst(by_domain); }
--- a/bench/routing/lab_target.cc
+++ b/bench/routing/lab_target.cc
@@ -33,13 +33,12 @@
 
 void lab_target::Submit(const work_ptr& item) {
   if (dark) {
-    events_.After(kConnectTimeout, [item] {
-      item->on_end({.result = attempt_result::kConnectFailed});
-    });
+    events_.After(kConnectTimeout,
+                  [item] { item->on_end(attempt_result::kConnectFailed); });
   } else if (down_) {
-    item->on_end({.result = attempt_result::kConnectFailed});
+    item->on_end(attempt_result::kConnectFailed);
   } else if (Part() < shed_share || waiting_.size() >= scenario_.queue) {
-    item->on_end({.result = attempt_result::kTargetRefused});
+    item->on_end(attempt_result::kTargetRefused);
   } else if (running_ < scenario_.slots) {
     Start(item);
   } else {
@@ -65,7 +64,7 @@
   running_ = 0;
   memory_.clear();
   for (const auto& item : std::exchange(waiting_, {}))
-    item->on_end({.result = attempt_result::kLost});
+    item->on_end(attempt_result::kLost);
 }
 
 void lab_target::ComeBack(std::int64_t started_ms) {
@@ -85,23 +84,21 @@
                     std::max(kLeast, spread(random_));
   events_.After(std::chrono::duration_cast<duration>(
                     std::chrono::duration<double, std::milli>(ms)),
-                [this, item, cold] { End(item, cold); });
+                [this, item] { End(item); });
 }
 
-void lab_target::End(const work_ptr& item, bool cold) {
+void lab_target::End(const work_ptr& item) {
   if (item->cancelled)
     return;
   if (item->life != life_) {
-    item->on_end({.result = attempt_result::kLost});
+    item->on_end(attempt_result::kLost);
     return;
   }
   item->running = false;
   --running_;
   Remember(item->key_hash);
-  const bool fails = Part() < fail_share;
-  item->on_end({.result = fails ? attempt_result::kTargetError
-                                : attempt_result::kAnswered,
-                .was_cold = cold});
+  item->on_end(Part() < fail_share ? attempt_result::kTargetError
+                                   : attempt_result::kAnswered);
   StartNext();
 }
 
--- a/bench/routing/lab_target.h
+++ b/bench/routing/lab_target.h
@@ -19,15 +19,10 @@
 // served last.
 class lab_target {
  public:
-  // How the work ended, and whether the object was in memory.
-  struct work_end {
-    attempt_result result = attempt_result::kAnswered;
-    bool was_cold = false;
-  };
   struct work {
     std::uint64_t key_hash = 0;
     milliseconds cold_work{0};
-    std::function<void(work_end)> on_end;
+    std::function<void(attempt_result)> on_end;
     // The sender has given up.
     bool cancelled = false;
     bool running = false;
@@ -61,7 +56,7 @@
  private:
   double Part();
   void Start(const work_ptr& item);
-  void End(const work_ptr& item, bool cold);
+  void End(const work_ptr& item);
   void StartNext();
   bool Remembers(std::uint64_t key_hash) const;
   void Remember(std::uint64_t key_hash);
--- a/src/libsamphire/history/log_losses.cc
+++ b/src/libsamphire/history/log_losses.cc
@@ -1,13 +1,13 @@
 #include "history/log_losses.h"
 
-#include <Poco/Exception.h>
-#include <Poco/JSON/Parser.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
+#include "history/log_line.h"
+
 namespace samphire {
 
 namespace {
@@ -31,38 +31,31 @@
 }  // namespace
 
 void log_losses::Read(std::string_view line) {
-  if (line.find_first_not_of(" \t\r\n") == std::string_view::npos)
+  if (IsBlank(line))
     return;
-  const auto start = line.find('{');
-  if (start == std::string_view::npos) {
+  const auto json = ParseLogLine(LogLineText(line));
+  if (!json) {
     ++unreadable_;
     return;
   }
-  try {
-    Poco::JSON::Parser parser;
-    const auto json = parser.parse(std::string(line.substr(start)))
-                          .extract<Poco::JSON::Object::Ptr>();
-    const auto event = json->optValue<std::string>("event", "");
-    const auto key = json->optValue<std::string>("instance", "") + " " +
-                     json->optValue<std::string>("request", "");
-    if (event == "attempt") {
-      open_[key] = {
-          .load_before = json->optValue<double>("load_before", 0),
-          .slots = json->optValue<double>("slots", 0),
-          .knows_key = json->optValue("knows_key", true),
-          .answered = json->optValue<std::string>("result", "") == "answered"};
-    } else if (event == "request" || event == "request-refused-unread") {
-      const auto last = open_.find(key);
-      CountEnd(json->optValue<std::string>("time", ""),
-               json->optValue<std::string>("result", ""),
-               json->optValue("status", kFirstFailure),
-               last == open_.end() ? nullptr : &last->second);
-      open_.erase(key);
-    } else if (event == "log-lines-dropped") {
-      dropped_ += json->optValue<std::uint64_t>("lines", 0);
-    }
-  } catch (const Poco::Exception&) {
-    ++unreadable_;
+  const auto event = json->optValue<std::string>("event", "");
+  const auto key = json->optValue<std::string>("instance", "") + " " +
+                   json->optValue<std::string>("request", "");
+  if (event == "attempt") {
+    open_[key] = {
+        .load_before = json->optValue<double>("load_before", 0),
+        .slots = json->optValue<double>("slots", 0),
+        .knows_key = json->optValue("knows_key", true),
+        .answered = json->optValue<std::string>("result", "") == "answered"};
+  } else if (event == "request" || event == "request-refused-unread") {
+    const auto last = open_.find(key);
+    CountEnd(json->optValue<std::string>("time", ""),
+             json->optValue<std::string>("result", ""),
+             json->optValue("status", kFirstFailure),
+             last == open_.end() ? nullptr : &last->second);
+    open_.erase(key);
+  } else if (event == "log-lines-dropped") {
+    dropped_ += json->optValue<std::uint64_t>("lines", 0);
   }
 }
 
--- a/src/libsamphire/history/log_story.cc
+++ b/src/libsamphire/history/log_story.cc
@@ -1,13 +1,12 @@
 #include "history/log_story.h"
 
-#include <Poco/Exception.h>
-#include <Poco/JSON/Parser.h>
-
 #include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
 
+#include "history/log_line.h"
+
 namespace samphire {
 
 namespace {
@@ -18,29 +17,22 @@
     "store-lost", "store-regained",  "leaving"};
 
 std::optional<log_record> Parse(std::string_view line) {
-  const auto start = line.find('{');
-  if (start == std::string_view::npos)
-    return std::nullopt;
   log_record record;
-  record.text = std::string(line.substr(start));
-  try {
-    Poco::JSON::Parser parser;
-    const auto json =
-        parser.parse(record.text).extract<Poco::JSON::Object::Ptr>();
-    record.time = json->optValue<std::string>("time", "");
-    record.instance = json->optValue<std::string>("instance", "");
-    record.event = json->optValue<std::string>("event", "");
-    record.request = json->optValue<std::string>("request", "");
-  } catch (const Poco::Exception&) {
+  record.text = LogLineText(line);
+  const auto json = ParseLogLine(record.text);
+  if (!json)
     return std::nullopt;
-  }
+  record.time = json->optValue<std::string>("time", "");
+  record.instance = json->optValue<std::string>("instance", "");
+  record.event = json->optValue<std::string>("event", "");
+  record.request = json->optValue<std::string>("request", "");
   return record;
 }
 
 }  // namespace
 
 void log_story::Read(std::string_view line) {
-  if (line.find_first_not_of(" \t\r\n") == std::string_view::npos)
+  if (IsBlank(line))
     return;
   auto record = Parse(line);
   if (!record) {
--- a/src/libsamphire/routing/region_plan.cc
+++ b/src/libsamphire/routing/region_plan.cc
@@ -13,18 +13,18 @@
       [](double sum, const auto& each) { return sum + each.second; });
 }
 
-// How many places have callers. One whose targets are all gone still has some.
-double Askers(const std::map<std::string, double>& room,
-              const std::string& from) {
-  return static_cast<double>(room.size() + (room.contains(from) ? 0 : 1));
-}
-
-// Callers of each place need `demand`. They use their own place as far as its
-// room goes, and what others leave of theirs in proportion to it.
+// Callers of each place ask alike, together for `used_room` of the room. They
+// use their own place as far as its room goes, and what others leave of theirs
+// in proportion to it.
 std::map<std::string, double> PlanRoom(
     const std::map<std::string, double>& room,
     const std::string& from,
-    double demand) {
+    double used_room) {
+  if (used_room <= 0)
+    return {};
+  // A place whose targets are all gone still has callers.
+  const auto askers = room.size() + (room.contains(from) ? 0 : 1);
+  const double demand = used_room / static_cast<double>(askers);
   const double own = room.contains(from) ? room.at(from) : 0;
   const double over = std::max(0.0, demand - own);
   double spare = 0;
@@ -52,10 +52,7 @@
 // the same targets agree on it without talking.
 std::map<std::string, double> PlanRegions(const region_room& room,
                                           const std::string& from) {
-  const double total = Sum(room);
-  if (total <= 0)
-    return {};
-  return PlanRoom(room, from, total / Askers(room, from));
+  return PlanRoom(room, from, Sum(room));
 }
 
 // Made for uploads and exports, of which a few carry most of the bytes. By the
@@ -65,10 +62,7 @@
 std::map<std::string, double> PlanDomains(const domain_room& room,
                                           const std::string& from,
                                           double region_factor) {
-  const double total = Sum(room) * region_factor;
-  if (total <= 0)
-    return {};
-  return PlanRoom(room, from, total / Askers(room, from));
+  return PlanRoom(room, from, Sum(room) * region_factor);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -93,10 +93,6 @@
     head.setChunkedTransferEncoding(true);
 }
 
-std::uint64_t target_exchange::RequestBytes() const {
-  return request_.body_length.value_or(request_.body.size());
-}
-
 bool target_exchange::TryOnce(const live_target& target,
                               bool fresh,
                               target_exchange_end& end) {
@@ -158,7 +154,7 @@
       return;
     }
   }
-  end.attempt.body_bytes = RequestBytes() + body.size();
+  end.attempt.body_bytes = request_.body_bytes() + body.size();
   if (end.may_have_run && end.reason == result_code::kOk)
     end.answer = held_answer{head, std::move(body)};
 }
@@ -200,7 +196,7 @@
                               0, head.getContentLength64()))
                         : 0;
   end.attempt.body_bytes =
-      RequestBytes() + std::max<std::uint64_t>(told, first.size());
+      request_.body_bytes() + std::max<std::uint64_t>(told, first.size());
   const auto streamed =
       StreamAnswer(exchange, head, first, answer_note{}, sink_);
   if (streamed.code != result_code::kOk)
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -3,8 +3,6 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
-#include <cstdint>
-
 #include "gateway/answer_sink.h"
 #include "proxy/caller_watch.h"
 #include "proxy/http_exchange.h"
@@ -29,8 +27,6 @@
  private:
   Poco::Net::HTTPRequest HeadFor(const live_target& target) const;
   void SetBodyFraming(Poco::Net::HTTPRequest& head) const;
-  // Of the request's body; of one of unknown length, what came first.
-  std::uint64_t RequestBytes() const;
   // False when a connection that the target had closed took the request away
   // before the target could see it.
   bool TryOnce(const live_target& target, bool fresh, target_exchange_end& end);
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -32,7 +32,7 @@
   service_ = route.parts[part].service;
   wish_.route = route.name;
   wish_.key_hash = request.key_hash;
-  wish_.body_bytes = request.body_length.value_or(request.body.size());
+  wish_.body_bytes = request.body_bytes();
   wish_.objective = route.latency_objective;
   wish_.home_regions = route.home_regions;
   WithShard(
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -31,6 +31,9 @@
   body_source* body_rest = nullptr;
   // Of the whole body, where the caller told it.
   std::optional<std::uint64_t> body_length;
+  // Of the whole body; where its length isn't told, of what came first.
+  std::uint64_t body_bytes() const { return body_length.value_or(body.size()); }
+
   std::uint64_t key_hash = 0;
   time_point arrived;
   // The caller has its answer by then: its own time or the route's, whichever
