--- a/bench/routing/lab_fleet.cc
+++ b/bench/routing/lab_fleet.cc
@@ -209,8 +209,10 @@
       at->tracker.KeepsInDomain(wish))
     return at;
   const auto& region = at->place.region;
-  auto* owner =
-      region_entries_[region][*KeyOwner(wish.key_hash, entry_names_[region])];
+  const auto index = KeyOwner(wish.key_hash, entry_names_[region]);
+  if (!index)
+    return at;
+  auto* owner = region_entries_[region][*index];
   const bool elsewhere =
       owner->place.failure_domain != at->place.failure_domain;
   if (elsewhere && owner->tracker.KeepsInDomain(wish))
--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -162,6 +162,8 @@
      "No connection to the peer could be made."},
     {kPeerTimeout, "peer-timeout", 504, true,
      "The peer did not answer in time."},
+    {kPeerDeclined, "peer-declined", 503, true,
+     "The peer answered that it can't do what was asked."},
 
     {kVersionConflict, "version-conflict", 409, false,
      "The configuration has another version than expected; not in force."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -100,6 +100,7 @@
   kPeerMalformed = 4003,
   kPeerUnreachable = 4004,
   kPeerTimeout = 4005,
+  kPeerDeclined = 4006,
 
   // 50xx: operator calls.
   kVersionConflict = 5001,
--- a/src/libsamphire/gateway/peer_post.cc
+++ b/src/libsamphire/gateway/peer_post.cc
@@ -51,7 +51,7 @@
     return MakeError(result_code::kPeerUnreachable, peer);
   BOOST_OUTCOME_TRY(answer, exchange.ReadHead());
   if (answer->getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
-    return MakeError(result_code::kPeerUnreachable, answer->getReason());
+    return MakeError(result_code::kPeerDeclined, answer->getReason());
   return ReadWhole(exchange);
 }
 
--- a/src/libsamphire/gateway/peer_post.h
+++ b/src/libsamphire/gateway/peer_post.h
@@ -11,7 +11,8 @@
 namespace samphire {
 
 // One signed call to a peer and its whole answer: kPeerUnreachable,
-// kPeerTimeout or kPeerMalformed when there is none.
+// kPeerTimeout or kPeerMalformed when there is none, and kPeerDeclined when the
+// peer answered that it has none.
 result<std::string> PostToPeer(connection_pool& pool,
                                peer_signer& signer,
                                const std::string& peer,
--- a/src/libsamphire/routing/key_owner.cc
+++ b/src/libsamphire/routing/key_owner.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// So few each see enough of every target, and asking costs messages and time.
+constexpr std::size_t kFewEntries = 6;
+
 std::uint64_t Weight(std::uint64_t key_hash, const std::string& entry) {
   return XXH3_64bits_withSeed(entry.data(), entry.size(), key_hash);
 }
@@ -16,7 +19,7 @@
 
 std::optional<std::size_t> KeyOwner(std::uint64_t key_hash,
                                     const std::vector<std::string>& entries) {
-  if (entries.empty())
+  if (entries.size() <= kFewEntries)
     return std::nullopt;
   const auto owner = std::ranges::max_element(
       entries, {},
--- a/src/libsamphire/routing/key_owner.h
+++ b/src/libsamphire/routing/key_owner.h
@@ -9,9 +9,9 @@
 
 namespace samphire {
 
-// Index of the entry that places a region's requests for a key; nothing if
-// there are no entries. Entries that know the same others choose alike, and
-// one that comes or goes moves only its own keys.
+// Index of the entry that places a region's requests for a key; nothing where
+// entries are so few that each places its own. Entries that know the same
+// others choose alike, and one that comes or goes moves only its own keys.
 std::optional<std::size_t> KeyOwner(std::uint64_t key_hash,
                                     const std::vector<std::string>& entries);
 
--- a/src/libsamphire/routing/lease_holder.h
+++ b/src/libsamphire/routing/lease_holder.h
@@ -1,9 +1,9 @@
 #ifndef ROUTING_LEASE_HOLDER_H_
 #define ROUTING_LEASE_HOLDER_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace samphire {
 
@@ -13,7 +13,10 @@
   std::uint64_t incarnation = 0;
   std::uint64_t id = 0;
 
-  auto operator<=>(const lease_holder&) const = default;
+  friend bool operator<(const lease_holder& left, const lease_holder& right) {
+    return std::tie(left.entry, left.incarnation, left.id) <
+           std::tie(right.entry, right.incarnation, right.id);
+  }
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -1,6 +1,8 @@
 #include "store/object_relay.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 namespace samphire {
@@ -36,41 +38,69 @@
 }
 
 void object_relay::Take(copy& held, const watch_batch& batch) {
-  if (batch.reset) {
-    held.objects.clear();
-    held.log.clear();
+  const bool first = held.cursor == 0;
+  const auto news =
+      batch.reset && !first ? Differences(held, batch) : batch.events;
+  if (first)
     held.floor = batch.cursor;
-  }
-  for (const auto& event : batch.events) {
+  else if (batch.reset)
+    held.gaps.push_back({held.cursor, batch.cursor});
+  for (const auto& event : news) {
     if (event.version == 0)
       held.objects.erase(event.key);
     else if (event.value)
       held.objects[event.key] = {event.version, *event.value};
-    if (!batch.reset)
+    if (!first)
       held.log.push_back({batch.cursor, event});
   }
   while (held.log.size() > kMaxLog) {
     held.floor = held.log.front().revision;
     held.log.pop_front();
   }
+  while (!held.gaps.empty() && held.gaps.front().before <= held.floor)
+    held.gaps.pop_front();
   held.cursor = batch.cursor;
 }
 
+// A new listing after lost history mostly holds what was known before. Told as
+// a whole, it would go to every follower of this entry at once, hundreds of
+// kilobytes each, and fill its link while they wait for changes.
+std::vector<store_event> object_relay::Differences(const copy& held,
+                                                   const watch_batch& listing) {
+  std::vector<store_event> changes;
+  std::set<std::string> listed;
+  for (const auto& event : listing.events) {
+    listed.insert(event.key);
+    const auto known = held.objects.find(event.key);
+    if (known == held.objects.end() || known->second.version != event.version)
+      changes.push_back(event);
+  }
+  for (const auto& [key, object] : held.objects) {
+    if (!listed.contains(key))
+      changes.push_back({key, 0, std::nullopt});
+  }
+  return changes;
+}
+
 result<watch_batch> object_relay::Watch(const std::string& prefix,
                                         std::uint64_t cursor,
-                                        milliseconds wait) {
+                                        milliseconds wait,
+                                        bool await_fresh) {
   const auto until = clock_.now() + wait;
   std::unique_lock guard(lock_);
   while (true) {
     const auto& held = copies_[prefix];
-    if (!IsFresh(held))
+    const auto now = clock_.now();
+    const bool fresh = IsFresh(held);
+    if (!fresh && (!await_fresh || now >= until))
       return MakeError(result_code::kStoreUnreachable, "no fresh copy");
-    if (cursor < held.floor)
+    if (fresh && !TellsAll(held, cursor))
       return Snapshot(held);
-    auto batch = Since(held, cursor);
-    const auto now = clock_.now();
-    if (!batch.events.empty() || now >= until)
-      return batch;
+    if (fresh) {
+      auto batch = Since(held, cursor);
+      if (!batch.events.empty() || now >= until || await_fresh)
+        return batch;
+    }
     const auto left = std::chrono::ceil<milliseconds>(until - now);
     changed_.wait_for(guard, std::min(left, kLookAgain));
   }
@@ -90,6 +120,15 @@
   return held.cursor != 0 && clock_.now() - held.confirmed <= kFresh;
 }
 
+// A new listing tells what changed since this copy's own cursor. For a peer
+// that was ahead of that, objects may have come and gone unseen here.
+bool object_relay::TellsAll(const copy& held, std::uint64_t cursor) {
+  return cursor >= held.floor &&
+         std::ranges::none_of(held.gaps, [cursor](const gap& each) {
+           return each.after < cursor && cursor < each.before;
+         });
+}
+
 watch_batch object_relay::Snapshot(const copy& held) {
   watch_batch batch{.cursor = held.cursor, .reset = true, .events = {}};
   for (const auto& [key, object] : held.objects)
--- a/src/libsamphire/store/object_watcher.h
+++ b/src/libsamphire/store/object_watcher.h
@@ -21,6 +21,13 @@
   virtual result<watch_batch> Watch(const std::string& prefix,
                                     std::uint64_t cursor,
                                     milliseconds wait) = 0;
+
+  // Everything under `prefix` as it was some seconds ago at most, which costs
+  // the platform less than a watch from 0. A watch from its cursor tells what
+  // changed since.
+  virtual result<watch_batch> ListLagging(const std::string& prefix) {
+    return Watch(prefix, 0, milliseconds{0});
+  }
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/stand_in_handler.cc
+++ b/src/libsamphire/store/stand_in_handler.cc
@@ -149,6 +149,7 @@
       return {gone ? 200 : StatusOf(gone.error()), {}, {}};
     }
     case store_call::kList:
+    case store_call::kLaggingList:
       return {200,
               WriteObjects(objects_.List(Parameter(uri, "prefix")).value()),
               {}};
--- a/src/libsamphire/traffic/mirror_handler.cc
+++ b/src/libsamphire/traffic/mirror_handler.cc
@@ -53,7 +53,8 @@
   }
   BOOST_OUTCOME_TRY(
       batch, relay_.Watch(ask->prefix, ask->cursor,
-                          milliseconds(std::min(ask->wait_ms, kMaxWaitMs))));
+                          milliseconds(std::min(ask->wait_ms, kMaxWaitMs)),
+                          ask->await_fresh));
   return EncodeBinary(batch);
 }
 
--- a/src/libsamphire/traffic/mirror_messages.h
+++ b/src/libsamphire/traffic/mirror_messages.h
@@ -29,10 +29,13 @@
   std::uint32_t wait_ms = 0;
   // Everything that is known, however old, rather than what is fresh.
   bool last_known = false;
+  // Answer once a fresh copy is there, rather than once something changes.
+  bool await_fresh = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(Bounded<kMaxMirrorKey>(prefix), cursor, wait_ms, last_known);
+    archive(Bounded<kMaxMirrorKey>(prefix), cursor, wait_ms, last_known,
+            await_fresh);
   }
 };
 
--- a/src/libsamphire/traffic/placing_server.cc
+++ b/src/libsamphire/traffic/placing_server.cc
@@ -1,7 +1,10 @@
 #include "traffic/placing_server.h"
 
+#include <string>
 #include <utility>
 
+#include "base/log.h"
+
 namespace samphire {
 
 namespace {
@@ -121,14 +124,24 @@
   const auto* service =
       manifest ? manifest->FindService(told->service) : nullptr;
   const lease_holder holder{message.sender, message.incarnation, told->id};
+  std::string target;
+  milliseconds pause{0};
   context_.shards.WithService(
       told->service, context_.settings.without, [&](service_shard& shard) {
         const auto lease = shard.leases.Take(holder);
         if (!lease)
           return;
-        shard.tracker.Ended(lease->request, lease->attempt, EndOf(*told),
-                            service, context_.clock.now());
+        target = lease->attempt.target.id;
+        pause =
+            shard.tracker.Ended(lease->request, lease->attempt, EndOf(*told),
+                                service, context_.clock.now());
       });
+  if (pause > milliseconds{0}) {
+    Log(log_level::kWarning, "target-ejected",
+        {{"service", told->service},
+         {"target", target},
+         {"pause_ms", pause.count()}});
+  }
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -1,6 +1,7 @@
 #include "traffic/shared_store.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -17,14 +18,20 @@
 // peers a change is still seen within three seconds.
 constexpr milliseconds kPeerWait{1000};
 constexpr milliseconds kPeerMargin{250};
-// And not asked again for so long.
-constexpr milliseconds kPeerPause{3000};
+// A peer that did not answer is not asked again for so long, and one that has
+// no fresh copy for this.
+constexpr milliseconds kSilencePause{3000};
+constexpr milliseconds kDeclinedPause{500};
+// How long a deputy has to get a fresh copy, and how many of them are asked.
+constexpr milliseconds kDeputyWait{400};
+constexpr std::size_t kAskedDeputies = 2;
 // When no watcher has a fresh copy, the platform is mostly down, and a whole
 // fleet that asks it at once would be its next trouble.
-constexpr milliseconds kPlatformPause{1000};
-// Stands for the platform among the sources that are left alone for a while.
-const std::string kPlatformName = "platform";
-
+constexpr milliseconds kDeputyPause{1000};
+constexpr milliseconds kFollowerPause{2000};
+// How often an entry that has just started asks the watchers that it knows by
+// then.
+constexpr milliseconds kMeetingStep{250};
 }  // namespace
 
 shared_store::shared_store(object_watcher& platform,
@@ -32,47 +39,80 @@
                            connection_pool& pool,
                            peer_signer& signer,
                            const clock_source& clock,
-                           address_list watchers,
-                           address_list peers)
+                           milliseconds meeting_time,
+                           plan_source plan,
+                           peer_source peers)
     : platform_(platform),
       relay_(relay),
       pool_(pool),
       signer_(signer),
       clock_(clock),
-      watchers_(std::move(watchers)),
-      peers_(std::move(peers)) {}
+      plan_(std::move(plan)),
+      peers_(std::move(peers)),
+      met_at_(clock.now() + meeting_time) {}
 
 result<watch_batch> shared_store::Watch(const std::string& prefix,
                                         std::uint64_t cursor,
                                         milliseconds wait) {
-  auto batch = WatchFresh(prefix, cursor, wait);
-  if (!batch && cursor == 0)
+  if (cursor != 0)
+    return WatchFresh(prefix, cursor, wait);
+  auto batch = List(prefix);
+  if (!batch)
     return AskLastKnown(prefix);
   return batch;
 }
 
+// The first listing may lag: what it lacks comes with the watch that follows.
+// After lost history the old cursor is of no use to peers either, and a listing
+// that lags could be lost history again.
+result<watch_batch> shared_store::List(const std::string& prefix) {
+  if (clock_.now() >= met_at_)
+    return WatchFresh(prefix, 0, kPeerWait);
+  auto batch = platform_.ListLagging(prefix);
+  if (batch)
+    relay_.Publish(prefix, batch.value(), false);
+  return batch;
+}
+
 result<watch_batch> shared_store::WatchFresh(const std::string& prefix,
                                              std::uint64_t cursor,
                                              milliseconds wait) {
-  const auto watchers = watchers_();
-  for (const auto& peer : watchers) {
-    if (!MayAsk(peer))
-      continue;
-    const auto peer_wait = std::min(wait, kPeerWait);
-    auto batch =
-        AskPeer(peer,
-                {.prefix = prefix,
-                 .cursor = cursor,
-                 .wait_ms = static_cast<std::uint32_t>(peer_wait.count())},
-                peer_wait + kPeerMargin);
-    if (batch) {
-      relay_.Publish(prefix, batch.value(), false);
-      return batch;
-    }
-    Pause(peer, kPeerPause);
+  const auto plan = plan_();
+  const auto peer_wait = std::min(wait, kPeerWait);
+  auto answers = AskRegion(
+      plan, {.prefix = prefix,
+             .cursor = cursor,
+             .wait_ms = static_cast<std::uint32_t>(peer_wait.count())});
+  if (answers.batch) {
+    WithTurn(prefix, [](auto& turn) { turn.OnNews(); });
+    relay_.Publish(prefix, answers.batch.value(), false);
+    return std::move(answers.batch);
+  }
+  if (clock_.now() < met_at_) {
+    std::this_thread::sleep_for(kMeetingStep);
+    return watch_batch{.cursor = cursor, .reset = false, .events = {}};
   }
-  return AskPlatform(prefix, cursor, std::min(wait, kPlatformWait),
-                     watchers.empty());
+  WithTurn(prefix, [&](auto& turn) {
+    if (answers.stale && plan.role == source_role::kFollower)
+      turn.OnPeersStale(clock_.now());
+    else if (answers.silent)
+      turn.OnPeersSilent();
+  });
+  return AskPlatform(prefix, cursor, std::min(wait, kPlatformWait), plan.role);
+}
+
+shared_store::peer_answers shared_store::AskRegion(const source_plan& plan,
+                                                   mirror_ask ask) {
+  auto answers = AskPeers(plan.watchers, ask);
+  if (answers.batch || plan.role != source_role::kFollower)
+    return answers;
+  ask.await_fresh = true;
+  ask.wait_ms = static_cast<std::uint32_t>(kDeputyWait.count());
+  const auto asked = std::min(kAskedDeputies, plan.deputies.size());
+  auto deputies = AskPeers(std::span(plan.deputies).first(asked), ask);
+  deputies.stale |= answers.stale;
+  deputies.silent |= answers.silent;
+  return deputies;
 }
 
 // An entry that starts while the platform is away would refuse every caller
@@ -95,6 +135,28 @@
   return MakeError(result_code::kStoreUnreachable, "nobody knows anything");
 }
 
+shared_store::peer_answers shared_store::AskPeers(
+    std::span<const std::string> peers,
+    const mirror_ask& ask) {
+  peer_answers answers{
+      .batch = MakeError(result_code::kStoreUnreachable, "no peer is fresh")};
+  for (const auto& peer : peers) {
+    if (pauses_.IsPaused(peer, clock_.now()))
+      continue;
+    auto batch = AskPeer(peer, ask, milliseconds(ask.wait_ms) + kPeerMargin);
+    if (batch) {
+      answers.batch = std::move(batch);
+      return answers;
+    }
+    const bool declined = batch.error().code == result_code::kPeerDeclined;
+    answers.stale |= declined;
+    answers.silent |= !declined;
+    pauses_.Pause(peer,
+                  clock_.now() + (declined ? kDeclinedPause : kSilencePause));
+  }
+  return answers;
+}
+
 result<watch_batch> shared_store::AskPeer(const std::string& peer,
                                           const mirror_ask& ask,
                                           milliseconds timeout) {
@@ -109,27 +171,24 @@
 result<watch_batch> shared_store::AskPlatform(const std::string& prefix,
                                               std::uint64_t cursor,
                                               milliseconds wait,
-                                              bool watches) {
-  if (!watches && !MayAsk(kPlatformName))
+                                              source_role role) {
+  const bool watches = role == source_role::kWatcher;
+  const auto may_ask = WithTurn(
+      prefix, [&](const auto& turn) { return turn.MayAsk(clock_.now()); });
+  if (!watches && !may_ask)
     return MakeError(result_code::kStoreUnreachable, "no watcher is fresh");
   auto batch = platform_.Watch(prefix, cursor, wait);
-  if (batch) {
+  if (batch)
     relay_.Publish(prefix, batch.value());
-  } else if (!watches) {
-    Pause(kPlatformName, kPlatformPause);
-  }
+  WithTurn(prefix, [&](auto& turn) {
+    if (batch)
+      turn.OnNews();
+    else
+      turn.OnPlatformFailed(clock_.now(), role == source_role::kDeputy
+                                              ? kDeputyPause
+                                              : kFollowerPause);
+  });
   return batch;
 }
 
-bool shared_store::MayAsk(const std::string& source) {
-  std::lock_guard guard(lock_);
-  const auto found = not_before_.find(source);
-  return found == not_before_.end() || clock_.now() >= found->second;
-}
-
-void shared_store::Pause(const std::string& source, milliseconds pause) {
-  std::lock_guard guard(lock_);
-  not_before_[source] = clock_.now() + pause;
-}
-
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -11,8 +11,8 @@
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
 #include "traffic/shared_store.h"
+#include "traffic/source_plan.h"
 #include "traffic/traffic_handler.h"
-#include "traffic/watcher_choice.h"
 
 namespace samphire {
 
@@ -201,16 +201,16 @@
 
 std::unique_ptr<object_watcher> traffic_node::Share(object_watcher& platform) {
   return std::make_unique<shared_store>(
-      platform, relay_, pool_, signer_, clock_, [this] { return Watchers(); },
-      [this] { return Peers(); });
+      platform, relay_, pool_, signer_, clock_, settings_.meeting_time,
+      [this] { return Sources(); }, [this] { return Peers(); });
 }
 
 std::vector<std::string> traffic_node::Peers() const {
   return state_.entries().Get()->helper_addresses;
 }
 
-std::vector<std::string> traffic_node::Watchers() const {
-  return WatchersFor(settings_.place, *state_.entries().Get());
+source_plan traffic_node::Sources() const {
+  return PlanSources(settings_.place, *state_.entries().Get());
 }
 
 std::string traffic_node::CountersText() {
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -22,6 +22,7 @@
 #include "traffic/placing_client.h"
 #include "traffic/placing_server.h"
 #include "traffic/service_shards.h"
+#include "traffic/source_plan.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
 #include "traffic/traffic_settings.h"
@@ -69,8 +70,7 @@
   void TellPeers();
   // Peer addresses of entries that may tell what they knew last.
   std::vector<std::string> Peers() const;
-  // Peer addresses of the region's watchers; empty if this is one.
-  std::vector<std::string> Watchers() const;
+  source_plan Sources() const;
   std::string CountersText();
 
   const traffic_settings settings_;
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -32,6 +32,10 @@
   // and with every fifth message lost. By a model over 240 fleets; at 3 s one
   // of them broke a bound.
   milliseconds settle_time{5000};
+  // An entry that has just started knows few of its region, and each that it
+  // does not know would be taken for missing: all would watch the platform.
+  // Until then the listing of the start has to do, and what peers tell.
+  milliseconds meeting_time{2000};
   // What placing leaves out, to measure what it is worth.
   mechanism_set without;
   traffic_bounds bounds;
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -38,6 +38,7 @@
     *address = FreeAddress();
   traffic.peer_key = kKey;
   traffic.settle_time = 0ms;
+  traffic.meeting_time = 0ms;
   settings.store_addresses = {store};
   settings.regions = {{"a-1", "a"}};
   return settings;
