--- a/src/libsamphire/routing/message_size_estimate.cc
+++ b/src/libsamphire/routing/message_size_estimate.cc
@@ -7,9 +7,8 @@
 namespace {
 
 // An exchange of this size is worth a target of its own in each failure domain.
-// Readings and receipts have some 5 to 10 kB, uploads and exports 50 kB and
-// more. Measured: any bound from 16 to 32 kB does alike; at 7 kB receipts count
-// as large too, and 1% of the payoff is lost with keys that are learned twice.
+// It lies between readings and receipts, with some 5 to 10 kB, and uploads and
+// exports, with 50 kB and more.
 constexpr double kLargeBytes = 16'384;
 // One exchange moves the estimate by this share: sizes of one route vary by a
 // factor of two, and some twenty of them tell the mean.
--- a/src/libsamphire/routing/service_time_estimate.cc
+++ b/src/libsamphire/routing/service_time_estimate.cc
@@ -7,7 +7,7 @@
 // One answer moves the estimate by this share: some ten answers, about a
 // second's worth, decide it.
 constexpr double kWeight = 0.1;
-// Measured on targets with a memory for keys: about a third of the time.
+// Of the time without the key in memory, until answers tell better.
 constexpr double kWarmShare = 0.33;
 
 }  // namespace
--- a/src/libsamphire/routing/target_rank.cc
+++ b/src/libsamphire/routing/target_rank.cc
@@ -13,9 +13,7 @@
 // Routes number their objects alike, so equal keys of two routes mean different
 // objects. Taken for one, a target that knows the first counts as knowing the
 // second: its callers wait for work that takes three times as long as promised,
-// and all routes' objects of one number crowd at one target. Measured on eight
-// days of three installations: payoff 0.872 against 0.866, that of the
-// worst-served route 0.792 against 0.768.
+// and all routes' objects of one number crowd at one target.
 std::uint64_t KeyHash(std::string_view route, std::string_view key) {
   return XXH3_64bits_withSeed(key.data(), key.size(), KeyHash(route));
 }
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds kNewsTime{1200};
 // Kept for the last answers, out of the time until the process is killed.
 constexpr milliseconds kStopMargin{500};
-// Three watches for each entry of the largest region that was measured.
+// Three watches for each entry of a region of eighty.
 constexpr std::uint32_t kPeerConnections = 256;
 // Metrics are read by a few collectors.
 constexpr std::uint32_t kMetricsConnections = 16;
