Call one hash for rendezvous, and don't do owners' work where there are none

No change of behaviour meant.

Ruled out: one function for an owner's and an entry's own placing, since the owner looks between the two steps whether it may place at all.

--- a/src/libsamphire/membership/rendezvous.cc
+++ b/src/libsamphire/membership/rendezvous.cc
@@ -7,9 +7,12 @@
 
 namespace samphire {
 
+std::uint64_t RendezvousWeight(std::uint64_t role_hash, std::string_view name) {
+  return XXH3_64bits_withSeed(name.data(), name.size(), role_hash);
+}
+
 std::uint64_t RendezvousWeight(std::string_view role, std::string_view name) {
-  return XXH3_64bits_withSeed(name.data(), name.size(),
-                              XXH3_64bits(role.data(), role.size()));
+  return RendezvousWeight(XXH3_64bits(role.data(), role.size()), name);
 }
 
 std::vector<std::string> PickByRendezvous(std::string_view role,
--- a/src/libsamphire/routing/key_owner.cc
+++ b/src/libsamphire/routing/key_owner.cc
@@ -1,9 +1,9 @@
 #include "routing/key_owner.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
+#include "membership/rendezvous.h"
+
 namespace samphire {
 
 namespace {
@@ -11,19 +11,16 @@
 // So few each see enough of every target, and asking costs messages and time.
 constexpr std::size_t kFewEntries = 6;
 
-std::uint64_t Weight(std::uint64_t key_hash, const std::string& entry) {
-  return XXH3_64bits_withSeed(entry.data(), entry.size(), key_hash);
-}
-
 }  // namespace
 
 std::optional<std::size_t> KeyOwner(std::uint64_t key_hash,
                                     const std::vector<std::string>& entries) {
   if (entries.size() <= kFewEntries)
     return std::nullopt;
-  const auto owner = std::ranges::max_element(
-      entries, {},
-      [key_hash](const auto& entry) { return Weight(key_hash, entry); });
+  const auto owner =
+      std::ranges::max_element(entries, {}, [key_hash](const auto& entry) {
+        return RendezvousWeight(key_hash, entry);
+      });
   return static_cast<std::size_t>(owner - entries.begin());
 }
 
--- a/src/libsamphire/routing/service_tracker.cc
+++ b/src/libsamphire/routing/service_tracker.cc
@@ -66,7 +66,7 @@
                                const std::vector<std::string>& region_entries,
                                time_point now) {
   Follow(targets, service, service_name, self, now);
-  CountPeers(region_entries);
+  CountPeers(request, region_entries);
   const auto candidates =
       Candidates(request, service, self, region_entries, now);
   if (candidates.empty()) {
@@ -100,16 +100,19 @@
 // Each entry of a region has keys of its own, about as many as this one, and
 // they spread over the same targets.
 void service_tracker::CountPeers(
+    const placing_request& request,
     const std::vector<std::string>& region_entries) {
   peers_ = 0;
   peer_keys_ = 0;
   if (region_entries.empty() || open_.empty() ||
       !Uses(placing_mechanism::kPeerLoad))
     return;
+  peers_ = static_cast<double>(region_entries.size()) - 1;
+  if (!request.for_region)
+    return;
   std::size_t own_keys = 0;
   for (const auto& open : open_)
     own_keys += open.record->key_count();
-  peers_ = static_cast<double>(region_entries.size()) - 1;
   peer_keys_ = peers_ * static_cast<double>(own_keys) /
                static_cast<double>(open_.size());
 }
--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -100,7 +100,8 @@
                 std::uint64_t key_hash,
                 time_point now) const;
   double Slowness(const target_record& record) const;
-  void CountPeers(const std::vector<std::string>& region_entries);
+  void CountPeers(const placing_request& request,
+                  const std::vector<std::string>& region_entries);
   double PeersAt(const target_record& record,
                  const placing_request& request) const;
   std::vector<candidate> Best(std::vector<candidate> fit, bool large) const;
@@ -136,8 +137,8 @@
   mechanism_set without_;
   // The set that the records were last made to match.
   target_set_ptr followed_;
-  // Keys of other entries at a target, in the mean, and how many entries there
-  // are at most to have them.
+  // Keys of other entries at a target, in the mean, where this one places for
+  // its region; and how many entries there are at most to have them.
   double peer_keys_ = 0;
   double peers_ = 0;
   std::map<std::string, target_record, std::less<>> records_;
--- a/src/libsamphire/traffic/placing_server.cc
+++ b/src/libsamphire/traffic/placing_server.cc
@@ -95,8 +95,7 @@
   const auto* service = manifest->FindService(ask.service);
   const auto request = RequestOf(ask);
   return context_.shards.WithService(
-      ask.service, context_.settings.without,
-      [&](service_shard& shard) -> placing_answer {
+      ask.service, [&](service_shard& shard) -> placing_answer {
         shard.ReleaseExpired(service, now);
         const bool elsewhere = ask.failure_domain != self.failure_domain;
         if (!shard.leases.HasRoom() ||
@@ -126,16 +125,14 @@
   const lease_holder holder{message.sender, message.incarnation, told->id};
   std::string target;
   milliseconds pause{0};
-  context_.shards.WithService(
-      told->service, context_.settings.without, [&](service_shard& shard) {
-        const auto lease = shard.leases.Take(holder);
-        if (!lease)
-          return;
-        target = lease->attempt.target.id;
-        pause =
-            shard.tracker.Ended(lease->request, lease->attempt, EndOf(*told),
+  context_.shards.WithService(told->service, [&](service_shard& shard) {
+    const auto lease = shard.leases.Take(holder);
+    if (!lease)
+      return;
+    target = lease->attempt.target.id;
+    pause = shard.tracker.Ended(lease->request, lease->attempt, EndOf(*told),
                                 service, context_.clock.now());
-      });
+  });
   if (pause > milliseconds{0}) {
     Log(log_level::kWarning, "target-ejected",
         {{"service", told->service},
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -44,11 +44,13 @@
       wish_.home_regions.size() > kMaxHomes ||
       wish_.excluded.size() > kMaxExcluded)
     return std::nullopt;
-  const bool stays = context_.shards.WithService(
-      service_, context_.settings.without,
-      [&](auto& shard) { return shard.tracker.KeepsInDomain(wish_); });
   const auto owner = KeyOwner(wish_.key_hash, entries.names);
-  if (stays || !owner)
+  if (!owner)
+    return std::nullopt;
+  const bool stays = context_.shards.WithService(service_, [&](auto& shard) {
+    return shard.tracker.KeepsInDomain(wish_);
+  });
+  if (stays)
     return std::nullopt;
   wish_.for_region = entries.names[*owner] == context_.settings.place.instance;
   if (wish_.for_region)
@@ -112,14 +114,13 @@
 placed_request request_placer::PlaceHere(const target_set& targets,
                                          const entry_list& entries) {
   const auto now = context_.clock.now();
-  return context_.shards.WithService(
-      service_, context_.settings.without, [&](auto& shard) {
-        shard.ReleaseExpired(Service(), now);
-        return placed_request{
-            .place = shard.tracker.Place(wish_, targets, Service(), service_,
-                                         context_.settings.place,
-                                         entries.region_sharers, now)};
-      });
+  return context_.shards.WithService(service_, [&](auto& shard) {
+    shard.ReleaseExpired(Service(), now);
+    return placed_request{
+        .place = shard.tracker.Place(wish_, targets, Service(), service_,
+                                     context_.settings.place,
+                                     entries.region_sharers, now)};
+  });
 }
 
 milliseconds request_placer::Ended(const placed_request& placed,
@@ -129,11 +130,10 @@
     return milliseconds{0};
   }
   const auto& attempt = std::get<placed_attempt>(placed.place);
-  return context_.shards.WithService(
-      service_, context_.settings.without, [&](auto& shard) {
-        return shard.tracker.Ended(wish_, attempt, end, Service(),
-                                   context_.clock.now());
-      });
+  return context_.shards.WithService(service_, [&](auto& shard) {
+    return shard.tracker.Ended(wish_, attempt, end, Service(),
+                               context_.clock.now());
+  });
 }
 
 void request_placer::Exclude(const std::string& target) {
--- a/src/libsamphire/traffic/service_shards.h
+++ b/src/libsamphire/traffic/service_shards.h
@@ -16,8 +16,7 @@
 
 // What requests of one service share.
 struct service_shard {
-  explicit service_shard(const mechanism_set& without = {})
-      : tracker(without) {}
+  explicit service_shard(const mechanism_set& without) : tracker(without) {}
 
   // Forgets the work of peers that did not tell of its end in time.
   void ReleaseExpired(const traffic_service* service, time_point now);
@@ -32,13 +31,14 @@
 // others share, and each route's division among services.
 class service_shards {
  public:
+  explicit service_shards(mechanism_set without = {})
+      : without_(std::move(without)) {}
+
   // Calls `use` with what is known of the service, under its lock.
   template <typename F>
-  auto WithService(const std::string& service,
-                   const mechanism_set& without,
-                   F use) {
+  auto WithService(const std::string& service, F use) {
     return services_.With(service, [&](auto& services) {
-      return use(services.try_emplace(service, without).first->second);
+      return use(services.try_emplace(service, without_).first->second);
     });
   }
   template <typename F>
@@ -48,6 +48,7 @@
   }
 
  private:
+  const mechanism_set without_;
   sharded<std::map<std::string, service_shard>> services_;
   sharded<std::map<std::string, weighted_split>> splits_;
 };
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -32,6 +32,7 @@
 // How often an entry that has just started asks the watchers that it knows by
 // then.
 constexpr milliseconds kMeetingStep{250};
+
 }  // namespace
 
 shared_store::shared_store(object_watcher& platform,
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -29,9 +29,9 @@
       caller_(caller),
       sink_(sink),
       placer_(context, request, ChooseService()) {
-  context_.shards.WithService(
-      placer_.service(), context_.settings.without,
-      [&](auto& shard) { shard.retries.OnRequest(context_.clock.now()); });
+  context_.shards.WithService(placer_.service(), [&](auto& shard) {
+    shard.retries.OnRequest(context_.clock.now());
+  });
 }
 
 std::string traffic_dispatcher::ChooseService() const {
@@ -106,11 +106,9 @@
     return true;
   const auto entries = context_.state.entries().Get();
   const auto bounds = context_.state.bounds();
-  return context_.shards.WithService(
-      placer_.service(), context_.settings.without, [&](auto& shard) {
-        return shard.retries.TryTake(bounds->retries, entries->fleet_sharers,
-                                     now);
-      });
+  return context_.shards.WithService(placer_.service(), [&](auto& shard) {
+    return shard.retries.TryTake(bounds->retries, entries->fleet_sharers, now);
+  });
 }
 
 void traffic_dispatcher::Finish(target_exchange_end end) {
