Authenticate requests by API key and forward the team to targets

Cause: a configuration may declare teams with API keys. The request path did not check the key, forwarded it to targets and did not tell them the team. As a result, requests with an invalid or revoked key ran, and targets received the caller's credential.

Ruled out: - Checking keys only when a connection is opened: a revoked key would stay valid for as long as its connection. - Rejecting teams whose home regions are missing from the entry's settings: adding a region would make the whole configuration unreadable until the settings are updated. Requests of such a team are refused individually instead.

Change: - The manifest holds the teams and looks them up by API key. - A request needs exactly one known key unless its route allows anonymous requests. Otherwise it is answered with 401 (2011) before its body is read; the connection is kept if there is no body. - The key and any team header sent by the caller are removed; the target receives the team's name. - The home regions of route and team are intersected; if none is common, the request is refused with 2115. - Before each attempt the key is looked up again in the current configuration. - A configuration with a duplicate team name or API key is rejected as a whole. - front_request::IsConsumed() replaces two ways to detect an unread body.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -77,6 +77,8 @@
      "The request did not arrive whole in time."},
     {kBadClientAddress, "bad-client-address", 400, false,
      "The client parameter is not an IP number."},
+    {kUnknownApiKey, "unknown-api-key", 401, false,
+     "The request needs exactly one API key, and one that a team holds."},
 
     {kQueueFull, "queue-full", 503, true,
      "The class's queue holds as many as it may."},
@@ -106,6 +108,8 @@
      "The entry has been cut off for longer than this class allows."},
     {kSuspectRunning, "suspect-running", 503, true,
      "A request like this lost a target and is being tried alone."},
+    {kNoCommonRegion, "no-common-region", 503, false,
+     "The team and the route have no region in common."},
 
     {kTargetUnreachable, "target-unreachable", 503, true,
      "No connection to a target could be made."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -50,6 +50,7 @@
   kBadIdempotencyKey = 2008,
   kRequestTooSlow = 2009,
   kBadClientAddress = 2010,
+  kUnknownApiKey = 2011,
 
   // 21xx: refused under load or in a fault; it did not run, come back later.
   kQueueFull = 2101,
@@ -66,6 +67,7 @@
   kNoPeerInRegion = 2112,
   kConfigurationTooOld = 2113,
   kSuspectRunning = 2114,
+  kNoCommonRegion = 2115,
 
   // 22xx: the request was dispatched and no whole answer came of it.
   kTargetUnreachable = 2201,
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -32,14 +32,6 @@
   std::atomic<int>& count_;
 };
 
-// A body that was not read would be taken for the next request.
-bool IsDone(const front_request& request) {
-  const bool has_body =
-      request.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
-      request.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
-  return request.body_read() || !has_body;
-}
-
 }  // namespace
 
 front_connection::front_connection(
@@ -115,7 +107,7 @@
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
       factory_->createRequestHandler(request));
   handler->handleRequest(request, response);
-  if (!IsDone(request))
+  if (!request.IsConsumed())
     return request_end::kUnread;
   return response.sent() && response.getKeepAlive() ? request_end::kKeep
                                                     : request_end::kClose;
--- a/src/libsamphire/front/front_request.cc
+++ b/src/libsamphire/front/front_request.cc
@@ -63,4 +63,12 @@
   return body;
 }
 
+// Unread body bytes would be parsed as the start of the next request.
+bool front_request::IsConsumed() const {
+  if (body_)
+    return body_->ended_cleanly();
+  return !has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) &&
+         get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") == "0";
+}
+
 }  // namespace samphire
--- a/src/libsamphire/front/front_request.h
+++ b/src/libsamphire/front/front_request.h
@@ -29,7 +29,9 @@
   // The whole body at once.
   result<std::string> ReadBody(std::uint64_t limit, time_point deadline);
 
-  bool body_read() const { return body_ && body_->ended_cleanly(); }
+  // Whether the request was read to its end, so that the connection can serve
+  // another one.
+  bool IsConsumed() const;
 
  private:
   front_session& session_;
--- a/src/libsamphire/gateway/service_handler.cc
+++ b/src/libsamphire/gateway/service_handler.cc
@@ -24,7 +24,7 @@
   caller_answer sink(request, response);
   auto read = Read(whole);
   if (!read) {
-    if (!whole.body_read())
+    if (!whole.IsConsumed())
       response.setKeepAlive(false);
     Refuse(sink, read.error());
     return;
--- a/src/libsamphire/routing/traffic_manifest.cc
+++ b/src/libsamphire/routing/traffic_manifest.cc
@@ -7,8 +7,12 @@
 traffic_manifest::traffic_manifest(std::uint64_t version,
                                    traffic_limits limits,
                                    std::vector<traffic_route> routes,
-                                   std::vector<traffic_service> services)
-    : version_(version), limits_(limits), route_count_(routes.size()) {
+                                   std::vector<traffic_service> services,
+                                   std::vector<traffic_team> teams)
+    : version_(version),
+      limits_(limits),
+      route_count_(routes.size()),
+      teams_(std::move(teams)) {
   for (auto& route : routes) {
     auto& prefixes = hosts_[route.host];
     const auto prefix = route.path_prefix;
@@ -18,6 +22,10 @@
     const auto name = service.name;
     services_.insert_or_assign(name, std::move(service));
   }
+  for (std::size_t i = 0; i < teams_.size(); ++i) {
+    for (const auto& key : teams_[i].api_keys)
+      teams_by_key_.emplace(key, i);
+  }
 }
 
 const traffic_route* traffic_manifest::FindRoute(std::string_view host,
@@ -44,4 +52,10 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+const traffic_team* traffic_manifest::FindTeamByApiKey(
+    const std::string& api_key) const {
+  const auto found = teams_by_key_.find(api_key);
+  return found == teams_by_key_.end() ? nullptr : &teams_[found->second];
+}
+
 }  // namespace samphire
--- a/src/libsamphire/routing/traffic_manifest.h
+++ b/src/libsamphire/routing/traffic_manifest.h
@@ -3,15 +3,18 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "routing/traffic_limits.h"
 #include "routing/traffic_route.h"
 #include "routing/traffic_service.h"
+#include "routing/traffic_team.h"
 
 namespace samphire {
 
@@ -23,7 +26,8 @@
   traffic_manifest(std::uint64_t version,
                    traffic_limits limits,
                    std::vector<traffic_route> routes,
-                   std::vector<traffic_service> services);
+                   std::vector<traffic_service> services,
+                   std::vector<traffic_team> teams = {});
 
   std::uint64_t version() const { return version_; }
   const traffic_limits& limits() const { return limits_; }
@@ -34,6 +38,11 @@
   const traffic_route* FindRoute(std::string_view host,
                                  std::string_view path) const;
   const traffic_service* FindService(std::string_view name) const;
+  // Whether requests need an API key, except on routes that allow anonymous
+  // ones.
+  bool has_teams() const { return !teams_.empty(); }
+  // Returns the team that `api_key` belongs to, or null.
+  const traffic_team* FindTeamByApiKey(const std::string& api_key) const;
 
  private:
   // By prefix. The longest match is found by looking up the path's own
@@ -45,6 +54,9 @@
   std::size_t route_count_;
   std::map<std::string, prefix_map, std::less<>> hosts_;
   std::map<std::string, traffic_service, std::less<>> services_;
+  std::vector<traffic_team> teams_;
+  // Maps API keys to indices into `teams_`.
+  std::unordered_map<std::string, std::size_t> teams_by_key_;
 };
 
 using manifest_ptr = boost::intrusive_ptr<const traffic_manifest>;
--- a/src/libsamphire/routing/traffic_route.h
+++ b/src/libsamphire/routing/traffic_route.h
@@ -25,6 +25,8 @@
   milliseconds latency_objective{0};
   // Targets that may run one request.
   std::uint32_t max_attempts = 1;
+  // Requests need no API key.
+  bool allows_anonymous = false;
   // The only regions whose targets may run it; empty: any.
   std::vector<std::string> home_regions;
 };
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -16,7 +16,7 @@
   wish_.key_hash = request.key_hash;
   wish_.body_bytes = request.body_bytes();
   wish_.objective = route.latency_objective;
-  wish_.home_regions = route.home_regions;
+  wish_.home_regions = request.home_regions;
 }
 
 placed_request request_placer::Place() {
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -76,11 +76,21 @@
   head.set(context_.headers.deadline,
            std::to_string(std::max<std::int64_t>(1, left.count())));
   head.set(context_.headers.expected_target, target.id);
+  SetTeamHeader(head);
   SetBodyFraming(head);
   head.setKeepAlive(true);
   return head;
 }
 
+// Removes the API key and any team header sent by the caller: targets trust the
+// team header, and a target that received the key could impersonate the caller.
+void target_exchange::SetTeamHeader(Poco::Net::HTTPRequest& head) const {
+  head.erase(context_.headers.api_key);
+  head.erase(context_.headers.team);
+  if (request_.team != nullptr)
+    head.set(context_.headers.team, request_.team->name);
+}
+
 void target_exchange::SetBodyFraming(Poco::Net::HTTPRequest& head) const {
   const bool has_body =
       request_.headers.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) ||
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -26,6 +26,7 @@
 
  private:
   Poco::Net::HTTPRequest HeadFor(const live_target& target) const;
+  void SetTeamHeader(Poco::Net::HTTPRequest& head) const;
   void SetBodyFraming(Poco::Net::HTTPRequest& head) const;
   // False when a connection that the target had closed took the request away
   // before the target could see it.
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -44,13 +44,14 @@
 
 void traffic_dispatcher::Run() {
   while (true) {
+    if (!IsApiKeyValid()) {
+      FinishWithoutAttempt(result_code::kUnknownApiKey, milliseconds{0});
+      return;
+    }
     auto placed = placer_.Place();
     if (const auto* refusal = std::get_if<placing_refusal>(&placed.place)) {
       LogNoPlace(*refusal, placed.owner);
-      if (failure_)
-        Finish({.answer = std::move(failure_)});
-      else
-        Refuse(refusal->reason, refusal->retry_after);
+      FinishWithoutAttempt(refusal->reason, refusal->retry_after);
       return;
     }
     const auto& target = std::get<placed_attempt>(placed.place).target;
@@ -73,6 +74,17 @@
   }
 }
 
+// The key may be revoked while a long body arrives or an attempt runs.
+bool traffic_dispatcher::IsApiKeyValid() const {
+  if (request_.team == nullptr)
+    return true;
+  const auto manifest = context_.state.manifest();
+  if (manifest == request_.manifest)
+    return true;
+  const auto* team = manifest->FindTeamByApiKey(request_.api_key);
+  return team != nullptr && team->name == request_.team->name;
+}
+
 void traffic_dispatcher::Report(const placed_request& placed,
                                 const target_exchange_end& end) {
   const auto pause = placer_.Ended(placed, end.attempt);
@@ -111,6 +123,16 @@
   });
 }
 
+// Ends the request without a further attempt: forwards the failure answer of an
+// earlier attempt if there is one, and refuses the request otherwise.
+void traffic_dispatcher::FinishWithoutAttempt(result_code code,
+                                              milliseconds retry_after) {
+  if (failure_)
+    Finish({.answer = std::move(failure_)});
+  else
+    Refuse(code, retry_after);
+}
+
 void traffic_dispatcher::Finish(target_exchange_end end) {
   if (end.streamed || end.reason == result_code::kCallerGone) {
     LogOutcome(end.reason, end.streamed_status);
@@ -177,6 +199,7 @@
       {{"request", request_.id},
        {"route", request_.route->name},
        {"service", placer_.service()},
+       {"team", request_.team == nullptr ? "" : request_.team->name},
        {"config_version", request_.manifest->version()},
        {"code", static_cast<int>(code)},
        {"result", NameOf(code)},
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -28,9 +28,12 @@
  private:
   // The service among which the request's route is divided that gets it.
   std::string ChooseService() const;
+  // Whether the API key still belongs to the same team in the current manifest.
+  bool IsApiKeyValid() const;
   void Report(const placed_request& placed, const target_exchange_end& end);
   // Whether another target may be tried after `end`.
   bool MayTryAgain(const target_exchange_end& end);
+  void FinishWithoutAttempt(result_code code, milliseconds retry_after);
   void Finish(target_exchange_end end);
   void Refuse(result_code code, milliseconds retry_after);
   void LogAttempt(const placed_request& placed,
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -24,7 +24,7 @@
   caller_answer sink(request, response, note_headers::kOnRefusals);
   const auto read = ReadTrafficRequest(whole, context_);
   if (!read) {
-    if (!whole.body_read())
+    if (!whole.IsConsumed())
       response.setKeepAlive(false);
     Refuse(sink, whole.get(context_.headers.request_id, ""), read.error());
     return;
--- a/src/libsamphire/traffic/traffic_headers.h
+++ b/src/libsamphire/traffic/traffic_headers.h
@@ -14,6 +14,10 @@
   std::string deadline;
   // What a target may have in memory.
   std::string affinity_key;
+  // The API key of the caller's team; never forwarded to targets.
+  std::string api_key;
+  // The name of the caller's team, set on requests to targets.
+  std::string team;
   // The id of the target that alone may run the request.
   std::string expected_target;
   // On every answer that a target made by running the request.
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock_source.h"
 #include "proxy/body_source.h"
@@ -18,6 +19,11 @@
   // Keeps `route` alive.
   manifest_ptr manifest;
   const traffic_route* route = nullptr;
+  // Null if the route or the manifest requires no API key.
+  const traffic_team* team = nullptr;
+  std::string api_key;
+  // Regions whose targets may run the request; any if empty.
+  std::vector<std::string> home_regions;
 
   std::string id;
   std::string method;
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -1,6 +1,7 @@
 #include "traffic/traffic_request_reader.h"
 
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 
 #include <algorithm>
 #include <array>
@@ -28,6 +29,47 @@
   return milliseconds(std::min(told, kLongest));
 }
 
+// Returns the value of a header, or an empty string if the header is missing or
+// repeated.
+std::string SingleHeaderValue(const front_request& request,
+                              const std::string& name) {
+  const auto count = std::ranges::count_if(request, [&](const auto& header) {
+    return Poco::icompare(header.first, name) == 0;
+  });
+  return count == 1 ? request.get(name) : std::string();
+}
+
+result<void> AuthenticateTeam(const front_request& request,
+                              const traffic_context& context,
+                              traffic_request& read) {
+  if (!read.manifest->has_teams() || read.route->allows_anonymous)
+    return Success();
+  read.api_key = SingleHeaderValue(request, context.headers.api_key);
+  read.team = read.manifest->FindTeamByApiKey(read.api_key);
+  if (read.team == nullptr)
+    return MakeError(result_code::kUnknownApiKey, read.route->name);
+  return Success();
+}
+
+// Restricts the request to the home regions that its route and its team have in
+// common.
+result<void> SetHomeRegions(traffic_request& read) {
+  read.home_regions = read.route->home_regions;
+  if (read.team == nullptr || read.team->home_regions.empty())
+    return Success();
+  const auto& team_regions = read.team->home_regions;
+  if (read.home_regions.empty()) {
+    read.home_regions = team_regions;
+    return Success();
+  }
+  std::erase_if(read.home_regions, [&](const auto& region) {
+    return std::ranges::find(team_regions, region) == team_regions.end();
+  });
+  if (read.home_regions.empty())
+    return MakeError(result_code::kNoCommonRegion, read.team->name);
+  return Success();
+}
+
 // Claims and readings are a few KB; held whole, they can be sent again, and a
 // caller on a slow link holds no target's slot while it sends. What is longer
 // is passed on as it comes: the limit on bodies is tens of MB, and a few such
@@ -63,6 +105,8 @@
   read.route = read.manifest->FindRoute(request.getHost(), read.path);
   if (read.route == nullptr)
     return MakeError(result_code::kUnknownPath, request.getHost() + read.path);
+  BOOST_OUTCOME_TRYV(AuthenticateTeam(request, context, read));
+  BOOST_OUTCOME_TRYV(SetHomeRegions(read));
   read.id = request.get(context.headers.request_id, "");
   read.method = request.getMethod();
   read.headers = request;
--- a/src/libsamphire/traffic/traffic_request_reader.h
+++ b/src/libsamphire/traffic/traffic_request_reader.h
@@ -9,7 +9,8 @@
 namespace samphire {
 
 // Reads a whole request and finds its route: kNoConfiguration, kUnknownPath,
-// kMalformedRequest, kBodyTooLarge, kRequestTooSlow, kCallerGone.
+// kUnknownApiKey, kNoCommonRegion, kMalformedRequest, kBodyTooLarge,
+// kRequestTooSlow, kCallerGone.
 result<traffic_request> ReadTrafficRequest(front_request& request,
                                            const traffic_context& context);
 
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -13,6 +13,8 @@
 #include <functional>
 #include <memory>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "platform_adapter/stand_in_platform.h"
 #include "platform_adapter/wire_target.h"
@@ -56,6 +58,7 @@
   std::string path = "/read/x";
   std::string body;
   std::string deadline = "2000";
+  std::vector<std::pair<std::string, std::string>> headers;
 };
 
 answer Ask(const std::string& address, const call& what) {
@@ -65,6 +68,8 @@
   request.set("Request-Id", "id-1");
   request.set("Affinity-Key", "17");
   request.set("Request-Deadline", what.deadline);
+  for (const auto& [name, value] : what.headers)
+    request.add(name, value);
   request.setContentLength(static_cast<std::streamsize>(what.body.size()));
   session.sendRequest(request) << what.body;
   Poco::Net::HTTPResponse response;
@@ -116,6 +121,10 @@
   answer Request(const call& what = {}) const {
     return Ask(settings.traffic.caller_address, what);
   }
+  answer RequestWithKey(const std::string& key,
+                        const std::string& path = "/read/x") const {
+    return Request({.path = path, .headers = {{"Credential", key}}});
+  }
   wire_target& Reader(const std::string& stamp) {
     return stamp == "stamp.i-read-1" ? read_1 : read_2;
   }
@@ -393,6 +402,105 @@
   CHECK(Eventually([&] { return r.Request().status == 200; }));
 }
 
+// Targets trust the team header; a caller that could set it could impersonate
+// another team.
+TEST_CASE("a target receives the caller's team and never its API key") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  const auto got = r.Request({.headers = {{"Credential", "key-2"},
+                                          {"Tenant-Id", "team-2"},
+                                          {"tenant-id", "team-3"}}});
+  REQUIRE(got.status == 200);
+  auto headers = r.Reader(got.stamp).last_headers();
+  CHECK(headers["Tenant-Id"] == "team-1");
+  CHECK(headers.count("tenant-id") == 0);
+  CHECK(headers.count("Credential") == 0);
+}
+
+// Guards against running a request whose team is unknown or ambiguous.
+TEST_CASE("a request without exactly one known API key is refused") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  CHECK(r.Request().status == 401);
+  for (const auto* key : {"", "key-9", "key-1,key-1", "key-1 key-2", "KEY-1"})
+    CHECK(r.RequestWithKey(key).status == 401);
+  CHECK(r.RequestWithKey(std::string(8000, 'k')).status == 401);
+  CHECK(
+      r.Request({.headers = {{"Credential", "key-1"}, {"credential", "key-1"}}})
+          .status == 401);
+  CHECK(r.RequestWithKey("key-1").status == 200);
+  CHECK(r.RequestWithKey("key-1", "/nowhere/").status == 404);
+  CHECK(r.read_1.runs + r.read_2.runs == 1);
+}
+
+TEST_CASE("a route that allows anonymous requests forwards no team") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004", true));
+  r.StartReady();
+  const auto got = r.Request(
+      {.headers = {{"Credential", "key-9"}, {"Tenant-Id", "team-1"}}});
+  REQUIRE(got.status == 200);
+  const auto headers = r.Reader(got.stamp).last_headers();
+  CHECK(headers.count("Tenant-Id") == 0);
+  CHECK(headers.count("Credential") == 0);
+}
+
+// Guards against a revoked API key staying valid until its connection closes.
+TEST_CASE("a revoked API key is refused on open connections") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  Poco::Net::HTTPClientSession session{
+      Poco::Net::SocketAddress(r.settings.traffic.caller_address)};
+  session.setKeepAlive(true);
+  const auto send_request = [&] {
+    Poco::Net::HTTPRequest request("GET", "/read/x", "HTTP/1.1");
+    request.setHost("h.example");
+    request.set("Credential", "key-1");
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    std::string body;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+    CHECK(response.getKeepAlive());
+    return static_cast<int>(response.getStatus());
+  };
+  REQUIRE(send_request() == 200);
+  r.world.Write("config/main",
+                Replaced(TeamManifestObject("00000005"), R"("key-1",)", ""));
+  REQUIRE(Eventually([&] { return send_request() == 401; }));
+  CHECK(r.RequestWithKey("key-2").status == 200);
+}
+
+// Guards against a retry after the API key is revoked during the first attempt.
+TEST_CASE("a revoked API key allows no further attempt") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  for (auto* target : {&r.read_1, &r.read_2}) {
+    target->mood = target_mood::kCut;
+    target->work_ms = 500;
+  }
+  std::thread caller([&] { r.RequestWithKey("key-1"); });
+  REQUIRE(Eventually([&] { return r.read_1.runs + r.read_2.runs == 1; }));
+  r.world.Write("config/main",
+                Replaced(TeamManifestObject("00000005"), R"("key-1",)", ""));
+  caller.join();
+  CHECK(r.read_1.runs + r.read_2.runs == 1);
+}
+
+// Guards against running a request outside the home regions of its team or
+// route: "team-2" is restricted to region "b", "/write/" to "a".
+TEST_CASE("a request without a common home region reaches no target") {
+  rig r;
+  r.world.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  CHECK(r.RequestWithKey("key-3", "/write/x").status == 503);
+  CHECK(r.RequestWithKey("key-3", "/read/x").status == 503);
+  CHECK(r.read_1.arrivals + r.write_1.arrivals == 0);
+}
+
 // An operator's mistake, or another writer's, must not take what is in force.
 TEST_CASE("a configuration that can't be read changes nothing") {
   rig r;
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -73,6 +73,44 @@
   CHECK_FALSE(ReadManifest(R"({"spec":[]})"));
 }
 
+TEST_CASE("teams are read with their API keys and home regions") {
+  const auto manifest = ReadManifest(TeamManifestObject("01", true));
+  REQUIRE(manifest);
+  CHECK(manifest.value()->has_teams());
+  const auto* team = manifest.value()->FindTeamByApiKey("key-2");
+  REQUIRE(team != nullptr);
+  CHECK(team->name == "team-1");
+  CHECK(manifest.value()->FindTeamByApiKey("key-3")->home_regions ==
+        std::vector<std::string>{"b"});
+  CHECK(manifest.value()->FindTeamByApiKey("") == nullptr);
+  CHECK(manifest.value()->FindTeamByApiKey("key") == nullptr);
+  CHECK(manifest.value()->FindRoute("h.example", "/read/")->allows_anonymous);
+  CHECK_FALSE(
+      manifest.value()->FindRoute("h.example", "/write/")->allows_anonymous);
+  CHECK_FALSE(ReadManifest(ManifestObject("01")).value()->has_teams());
+}
+
+// A partly loaded manifest could attribute requests to the wrong team or lock
+// out all callers.
+TEST_CASE("a manifest with conflicting or invalid teams is refused whole") {
+  const auto whole = TeamManifestObject("01");
+  const auto code_of = [&](const std::string& what, const std::string& by) {
+    const auto read = ReadManifest(Replaced(whole, what, by));
+    return read ? result_code::kOk : read.error().code;
+  };
+  CHECK(code_of("key-3", "key-1") == result_code::kDuplicateName);
+  CHECK(code_of("key-2", "key-1") == result_code::kDuplicateName);
+  CHECK(code_of("team-2", "team-1") == result_code::kDuplicateName);
+  CHECK(code_of("key-3", "") == result_code::kSchemaViolation);
+  CHECK(code_of(R"("key-3")", "7") == result_code::kSchemaViolation);
+  CHECK(code_of("team-2", "") == result_code::kSchemaViolation);
+  CHECK(code_of(R"(["key-3"])", R"("key-3")") == result_code::kSchemaViolation);
+  CHECK(code_of(R"("apiKeys":["key-3"],)", "") ==
+        result_code::kSchemaViolation);
+  const auto rejected = ReadManifest(Replaced(whole, "key-3", "key-1"));
+  CHECK(rejected.error().detail.find("key-1") == std::string::npos);
+}
+
 TEST_CASE("an unknown kind of route is never repeated") {
   const auto manifest = ReadManifest(Replaced(
       ManifestObject("01"), R"("kind":"safe")", R"("kind":"new-kind")"));
--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -40,6 +40,7 @@
     } else {
       ++target_.runs;
       target_.CountRun(request.get("Request-Id", ""));
+      target_.SetLastHeaders({request.begin(), request.end()});
       std::this_thread::sleep_for(
           std::chrono::milliseconds(target_.work_ms.load()));
       Run(mood, request, response, body);
@@ -112,6 +113,16 @@
   ++runs_by_id_[id];
 }
 
+std::map<std::string, std::string> wire_target::last_headers() const {
+  std::lock_guard guard(lock_);
+  return last_headers_;
+}
+
+void wire_target::SetLastHeaders(std::map<std::string, std::string> headers) {
+  std::lock_guard guard(lock_);
+  last_headers_ = std::move(headers);
+}
+
 std::string wire_target::address() const {
   return server_->socket().address().toString();
 }
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -49,10 +49,15 @@
   std::map<std::string, int> runs_by_id() const;
   void CountRun(const std::string& id);
 
+  // Headers of the most recently run request.
+  std::map<std::string, std::string> last_headers() const;
+  void SetLastHeaders(std::map<std::string, std::string> headers);
+
  private:
   const std::string id_;
   mutable std::mutex lock_;
   std::map<std::string, int> runs_by_id_;
+  std::map<std::string, std::string> last_headers_;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -36,6 +36,20 @@
                  "protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]}})";
 }
 
+std::string TeamManifestObject(const std::string& version,
+                               bool anonymous_reads) {
+  auto manifest = Replaced(ManifestObject(version), R"("listeners")",
+                           R"("tenants":[
+      {"name":"team-1","apiKeys":["key-1","key-2"],"priority":1,
+       "homeRegions":[]},
+      {"name":"team-2","apiKeys":["key-3"],"priority":1,
+       "homeRegions":["b"]}],"listeners")");
+  if (anonymous_reads)
+    manifest = Replaced(manifest, R"("kind":"safe")",
+                        R"("noAuth":true,"kind":"safe")");
+  return manifest;
+}
+
 std::string Replaced(std::string text,
                      const std::string& what,
                      const std::string& by) {
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -14,6 +14,12 @@
 // and whose "/write/" may not and goes to "writes".
 std::string ManifestObject(const std::string& version);
 
+// The same manifest with two teams: "team-1" with API keys "key-1" and "key-2",
+// and "team-2" with API key "key-3" and home region "b". If `anonymous_reads`
+// is set, "/read/" needs no API key.
+std::string TeamManifestObject(const std::string& version,
+                               bool anonymous_reads = false);
+
 // `text` with the first `what` replaced.
 std::string Replaced(std::string text,
                      const std::string& what,
