--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -110,6 +110,8 @@
      "A request like this lost a target and is being tried alone."},
     {kNoCommonRegion, "no-common-region", 503, false,
      "The team and the route have no region in common."},
+    {kTeamLimitReached, "team-limit-reached", 429, true,
+     "The team has used up its limit of requests."},
 
     {kTargetUnreachable, "target-unreachable", 503, true,
      "No connection to a target could be made."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -68,6 +68,7 @@
   kConfigurationTooOld = 2113,
   kSuspectRunning = 2114,
   kNoCommonRegion = 2115,
+  kTeamLimitReached = 2116,
 
   // 22xx: the request was dispatched and no whole answer came of it.
   kTargetUnreachable = 2201,
--- a/src/libsamphire/peer/message_kind.h
+++ b/src/libsamphire/peer/message_kind.h
@@ -27,9 +27,14 @@
   kPlacingAsk,
   kPlacingAnswer,
   kPlacingEnd,
+  kPermitAsk,
+  kPermitAnswer,
+  kPermitReturn,
+  kPermitBorrow,
+  kPermitLoan,
 };
 
-inline constexpr enum_names<message_kind, 17> kMessageKindNames{{
+inline constexpr enum_names<message_kind, 22> kMessageKindNames{{
     {message_kind::kProbe, "probe"},
     {message_kind::kProbeAck, "probe_ack"},
     {message_kind::kProbeRequest, "probe_request"},
@@ -47,9 +52,14 @@
     {message_kind::kPlacingAsk, "placing_ask"},
     {message_kind::kPlacingAnswer, "placing_answer"},
     {message_kind::kPlacingEnd, "placing_end"},
+    {message_kind::kPermitAsk, "permit_ask"},
+    {message_kind::kPermitAnswer, "permit_answer"},
+    {message_kind::kPermitReturn, "permit_return"},
+    {message_kind::kPermitBorrow, "permit_borrow"},
+    {message_kind::kPermitLoan, "permit_loan"},
 }};
 
-inline constexpr auto kLastMessageKind = message_kind::kPlacingEnd;
+inline constexpr auto kLastMessageKind = message_kind::kPermitLoan;
 
 }  // namespace samphire
 
--- /dev/null
+++ b/src/libsamphire/routing/permit_grantors.h
@@ -0,0 +1,26 @@
+#ifndef ROUTING_PERMIT_GRANTORS_H_
+#define ROUTING_PERMIT_GRANTORS_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace samphire {
+
+// Indexes of the entries that grant a team's permits.
+struct permit_grantors {
+  std::optional<std::size_t> owner;
+  // Asked if the owner does not answer.
+  std::optional<std::size_t> deputy;
+};
+
+// Chooses the owner and the deputy by rendezvous hashing. The result depends
+// only on the team and the set of entries.
+permit_grantors ChooseGrantors(std::string_view team,
+                               const std::vector<std::string>& entries);
+
+}  // namespace samphire
+
+#endif  // ROUTING_PERMIT_GRANTORS_H_
--- /dev/null
+++ b/src/libsamphire/routing/permit_role.h
@@ -0,0 +1,27 @@
+#ifndef ROUTING_PERMIT_ROLE_H_
+#define ROUTING_PERMIT_ROLE_H_
+
+#include "base/enum_names.h"
+
+namespace samphire {
+
+// The role in which an entry grants permits of a team.
+enum class permit_role {
+  // Chosen for the team among the region's entries by rendezvous hashing.
+  kOwner,
+  // Stands in for an owner that does not answer.
+  kDeputy,
+  // Grants permits for its own requests only, as it reaches neither the owner
+  // nor the deputy.
+  kAlone,
+};
+
+inline constexpr enum_names<permit_role, 3> kPermitRoleNames{{
+    {permit_role::kOwner, "owner"},
+    {permit_role::kDeputy, "deputy"},
+    {permit_role::kAlone, "alone"},
+}};
+
+}  // namespace samphire
+
+#endif  // ROUTING_PERMIT_ROLE_H_
--- /dev/null
+++ b/src/libsamphire/routing/permit_shares.cc
@@ -0,0 +1,41 @@
+#include "routing/permit_shares.h"
+
+#include <algorithm>
+
+namespace samphire {
+
+namespace {
+
+// Less than the owner's share, since both grant permits while only some entries
+// reach the owner.
+constexpr double kDeputyShare = 0.7;
+// Less than an equal share, since the other entries may still count an isolated
+// one when they compute theirs.
+constexpr double kAloneShare = 0.5;
+
+double Fraction(std::size_t count, std::size_t whole) {
+  return static_cast<double>(count) /
+         static_cast<double>(std::max({count, whole, std::size_t{1}}));
+}
+
+}  // namespace
+
+// Each region has a fixed share of a limit, independent of what its entries
+// know of other regions. In a partitioned region, each side chooses an owner of
+// its own, so the region's share is scaled by the fraction of entries on that
+// side.
+double permit_shares::Of(permit_role role) const {
+  const double region_share =
+      Fraction(1, regions) * Fraction(region_entries, region_peak);
+  switch (role) {
+    case permit_role::kOwner:
+      return region_share;
+    case permit_role::kDeputy:
+      return kDeputyShare * region_share;
+    case permit_role::kAlone:
+      return kAloneShare * Fraction(1, fleet_peak);
+  }
+  return 0;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/routing/permit_shares.h
@@ -0,0 +1,34 @@
+#ifndef ROUTING_PERMIT_SHARES_H_
+#define ROUTING_PERMIT_SHARES_H_
+
+#include <cstddef>
+
+#include "base/clock_source.h"
+#include "routing/permit_role.h"
+
+namespace samphire {
+
+// The division of a team's limit among entries, as seen by one entry.
+struct permit_shares {
+  std::size_t regions = 1;
+  // Live entries of this region: now, and their maximum over the last minute.
+  std::size_t region_entries = 1;
+  std::size_t region_peak = 1;
+  // The maximum number of entries in all regions over the last minute.
+  std::size_t fleet_peak = 1;
+  // Permits that each region may accumulate for a team, however small its
+  // limit.
+  double reserve = 0;
+  // Whether this entry has run long enough to know the others and be known by
+  // them.
+  bool settled = true;
+  // The last time the set of this region's entries changed.
+  time_point unchanged_since;
+
+  // Returns the largest share of the limit that an entry may grant in `role`.
+  double Of(permit_role role) const;
+};
+
+}  // namespace samphire
+
+#endif  // ROUTING_PERMIT_SHARES_H_
--- /dev/null
+++ b/src/libsamphire/routing/team_permits.h
@@ -0,0 +1,64 @@
+#ifndef ROUTING_TEAM_PERMITS_H_
+#define ROUTING_TEAM_PERMITS_H_
+
+#include <optional>
+
+#include "base/clock_source.h"
+#include "routing/permit_decision.h"
+#include "routing/permit_role.h"
+#include "routing/permit_shares.h"
+#include "routing/team_limit.h"
+#include "routing/token_bucket.h"
+
+namespace samphire {
+
+// Grants permits from one entry's share of a team's limit. Performs no I/O and
+// takes the time as an argument. Not thread-safe.
+class team_permits {
+ public:
+  // Grants a permit for one run of a request, or returns when to retry.
+  permit_decision Take(permit_role role,
+                       const team_limit& limit,
+                       const permit_shares& shares,
+                       time_point now);
+  // Takes back an unused permit that was granted in `role`.
+  void ReturnPermit(permit_role role,
+                    const team_limit& limit,
+                    const permit_shares& shares);
+
+  // Returns whether to borrow from the owners in other regions now, which is at
+  // most once every 100 ms.
+  bool ShouldBorrow(const team_limit& limit,
+                    const permit_shares& shares,
+                    time_point now);
+  // Removes permits from this owner's bucket for the owner in another region
+  // and returns how many.
+  double Lend(const team_limit& limit,
+              const permit_shares& shares,
+              time_point now);
+  void OnBorrowed(double permits,
+                  const team_limit& limit,
+                  const permit_shares& shares,
+                  time_point now);
+
+  // Discards the owner's tokens. Called when another entry becomes the owner,
+  // which may grant the same share.
+  void LoseOwnership() { owner_bucket_.reset(); }
+
+ private:
+  token_bucket& Bucket(permit_role role,
+                       const team_limit& limit,
+                       const permit_shares& shares,
+                       time_point now);
+
+  std::optional<token_bucket> owner_bucket_;
+  std::optional<token_bucket> deputy_bucket_;
+  std::optional<token_bucket> alone_bucket_;
+  // The retry time given to the last refused caller.
+  time_point next_retry_;
+  time_point last_borrow_;
+};
+
+}  // namespace samphire
+
+#endif  // ROUTING_TEAM_PERMITS_H_
--- a/src/libsamphire/routing/traffic_manifest.cc
+++ b/src/libsamphire/routing/traffic_manifest.cc
@@ -23,6 +23,8 @@
     services_.insert_or_assign(name, std::move(service));
   }
   for (std::size_t i = 0; i < teams_.size(); ++i) {
+    teams_by_name_.emplace(teams_[i].name, i);
+    total_team_rate_ += teams_[i].limit.rate;
     for (const auto& key : teams_[i].api_keys)
       teams_by_key_.emplace(key, i);
   }
@@ -52,6 +54,11 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+const traffic_team* traffic_manifest::FindTeam(std::string_view name) const {
+  const auto found = teams_by_name_.find(name);
+  return found == teams_by_name_.end() ? nullptr : &teams_[found->second];
+}
+
 const traffic_team* traffic_manifest::FindTeamByApiKey(
     const std::string& api_key) const {
   const auto found = teams_by_key_.find(api_key);
--- a/src/libsamphire/routing/traffic_manifest.h
+++ b/src/libsamphire/routing/traffic_manifest.h
@@ -41,6 +41,9 @@
   // Whether requests need an API key, except on routes that allow anonymous
   // ones.
   bool has_teams() const { return !teams_.empty(); }
+  // The sum of all teams' rate limits in requests per second.
+  double total_team_rate() const { return total_team_rate_; }
+  const traffic_team* FindTeam(std::string_view name) const;
   // Returns the team that `api_key` belongs to, or null.
   const traffic_team* FindTeamByApiKey(const std::string& api_key) const;
 
@@ -55,7 +58,9 @@
   std::map<std::string, prefix_map, std::less<>> hosts_;
   std::map<std::string, traffic_service, std::less<>> services_;
   std::vector<traffic_team> teams_;
-  // Maps API keys to indices into `teams_`.
+  double total_team_rate_ = 0;
+  // Maps names and API keys to indices into `teams_`.
+  std::map<std::string, std::size_t, std::less<>> teams_by_name_;
   std::unordered_map<std::string, std::size_t> teams_by_key_;
 };
 
--- a/src/libsamphire/routing/traffic_team.h
+++ b/src/libsamphire/routing/traffic_team.h
@@ -4,12 +4,16 @@
 #include <string>
 #include <vector>
 
+#include "routing/team_limit.h"
+
 namespace samphire {
 
-// A group of callers that authenticate with the same API keys.
+// A group of callers that authenticate with the same API keys and share a
+// limit.
 struct traffic_team {
   std::string name;
   std::vector<std::string> api_keys;
+  team_limit limit;
   // Regions whose targets may run the team's requests; any if empty.
   std::vector<std::string> home_regions;
 };
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -2,9 +2,12 @@
 #define TRAFFIC_ENTRY_LIST_H_
 
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
+#include "base/clock_source.h"
+
 namespace samphire {
 
 // The live entries of this entry's region. Immutable.
@@ -26,6 +29,14 @@
   // together each believe at first that they are alone.
   std::vector<std::string> region_sharers;
   std::size_t fleet_sharers = 0;
+  // The maximum number of entries over the last minute, in this region and in
+  // all regions.
+  std::size_t region_peak = 0;
+  std::size_t fleet_peak = 0;
+  // The last time `names` changed.
+  time_point unchanged_since;
+  // Peer addresses of some entries of each other region.
+  std::map<std::string, std::vector<std::string>> other_regions;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -22,7 +22,9 @@
     : self_(std::move(self)),
       settled_at_(started + settle_time),
       least_fleet_(least_fleet),
-      fleet_sizes_(kFleetMemory) {}
+      fleet_sizes_(kFleetMemory),
+      region_sizes_(kFleetMemory),
+      unchanged_since_(started) {}
 
 boost::intrusive_ptr<const entry_list> entry_list_builder::Build(
     const std::vector<member>& members,
@@ -55,10 +57,19 @@
   std::size_t size = list->names.size();
   for (const auto& region : regions) {
     size += region.digest.entries;
-    for (const auto& contact : region.digest.contacts)
+    for (const auto& contact : region.digest.contacts) {
       list->helper_addresses.push_back(contact.peer_address);
+      list->other_regions[region.digest.region].push_back(contact.peer_address);
+    }
   }
   const auto peak = fleet_sizes_.Note(std::max(size, least_fleet_), now);
+  list->fleet_peak = peak;
+  list->region_peak = region_sizes_.Note(list->names.size(), now);
+  if (list->names != previous_names_) {
+    previous_names_ = list->names;
+    unchanged_since_ = now;
+  }
+  list->unchanged_since = unchanged_since_;
   if (now >= settled_at_) {
     list->region_sharers = list->names;
     list->fleet_sharers = peak;
--- a/src/libsamphire/traffic/entry_list_builder.h
+++ b/src/libsamphire/traffic/entry_list_builder.h
@@ -38,6 +38,9 @@
   const time_point settled_at_;
   const std::size_t least_fleet_;
   recent_peak fleet_sizes_;
+  recent_peak region_sizes_;
+  std::vector<std::string> previous_names_;
+  time_point unchanged_since_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/placing_client.cc
+++ b/src/libsamphire/traffic/placing_client.cc
@@ -14,8 +14,6 @@
 // An owner that did not answer stands still, is gone or is cut off. Each
 // request that waits for it loses time, and one a second finds its return.
 constexpr milliseconds kSilencePause{1000};
-// Late answers come within a second or not at all.
-constexpr std::size_t kMaxGivenUp = 256;
 
 milliseconds WaitFor(const placing_ask& ask) {
   return std::clamp(milliseconds(ask.objective_ms / kObjectiveParts),
@@ -47,13 +45,10 @@
   if (silent_.IsPaused(owner_address, clock_.now()))
     return std::nullopt;
   ask.id = next_id_++;
-  {
-    std::lock_guard guard(lock_);
-    questions_[ask.id].service = ask.service;
-  }
+  questions_.Expect(ask.id, ask.service);
   const auto sent = transport_.Send(owner_address, message_kind::kPlacingAsk,
                                     EncodeBinary(ask));
-  auto answer = Await(ask.id, sent ? WaitFor(ask) : milliseconds{0});
+  auto answer = questions_.Await(ask.id, sent ? WaitFor(ask) : milliseconds{0});
   if (!answer) {
     metrics_.Count("placing_unanswered_total");
     silent_.Pause(owner_address, clock_.now() + kSilencePause);
@@ -61,42 +56,15 @@
   return answer;
 }
 
-std::optional<placing_answer> placing_client::Await(std::uint64_t id,
-                                                    milliseconds wait) {
-  std::unique_lock guard(lock_);
-  answered_.wait_for(guard, wait,
-                     [&] { return questions_.at(id).answer.has_value(); });
-  auto asked = questions_.extract(id);
-  if (!asked.mapped().answer) {
-    given_up_.emplace(id, std::move(asked.mapped().service));
-    if (given_up_.size() > kMaxGivenUp)
-      given_up_.erase(given_up_.begin());
-  }
-  return std::move(asked.mapped().answer);
-}
-
 void placing_client::OnAnswer(const peer_message& message) {
-  auto answer = DecodeBinary<placing_answer>(message.payload);
+  const auto answer = DecodeBinary<placing_answer>(message.payload);
   if (!answer) {
     metrics_.Count("placing_malformed_total");
     return;
   }
-  std::string late_service;
-  {
-    std::lock_guard guard(lock_);
-    const auto asked = questions_.find(answer->id);
-    if (asked != questions_.end()) {
-      asked->second.answer = std::move(*answer);
-      answered_.notify_all();
-      return;
-    }
-    const auto late = given_up_.extract(answer->id);
-    if (late.empty())
-      return;
-    late_service = late.mapped();
-  }
-  if (answer->verdict == placing_verdict::kPlaced) {
-    End(message.from, late_service, answer->id,
+  const auto late_service = questions_.Deliver(answer->id, *answer);
+  if (late_service && answer->verdict == placing_verdict::kPlaced) {
+    End(message.from, *late_service, answer->id,
         {.result = attempt_result::kCallerGone});
   }
 }
--- a/src/libsamphire/traffic/placing_client.h
+++ b/src/libsamphire/traffic/placing_client.h
@@ -2,16 +2,14 @@
 #define TRAFFIC_PLACING_CLIENT_H_
 
 #include <atomic>
-#include <condition_variable>
 #include <cstdint>
-#include <map>
-#include <mutex>
 #include <optional>
 #include <string>
 
 #include "base/clock_source.h"
 #include "base/pause_list.h"
 #include "metrics/metrics.h"
+#include "peer/answer_waiter.h"
 #include "peer/peer_transport.h"
 #include "routing/attempt_end.h"
 #include "routing/placing_request.h"
@@ -42,25 +40,16 @@
            const attempt_end& end);
 
  private:
-  struct question {
-    std::string service;
-    std::optional<placing_answer> answer;
-  };
-
   void OnAnswer(const peer_message& message);
-  std::optional<placing_answer> Await(std::uint64_t id, milliseconds wait);
 
   peer_transport& transport_;
   const clock_source& clock_;
   metrics& metrics_;
   std::atomic<std::uint64_t> next_id_;
   pause_list silent_;
-  std::mutex lock_;
-  std::condition_variable answered_;
-  std::map<std::uint64_t, question> questions_;
-  // Of questions that were given up: their answers come too late, and the
-  // leases that they grant are given back.
-  std::map<std::uint64_t, std::string> given_up_;
+  // The context is the service, which is needed to end the lease granted by a
+  // late answer.
+  answer_waiter<placing_answer, std::string> questions_;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/team_limiter.cc
@@ -0,0 +1,373 @@
+#include "traffic/team_limiter.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace samphire {
+
+namespace {
+
+// Owners in the same region usually answer within a few milliseconds, but may
+// take longer on a small CPU share while they load a new configuration.
+constexpr milliseconds kAnswerTimeout{100};
+// Limits how often requests wait for an entry that does not answer.
+constexpr milliseconds kSilencePause{1000};
+// Fraction of the slack that absorbs short bursts of small teams. The rest
+// covers entries that disagree on a team's owner.
+constexpr double kReserveOfSlack = 0.4;
+// Most entries know each other after this time.
+constexpr milliseconds kStartupRetryAfter{500};
+// Maximum time for which another entry's refusal is cached.
+constexpr milliseconds kMaxRefusalAge{100};
+
+std::string OutcomeLabel(permit_role role, bool granted) {
+  return fmt::format("role=\"{}\",outcome=\"{}\"",
+                     NameOf(kPermitRoleNames, role),
+                     granted ? "granted" : "refused");
+}
+
+}  // namespace
+
+team_limiter::team_limiter(peer_transport& transport,
+                           const traffic_settings& settings,
+                           const traffic_state& state,
+                           const clock_source& clock,
+                           metrics& counters,
+                           std::uint64_t first_id)
+    : transport_(transport),
+      settings_(settings),
+      state_(state),
+      clock_(clock),
+      metrics_(counters),
+      next_id_(first_id),
+      started_(clock.now()) {
+  transport_.OnMessage(message_kind::kPermitAsk,
+                       [this](const auto& message) { OnAsk(message); });
+  transport_.OnMessage(message_kind::kPermitAnswer,
+                       [this](const auto& message) { OnAnswer(message); });
+  transport_.OnMessage(message_kind::kPermitReturn,
+                       [this](const auto& message) { OnReturn(message); });
+  transport_.OnMessage(message_kind::kPermitBorrow,
+                       [this](const auto& message) { OnBorrow(message); });
+  transport_.OnMessage(message_kind::kPermitLoan,
+                       [this](const auto& message) { OnLoan(message); });
+}
+
+team_limiter::~team_limiter() {
+  for (const auto kind :
+       {message_kind::kPermitAsk, message_kind::kPermitAnswer,
+        message_kind::kPermitReturn, message_kind::kPermitBorrow,
+        message_kind::kPermitLoan})
+    transport_.OnMessage(kind, nullptr);
+}
+
+// Asks the owner, then the deputy. If neither answers, grants from a small
+// share of this entry's own, so that isolated entries keep serving requests
+// without exceeding the limit together.
+team_permit team_limiter::Take(const std::string& team) {
+  const auto manifest = state_.manifest();
+  const auto* known = FindTeam(manifest.get(), team);
+  if (known == nullptr || !known->limit.IsSet())
+    return {.decision = {.granted = true}};
+  if (auto refusal = StartupRefusal(*manifest, *known))
+    return std::move(*refusal);
+  if (auto refusal = RecentRefusal(team))
+    return std::move(*refusal);
+  if (auto permit = TakeFromGrantor(team, known->limit))
+    return std::move(*permit);
+  return {.decision = TakeLocally(team, permit_role::kAlone, known->limit),
+          .role = permit_role::kAlone};
+}
+
+std::optional<team_permit> team_limiter::TakeFromGrantor(
+    const std::string& team,
+    const team_limit& limit) {
+  const auto entries = state_.entries().Get();
+  if (IsIsolated(*entries))
+    return std::nullopt;
+  const auto grantors = ChooseGrantors(team, entries->names);
+  const std::pair<std::optional<std::size_t>, permit_role> order[] = {
+      {grantors.owner, permit_role::kOwner},
+      {grantors.deputy, permit_role::kDeputy}};
+  for (const auto& [index, role] : order) {
+    if (!index)
+      continue;
+    if (entries->names[*index] == settings_.place.instance)
+      return team_permit{.decision = TakeLocally(team, role, limit),
+                         .role = role};
+    const auto& address = entries->peer_addresses[*index];
+    const auto answer = Ask(address, team);
+    if (!answer || answer->verdict == permit_verdict::kUnknownTeam)
+      continue;
+    team_permit permit{
+        .decision = {.granted = answer->verdict == permit_verdict::kGranted,
+                     .retry_after = milliseconds(answer->retry_after_ms)},
+        .role = role,
+        .grantor_address = address};
+    if (!permit.decision.granted)
+      NoteRefusal(team, permit);
+    return permit;
+  }
+  return std::nullopt;
+}
+
+std::optional<team_permit> team_limiter::StartupRefusal(
+    const traffic_manifest& manifest,
+    const traffic_team& team) {
+  if (clock_.now() - started_ >= settings_.startup_time)
+    return std::nullopt;
+  const double share = team.limit.rate / manifest.total_team_rate();
+  std::lock_guard guard(lock_);
+  if (startup_.TryTake(team.name, share))
+    return std::nullopt;
+  return team_permit{.decision = {.retry_after = kStartupRetryAfter},
+                     .role = permit_role::kAlone};
+}
+
+// An entry that started while isolated does not know the size of its region, so
+// it must not grant permits as the owner.
+bool team_limiter::IsIsolated(const entry_list& entries) const {
+  return entries.names.size() <= 1 && entries.other_regions.empty() &&
+         settings_.least_fleet > 1;
+}
+
+// Caches refusals so that a team far over its limit does not overload its owner
+// with permit requests.
+std::optional<team_permit> team_limiter::RecentRefusal(
+    const std::string& team) {
+  return teams_.With(team, [&](auto& teams) -> std::optional<team_permit> {
+    const auto found = teams.find(team);
+    if (found == teams.end() || clock_.now() >= found->second.refused_until)
+      return std::nullopt;
+    return found->second.refusal;
+  });
+}
+
+void team_limiter::NoteRefusal(const std::string& team,
+                               const team_permit& refusal) {
+  const auto until =
+      clock_.now() + std::min(refusal.decision.retry_after, kMaxRefusalAge);
+  teams_.With(team, [&](auto& teams) {
+    auto& state = teams[team];
+    state.refusal = refusal;
+    state.refused_until = until;
+  });
+}
+
+std::optional<permit_answer> team_limiter::Ask(const std::string& address,
+                                               const std::string& team) {
+  if (silent_.IsPaused(address, clock_.now()))
+    return std::nullopt;
+  const permit_ask ask{.id = next_id_++, .team = team};
+  questions_.Expect(ask.id, team);
+  const auto sent =
+      transport_.Send(address, message_kind::kPermitAsk, EncodeBinary(ask));
+  auto answer =
+      questions_.Await(ask.id, sent ? kAnswerTimeout : milliseconds{0});
+  if (!answer) {
+    metrics_.Count("permits_unanswered_total");
+    silent_.Pause(address, clock_.now() + kSilencePause);
+  }
+  return answer;
+}
+
+permit_decision team_limiter::TakeLocally(const std::string& team,
+                                          permit_role role,
+                                          const team_limit& limit) {
+  const auto now = clock_.now();
+  const auto shares = Shares();
+  bool borrow = false;
+  const auto decision = teams_.With(team, [&](auto& teams) {
+    auto& permits = teams[team].permits;
+    const auto taken = permits.Take(role, limit, shares, now);
+    borrow =
+        role == permit_role::kOwner && permits.ShouldBorrow(limit, shares, now);
+    return taken;
+  });
+  metrics_.Count("team_permits_total", OutcomeLabel(role, decision.granted));
+  if (borrow)
+    Borrow(team);
+  return decision;
+}
+
+void team_limiter::ReturnPermit(const std::string& team,
+                                const team_permit& permit) {
+  if (permit.grantor_address.empty())
+    ReturnLocally(team, permit.role);
+  else
+    Send(permit.grantor_address, message_kind::kPermitReturn,
+         permit_return{team});
+}
+
+void team_limiter::ReturnLocally(const std::string& team, permit_role role) {
+  const auto manifest = state_.manifest();
+  const auto* known = FindTeam(manifest.get(), team);
+  if (known == nullptr)
+    return;
+  const auto shares = Shares();
+  teams_.With(team, [&](auto& teams) {
+    teams[team].permits.ReturnPermit(role, known->limit, shares);
+  });
+}
+
+// Discards the tokens of teams that this entry no longer owns. An entry that
+// regains ownership would otherwise grant them in addition to those that the
+// other owner granted.
+void team_limiter::OnEntriesChanged() {
+  const auto entries = state_.entries().Get();
+  const auto& self = settings_.place.instance;
+  teams_.ForEach([&](auto& teams) {
+    for (auto& [team, state] : teams) {
+      const auto owner = ChooseGrantors(team, entries->names).owner;
+      if (!owner || entries->names[*owner] != self)
+        state.permits.LoseOwnership();
+    }
+  });
+}
+
+void team_limiter::Borrow(const std::string& team) {
+  const auto entries = state_.entries().Get();
+  for (const auto& [region, contacts] : entries->other_regions) {
+    const auto address = BorrowAddress(region, contacts, team);
+    if (!address.empty())
+      Send(address, message_kind::kPermitBorrow, permit_borrow{team});
+  }
+}
+
+// Removes the cached address, since its entry may be gone. The next loan caches
+// it again.
+std::string team_limiter::BorrowAddress(
+    const std::string& region,
+    const std::vector<std::string>& contacts,
+    const std::string& team) {
+  std::lock_guard guard(lock_);
+  auto known = owner_addresses_.extract({team, region});
+  if (!known.empty())
+    return std::move(known.mapped());
+  return contacts.empty() ? std::string()
+                          : contacts[next_contact_++ % contacts.size()];
+}
+
+void team_limiter::OnAsk(const peer_message& message) {
+  const auto ask = Decode<permit_ask>(message);
+  if (!ask)
+    return;
+  permit_answer answer{.id = ask->id};
+  const auto manifest = state_.manifest();
+  if (const auto* team = FindTeam(manifest.get(), ask->team)) {
+    const auto decision =
+        team->limit.IsSet()
+            ? TakeLocally(ask->team, OwnRole(ask->team), team->limit)
+            : permit_decision{.granted = true};
+    answer.verdict =
+        decision.granted ? permit_verdict::kGranted : permit_verdict::kRefused;
+    answer.retry_after_ms =
+        static_cast<std::uint32_t>(decision.retry_after.count());
+  }
+  Send(message.from, message_kind::kPermitAnswer, answer);
+}
+
+void team_limiter::OnAnswer(const peer_message& message) {
+  const auto answer = Decode<permit_answer>(message);
+  if (!answer)
+    return;
+  const auto late_team = questions_.Deliver(answer->id, *answer);
+  if (late_team && answer->verdict == permit_verdict::kGranted)
+    Send(message.from, message_kind::kPermitReturn, permit_return{*late_team});
+}
+
+void team_limiter::OnReturn(const peer_message& message) {
+  if (const auto returned = Decode<permit_return>(message))
+    ReturnLocally(returned->team, OwnRole(returned->team));
+}
+
+void team_limiter::OnBorrow(const peer_message& message) {
+  const auto borrow = Decode<permit_borrow>(message);
+  const auto manifest = state_.manifest();
+  const auto* team = borrow ? FindTeam(manifest.get(), borrow->team) : nullptr;
+  if (team == nullptr)
+    return;
+  permit_loan loan{.team = borrow->team, .region = settings_.place.region};
+  const auto entries = state_.entries().Get();
+  const auto owner = ChooseGrantors(borrow->team, entries->names).owner;
+  if (!owner)
+    return;
+  if (entries->names[*owner] == settings_.place.instance) {
+    const auto shares = Shares();
+    loan.permits = teams_.With(borrow->team, [&](auto& teams) {
+      return teams[borrow->team].permits.Lend(team->limit, shares,
+                                              clock_.now());
+    });
+  } else {
+    loan.owner_address = entries->peer_addresses[*owner];
+  }
+  Send(message.from, message_kind::kPermitLoan, loan);
+}
+
+void team_limiter::OnLoan(const peer_message& message) {
+  const auto loan = Decode<permit_loan>(message);
+  const auto manifest = state_.manifest();
+  const auto* team = loan ? FindTeam(manifest.get(), loan->team) : nullptr;
+  if (team == nullptr || !std::isfinite(loan->permits) || loan->permits < 0)
+    return;
+  {
+    std::lock_guard guard(lock_);
+    owner_addresses_[{loan->team, loan->region}] =
+        loan->owner_address.empty() ? message.from : loan->owner_address;
+  }
+  if (loan->permits == 0 || OwnRole(loan->team) != permit_role::kOwner)
+    return;
+  const auto shares = Shares();
+  teams_.With(loan->team, [&](auto& teams) {
+    teams[loan->team].permits.OnBorrowed(loan->permits, team->limit, shares,
+                                         clock_.now());
+  });
+}
+
+permit_role team_limiter::OwnRole(const std::string& team) const {
+  const auto entries = state_.entries().Get();
+  const auto owner = ChooseGrantors(team, entries->names).owner;
+  return owner && entries->names[*owner] == settings_.place.instance
+             ? permit_role::kOwner
+             : permit_role::kDeputy;
+}
+
+const traffic_team* team_limiter::FindTeam(const traffic_manifest* manifest,
+                                           const std::string& team) const {
+  return manifest == nullptr ? nullptr : manifest->FindTeam(team);
+}
+
+permit_shares team_limiter::Shares() const {
+  const auto entries = state_.entries().Get();
+  const auto bounds = state_.bounds();
+  return {.regions = bounds->regions,
+          .region_entries = entries->names.size(),
+          .region_peak = entries->region_peak,
+          .fleet_peak = entries->fleet_peak,
+          .reserve = kReserveOfSlack * bounds->limit_slack /
+                     static_cast<double>(bounds->regions),
+          .settled = entries->fleet_sharers > 0,
+          .unchanged_since = entries->unchanged_since};
+}
+
+template <typename Message>
+void team_limiter::Send(const std::string& address,
+                        message_kind kind,
+                        const Message& message) {
+  const auto sent = transport_.Send(address, kind, EncodeBinary(message));
+  if (!sent)
+    metrics_.CountRetry(sent.error().code);
+}
+
+template <typename Message>
+std::optional<Message> team_limiter::Decode(const peer_message& message) {
+  auto decoded = DecodeBinary<Message>(message.payload);
+  if (!decoded)
+    metrics_.Count("permits_malformed_total");
+  return decoded;
+}
+
+}  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/team_limiter.h
@@ -0,0 +1,121 @@
+#ifndef TRAFFIC_TEAM_LIMITER_H_
+#define TRAFFIC_TEAM_LIMITER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/clock_source.h"
+#include "base/pause_list.h"
+#include "base/sharded.h"
+#include "metrics/metrics.h"
+#include "peer/answer_waiter.h"
+#include "peer/peer_transport.h"
+#include "routing/permit_grantors.h"
+#include "routing/startup_allowance.h"
+#include "routing/team_permits.h"
+#include "traffic/permit_messages.h"
+#include "traffic/team_permit.h"
+#include "traffic/traffic_settings.h"
+#include "traffic/traffic_state.h"
+
+namespace samphire {
+
+// Enforces team limits across entries. Requests permits from the entry that
+// grants them in this region, and grants permits of the teams that this entry
+// owns. Thread-safe.
+class team_limiter {
+ public:
+  team_limiter(peer_transport& transport,
+               const traffic_settings& settings,
+               const traffic_state& state,
+               const clock_source& clock,
+               metrics& counters,
+               std::uint64_t first_id);
+  ~team_limiter();
+  team_limiter(const team_limiter&) = delete;
+  team_limiter& operator=(const team_limiter&) = delete;
+
+  // Decides whether one more request of the team may run. Blocks until the
+  // asked entry answers or the timeout expires.
+  team_permit Take(const std::string& team);
+  // Returns a granted permit that no run has used.
+  void ReturnPermit(const std::string& team, const team_permit& permit);
+  // Must be called when the entries of the region have changed.
+  void OnEntriesChanged();
+
+ private:
+  struct team_state {
+    team_permits permits;
+    // The last refusal by another entry, cached until `refused_until`.
+    team_permit refusal;
+    time_point refused_until;
+  };
+  using team_map = std::map<std::string, team_state>;
+
+  void OnAsk(const peer_message& message);
+  void OnAnswer(const peer_message& message);
+  void OnReturn(const peer_message& message);
+  void OnBorrow(const peer_message& message);
+  void OnLoan(const peer_message& message);
+
+  // Takes a permit from the region's owner or deputy. Returns nothing if
+  // neither answers.
+  std::optional<team_permit> TakeFromGrantor(const std::string& team,
+                                             const team_limit& limit);
+  // Whether this entry knows no other entries although the fleet has some.
+  bool IsIsolated(const entry_list& entries) const;
+  // Applies the startup allowance. Returns nothing if the request may proceed
+  // or the startup time is over.
+  std::optional<team_permit> StartupRefusal(const traffic_manifest& manifest,
+                                            const traffic_team& team);
+  std::optional<team_permit> RecentRefusal(const std::string& team);
+  void NoteRefusal(const std::string& team, const team_permit& refusal);
+  std::optional<permit_answer> Ask(const std::string& address,
+                                   const std::string& team);
+  permit_decision TakeLocally(const std::string& team,
+                              permit_role role,
+                              const team_limit& limit);
+  void ReturnLocally(const std::string& team, permit_role role);
+  void Borrow(const std::string& team);
+  // Returns the cached address of the owner in another region, or else of any
+  // entry there, which answers with the owner's address.
+  std::string BorrowAddress(const std::string& region,
+                            const std::vector<std::string>& contacts,
+                            const std::string& team);
+  permit_role OwnRole(const std::string& team) const;
+  // Returns null if there is no manifest or it does not contain the team.
+  const traffic_team* FindTeam(const traffic_manifest* manifest,
+                               const std::string& team) const;
+  permit_shares Shares() const;
+  template <typename Message>
+  void Send(const std::string& address,
+            message_kind kind,
+            const Message& message);
+  template <typename Message>
+  std::optional<Message> Decode(const peer_message& message);
+
+  peer_transport& transport_;
+  const traffic_settings& settings_;
+  const traffic_state& state_;
+  const clock_source& clock_;
+  metrics& metrics_;
+  std::atomic<std::uint64_t> next_id_;
+  pause_list silent_;
+  answer_waiter<permit_answer, std::string> questions_;
+  sharded<team_map> teams_;
+  const time_point started_;
+  std::mutex lock_;
+  startup_allowance startup_;
+  // Peer addresses of owners in other regions, by team and region.
+  std::map<std::pair<std::string, std::string>, std::string> owner_addresses_;
+  std::size_t next_contact_ = 0;
+};
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_TEAM_LIMITER_H_
--- /dev/null
+++ b/src/libsamphire/traffic/team_permit.h
@@ -0,0 +1,21 @@
+#ifndef TRAFFIC_TEAM_PERMIT_H_
+#define TRAFFIC_TEAM_PERMIT_H_
+
+#include <string>
+
+#include "routing/permit_decision.h"
+#include "routing/permit_role.h"
+
+namespace samphire {
+
+// The decision on one run of a team's request, and the entry that made it.
+struct team_permit {
+  permit_decision decision;
+  permit_role role = permit_role::kOwner;
+  // Peer address of the entry that decided; empty for this entry.
+  std::string grantor_address;
+};
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_TEAM_PERMIT_H_
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -6,6 +6,7 @@
 #include "proxy/connection_pool.h"
 #include "traffic/placing_client.h"
 #include "traffic/service_shards.h"
+#include "traffic/team_limiter.h"
 #include "traffic/traffic_headers.h"
 #include "traffic/traffic_settings.h"
 #include "traffic/traffic_state.h"
@@ -19,6 +20,7 @@
   traffic_state& state;
   service_shards& shards;
   placing_client& placings;
+  team_limiter& limiter;
   connection_pool& pool;
   const clock_source& clock;
   samphire::metrics& counters;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -18,6 +18,14 @@
 constexpr milliseconds kLeastAttempt{20};
 constexpr milliseconds kFailureRetryAfter{100};
 
+// Whether the HTTP status for `code` tells callers that the request did not
+// run.
+bool ImpliesNotRun(result_code code) {
+  const int status = InfoOf(code).http_status;
+  return status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE ||
+         status == Poco::Net::HTTPResponse::HTTP_TOO_MANY_REQUESTS;
+}
+
 }  // namespace
 
 traffic_dispatcher::traffic_dispatcher(traffic_context& context,
@@ -43,35 +51,60 @@
 }
 
 void traffic_dispatcher::Run() {
-  while (true) {
-    if (!IsApiKeyValid()) {
-      FinishWithoutAttempt(result_code::kUnknownApiKey, milliseconds{0});
-      return;
-    }
-    auto placed = placer_.Place();
-    if (const auto* refusal = std::get_if<placing_refusal>(&placed.place)) {
-      LogNoPlace(*refusal, placed.owner);
-      FinishWithoutAttempt(refusal->reason, refusal->retry_after);
-      return;
-    }
-    const auto& target = std::get<placed_attempt>(placed.place).target;
-    ++attempts_;
-    last_target_ = target.id;
-    auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
-    Report(placed, end);
-    if (end.may_have_run) {
-      may_have_run_ = true;
-      ++runs_;
-    }
-    if (!MayTryAgain(end)) {
-      Finish(std::move(end));
-      return;
-    }
-    if (end.answer)
-      failure_ = std::move(end.answer);
-    placer_.Exclude(target.id);
-    context_.counters.CountRetry(end.reason);
+  while (Attempt()) {
   }
+  if (permit_)
+    context_.limiter.ReturnPermit(request_.team->name, *permit_);
+}
+
+bool traffic_dispatcher::Attempt() {
+  if (!IsApiKeyValid()) {
+    FinishWithoutAttempt(result_code::kUnknownApiKey, milliseconds{0});
+    return false;
+  }
+  if (!TakePermit())
+    return false;
+  auto placed = placer_.Place();
+  if (const auto* refusal = std::get_if<placing_refusal>(&placed.place)) {
+    LogNoPlace(*refusal, placed.owner);
+    FinishWithoutAttempt(refusal->reason, refusal->retry_after);
+    return false;
+  }
+  const auto& target = std::get<placed_attempt>(placed.place).target;
+  ++attempts_;
+  last_target_ = target.id;
+  auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
+  Report(placed, end);
+  if (end.may_have_run) {
+    may_have_run_ = true;
+    ++runs_;
+    permit_.reset();
+  }
+  if (!MayTryAgain(end)) {
+    Finish(std::move(end));
+    return false;
+  }
+  if (end.answer)
+    failure_ = std::move(end.answer);
+  placer_.Exclude(target.id);
+  context_.counters.CountRetry(end.reason);
+  return true;
+}
+
+// A permit covers one run. The next attempt reuses it if no target can have run
+// the request, and takes a new one otherwise.
+bool traffic_dispatcher::TakePermit() {
+  if (permit_ || request_.team == nullptr || !request_.team->limit.IsSet())
+    return true;
+  const auto permit = context_.limiter.Take(request_.team->name);
+  if (permit.decision.granted) {
+    permit_ = permit;
+    return true;
+  }
+  LogNoPermit(permit);
+  FinishWithoutAttempt(result_code::kTeamLimitReached,
+                       permit.decision.retry_after);
+  return false;
 }
 
 // The key may be revoked while a long body arrives or an attempt runs.
@@ -154,7 +187,7 @@
 void traffic_dispatcher::Refuse(result_code code, milliseconds retry_after) {
   if (may_have_run_ && code == result_code::kRequestTooSlow)
     code = result_code::kDeadlineExceeded;
-  else if (may_have_run_ && InfoOf(code).http_status == 503)
+  else if (may_have_run_ && ImpliesNotRun(code))
     code = result_code::kTargetFailed;
   else if (!may_have_run_ && code == result_code::kDeadlineExceeded)
     code = result_code::kQueueExpired;
@@ -209,6 +242,16 @@
        {"ms", took.count()}});
 }
 
+void traffic_dispatcher::LogNoPermit(const team_permit& permit) const {
+  Log(log_level::kInfo, "no-permit",
+      {{"request", request_.id},
+       {"team", request_.team->name},
+       {"role", NameOf(kPermitRoleNames, permit.role)},
+       {"granted_by", permit.grantor_address},
+       {"config_version", request_.manifest->version()},
+       {"retry_after_ms", permit.decision.retry_after.count()}});
+}
+
 void traffic_dispatcher::LogNoPlace(const placing_refusal& refusal,
                                     const std::string& owner) const {
   const auto targets = context_.state.targets();
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -10,6 +10,7 @@
 #include "traffic/placed_request.h"
 #include "traffic/request_placer.h"
 #include "traffic/target_exchange_end.h"
+#include "traffic/team_permit.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -28,6 +29,11 @@
  private:
   // The service among which the request's route is divided that gets it.
   std::string ChooseService() const;
+  // Makes one attempt. Returns whether to make another one.
+  bool Attempt();
+  // Takes a permit if the team has a limit and none is held. Finishes the
+  // request and returns false if it is refused.
+  bool TakePermit();
   // Whether the API key still belongs to the same team in the current manifest.
   bool IsApiKeyValid() const;
   void Report(const placed_request& placed, const target_exchange_end& end);
@@ -39,6 +45,7 @@
   void LogAttempt(const placed_request& placed,
                   const target_exchange_end& end) const;
   void LogOutcome(result_code code, int status) const;
+  void LogNoPermit(const team_permit& permit) const;
   void LogNoPlace(const placing_refusal& refusal,
                   const std::string& owner) const;
 
@@ -47,6 +54,8 @@
   const caller_watch& caller_;
   answer_sink& sink_;
   request_placer placer_;
+  // A granted permit that no run has used yet.
+  std::optional<team_permit> permit_;
   std::uint32_t attempts_ = 0;
   std::string last_target_;
   // Targets that may have run the request.
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -83,8 +83,9 @@
                     settings_.least_fleet,
                     clock_.now()),
       placings_(transport_, clock_, metrics_, incarnation_),
-      context_{settings_, headers_, state_, shards_,
-               placings_, pool_,    clock_, metrics_},
+      limiter_(transport_, settings_, state_, clock_, metrics_, incarnation_),
+      context_{settings_, headers_, state_, shards_, placings_,
+               limiter_,  pool_,    clock_, metrics_},
       placing_server_(transport_, context_),
       caller_front_(
           settings_.caller_address,
@@ -195,9 +196,12 @@
 
 void traffic_node::FollowMembers() {
   std::lock_guard guard(list_lock_);
+  const auto before = state_.entries().Get();
   state_.entries().Replace(list_builder_.Build(membership_.members(),
                                                membership_.regions(), IsReady(),
                                                state_.leaving, clock_.now()));
+  if (state_.entries().Get()->names != before->names)
+    limiter_.OnEntriesChanged();
 }
 
 std::unique_ptr<object_watcher> traffic_node::Share(object_watcher& platform) {
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -23,6 +23,7 @@
 #include "traffic/placing_server.h"
 #include "traffic/service_shards.h"
 #include "traffic/source_plan.h"
+#include "traffic/team_limiter.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
 #include "traffic/traffic_settings.h"
@@ -88,6 +89,7 @@
   std::mutex list_lock_;
   entry_list_builder list_builder_;
   placing_client placings_;
+  team_limiter limiter_;
   traffic_context context_;
   placing_server placing_server_;
   front_server caller_front_;
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -36,6 +36,9 @@
   // does not know would be taken for missing: all would watch the platform.
   // Until then the listing of the start has to do, and what peers tell.
   milliseconds meeting_time{2000};
+  // For this time after its start, an entry may not know the others of its
+  // region and limits teams based on its own requests only.
+  milliseconds startup_time{2500};
   // What placing leaves out, to measure what it is worth.
   mechanism_set without;
   traffic_bounds bounds;
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -41,6 +41,7 @@
   traffic.peer_key = kKey;
   traffic.settle_time = 0ms;
   traffic.meeting_time = 0ms;
+  traffic.bounds.limit_slack = 20;
   settings.store_addresses = {store};
   settings.regions = {{"a-1", "a"}};
   return settings;
@@ -501,6 +502,28 @@
   CHECK(r.read_1.arrivals + r.write_1.arrivals == 0);
 }
 
+// Guards against requests over the limit using capacity of other teams, and
+// against refusals without a Retry-After.
+TEST_CASE(
+    "a request beyond its team's limit is refused and reaches no target") {
+  rig r;
+  auto limited = Replaced(TeamManifestObject("00000004"), R"("ratePerS":50)",
+                          R"("ratePerS":0.1)");
+  r.world.Write("config/main", limited);
+  r.StartReady();
+  int served = 0;
+  while (served < 50 && r.RequestWithKey("key-1").status == 200)
+    ++served;
+  CHECK(served >= 4);
+  CHECK(served <= 22);
+  const auto refused = r.RequestWithKey("key-2");
+  CHECK(refused.status == 429);
+  CHECK_FALSE(refused.retry_after.empty());
+  CHECK(r.read_1.arrivals + r.read_2.arrivals == served);
+  r.world.Write("config/main", TeamManifestObject("00000005"));
+  CHECK(Eventually([&] { return r.RequestWithKey("key-1").status == 200; }));
+}
+
 // An operator's mistake, or another writer's, must not take what is in force.
 TEST_CASE("a configuration that can't be read changes nothing") {
   rig r;
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -80,6 +80,9 @@
   const auto* team = manifest.value()->FindTeamByApiKey("key-2");
   REQUIRE(team != nullptr);
   CHECK(team->name == "team-1");
+  CHECK(team->limit.rate == 50);
+  CHECK(team->limit.burst == 20.5);
+  CHECK_FALSE(manifest.value()->FindTeam("team-2")->limit.IsSet());
   CHECK(manifest.value()->FindTeamByApiKey("key-3")->home_regions ==
         std::vector<std::string>{"b"});
   CHECK(manifest.value()->FindTeamByApiKey("") == nullptr);
@@ -101,6 +104,11 @@
   CHECK(code_of("key-3", "key-1") == result_code::kDuplicateName);
   CHECK(code_of("key-2", "key-1") == result_code::kDuplicateName);
   CHECK(code_of("team-2", "team-1") == result_code::kDuplicateName);
+  for (const std::string number : {"-1", "\"50\"", "null", "true"})
+    CHECK(code_of(R"("ratePerS":50)", R"("ratePerS":)" + number) ==
+          result_code::kValueOutOfRange);
+  CHECK(code_of("20.5", "1e999") != result_code::kOk);
+  CHECK(code_of("20.5", "-0.5") == result_code::kValueOutOfRange);
   CHECK(code_of("key-3", "") == result_code::kSchemaViolation);
   CHECK(code_of(R"("key-3")", "7") == result_code::kSchemaViolation);
   CHECK(code_of("team-2", "") == result_code::kSchemaViolation);
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -41,7 +41,7 @@
   auto manifest = Replaced(ManifestObject(version), R"("listeners")",
                            R"("tenants":[
       {"name":"team-1","apiKeys":["key-1","key-2"],"priority":1,
-       "homeRegions":[]},
+       "ratePerS":50,"burst":20.5,"homeRegions":[]},
       {"name":"team-2","apiKeys":["key-3"],"priority":1,
        "homeRegions":["b"]}],"listeners")");
   if (anonymous_reads)
--- a/tests/routing/shared_bounds_model_test.cc
+++ b/tests/routing/shared_bounds_model_test.cc
@@ -4,10 +4,14 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "routing/permit_grantors.h"
 #include "routing/retry_window.h"
 #include "routing/service_tracker.h"
+#include "routing/startup_allowance.h"
+#include "routing/team_permits.h"
 #include "support/membership_world.h"
 #include "traffic/entry_list_builder.h"
 
@@ -28,6 +32,19 @@
 constexpr double kColdRate = 11;
 constexpr double kColdMost = kColdRate * 1.5 + 5;
 
+// A team that always exceeds its limit, and its maximum of permits in a window.
+const std::string kTeam = "team";
+constexpr team_limit kLimit{.rate = 100, .burst = 100};
+constexpr milliseconds kLimitWindow{5000};
+constexpr double kMaxPermits = (100 * 5 + 100) * 1.1 + 20;
+constexpr double kReserve = 0.4 * 20 / kRegions;
+constexpr int kTeamRequests = 45;
+// Time that an entry takes to load its configuration after a start.
+constexpr milliseconds kConfigLoadTime{1000};
+constexpr milliseconds kStartupTime{2500};
+// An installation has at least two failure domains per region.
+constexpr std::size_t kFailureDomains = 2 * kRegions;
+
 std::string RegionName(int i) {
   return std::string(1, static_cast<char>('a' + i));
 }
@@ -63,6 +80,12 @@
   std::unique_ptr<entry_list_builder> builder;
   service_tracker tracker;
   retry_window retries;
+  time_point started;
+  team_permits permits;
+  startup_allowance startup;
+  std::vector<std::string> last_names;
+  // Entries to borrow permits from, by region.
+  std::map<std::string, std::string> contacts;
 };
 
 // Entries with real membership over a bad network, all of which want to repeat
@@ -70,7 +93,7 @@
 class modelled_fleet {
  public:
   modelled_fleet(std::uint64_t seed, int entries_of_region)
-      : random_(seed), world_(seed) {
+      : entries_of_region_(entries_of_region), random_(seed), world_(seed) {
     for (int region = 0; region < kRegions; ++region) {
       for (int i = 0; i < entries_of_region; ++i) {
         modelled_entry one;
@@ -104,6 +127,7 @@
   }
   bool took_retries() const { return took_retries_; }
   bool sent_cold() const { return sent_cold_; }
+  bool took_permits() const { return took_permits_; }
 
  private:
   void AddColdTarget(const std::string& region) {
@@ -129,6 +153,11 @@
         std::make_unique<entry_list_builder>(name, kSettleTime, kRegions, now);
     one.tracker = service_tracker();
     one.retries = {};
+    one.started = now;
+    one.permits = {};
+    one.startup = {};
+    one.last_names.clear();
+    one.contacts.clear();
   }
 
   void Strike() {
@@ -185,7 +214,113 @@
     }
     for (int i = 0; i < kColdTries; ++i)
       SendCold(one, list->region_sharers, now);
+    if (now - one.started < kConfigLoadTime)
+      return;
+    const auto count =
+        std::max<std::size_t>(1, kTeamRequests / entries_.size());
+    for (int i = 0; i < kRequests; ++i)
+      one.startup.TryTake("others", 1 - LimitShare());
+    for (std::size_t i = 0; i < count; ++i) {
+      const bool starting = now - one.started < kStartupTime;
+      if (!starting || one.startup.TryTake(kTeam, LimitShare()))
+        TakePermit(one, *list, now);
+    }
+  }
+  // The other teams' limits are 1.6 times their usual rates.
+  double LimitShare() const {
+    const double ticks_per_second = 1000.0 / kTick.count();
+    const double others = kRequests * ticks_per_second *
+                          static_cast<double>(entries_.size()) * 1.6;
+    return kLimit.rate / (kLimit.rate + others);
+  }
+
+  // Mirrors team_limiter::Take: the owner, the deputy, then this entry alone.
+  void TakePermit(modelled_entry& one, const entry_list& list, time_point now) {
+    if (list.names.size() <= 1 && list.other_regions.empty()) {
+      Grant(one, list, permit_role::kAlone, now);
+      return;
+    }
+    const auto grantors = ChooseGrantors(kTeam, list.names);
+    for (const auto& index : {grantors.owner, grantors.deputy}) {
+      auto* asked = index ? FindReachable(one, list.names[*index]) : nullptr;
+      if (asked == nullptr)
+        continue;
+      const auto view = ListOf(*asked, now);
+      Grant(*asked, *view, RoleOf(*asked, *view), now);
+      return;
+    }
+    Grant(one, list, permit_role::kAlone, now);
+  }
+  modelled_entry* FindReachable(const modelled_entry& from,
+                                const std::string& name) {
+    const auto found = std::ranges::find_if(entries_, [&](const auto& each) {
+      return each.place.instance == name;
+    });
+    if (found == entries_.end() || !found->up || found->paused ||
+        now() - found->started < kConfigLoadTime)
+      return nullptr;
+    const bool cut = cut_off_ == name || cut_off_ == from.place.instance;
+    return cut && name != from.place.instance ? nullptr : &*found;
+  }
+  static permit_role RoleOf(const modelled_entry& one, const entry_list& list) {
+    const auto owner = ChooseGrantors(kTeam, list.names).owner;
+    return owner && list.names[*owner] == one.place.instance
+               ? permit_role::kOwner
+               : permit_role::kDeputy;
+  }
+  void Grant(modelled_entry& one,
+             const entry_list& list,
+             permit_role role,
+             time_point now) {
+    if (one.last_names != list.names &&
+        RoleOf(one, list) != permit_role::kOwner)
+      one.permits.LoseOwnership();
+    one.last_names = list.names;
+    const auto shares = SharesOf(list);
+    if (one.permits.Take(role, kLimit, shares, now).granted) {
+      permits_.Add(now);
+      took_permits_ = true;
+    }
+    if (role == permit_role::kOwner &&
+        one.permits.ShouldBorrow(kLimit, shares, now))
+      Borrow(one, shares, now);
+  }
+  // Asks one entry of each other region, which answers with the owner to ask
+  // next time.
+  void Borrow(modelled_entry& one,
+              const permit_shares& shares,
+              time_point now) {
+    for (int i = 0; i < kRegions; ++i) {
+      const auto region = RegionName(i);
+      if (region == one.place.region)
+        continue;
+      auto& contact = one.contacts[region];
+      if (contact.empty())
+        contact = region + "-" +
+                  std::to_string(random_() %
+                                 static_cast<unsigned>(entries_of_region_));
+      auto* asked = FindReachable(one, std::exchange(contact, ""));
+      if (asked == nullptr)
+        continue;
+      const auto view = ListOf(*asked, now);
+      const auto owner = ChooseGrantors(kTeam, view->names).owner;
+      contact = owner ? view->names[*owner] : "";
+      if (contact != asked->place.instance)
+        continue;
+      const auto lent = asked->permits.Lend(kLimit, SharesOf(*view), now);
+      one.permits.OnBorrowed(lent, kLimit, shares, now);
+    }
+  }
+  static permit_shares SharesOf(const entry_list& list) {
+    return {.regions = kRegions,
+            .region_entries = list.names.size(),
+            .region_peak = list.region_peak,
+            .fleet_peak = std::max(kFailureDomains, list.fleet_peak),
+            .reserve = kReserve,
+            .settled = list.fleet_sharers > 0,
+            .unchanged_since = list.unchanged_since};
   }
+  time_point now() const { return world_.network.now(); }
   boost::intrusive_ptr<const entry_list> ListOf(modelled_entry& one,
                                                 time_point now) {
     auto& core = world_.Core(one.place.instance);
@@ -225,12 +360,14 @@
     const double most =
         kRetries.ratio * requests_.MostLately(now) + kRetries.slack;
     REQUIRE(retries_.Count(now) <= most);
+    REQUIRE(permits_.Count(now) <= kMaxPermits);
     for (const auto& [target, sends] : cold_sends_) {
       INFO(target);
       REQUIRE(sends.Count(now) <= kColdMost);
     }
   }
 
+  const int entries_of_region_;
   std::mt19937_64 random_;
   membership_world world_;
   std::vector<modelled_entry> entries_;
@@ -239,9 +376,11 @@
   std::string cut_off_;
   sliding_count requests_{kRetries.window};
   sliding_count retries_{kRetries.window};
+  sliding_count permits_{kLimitWindow};
   std::map<std::string, sliding_count> cold_sends_;
   bool took_retries_ = false;
   bool sent_cold_ = false;
+  bool took_permits_ = false;
 };
 
 }  // namespace
@@ -260,5 +399,6 @@
     fleet.Run(60s);
     CHECK(fleet.took_retries());
     CHECK(fleet.sent_cold());
+    CHECK(fleet.took_permits());
   }
 }
--- a/tests/traffic/placing_test.cc
+++ b/tests/traffic/placing_test.cc
@@ -47,8 +47,9 @@
   service_shards shards;
   connection_pool pool;
   placing_client owners_own{owning, clock, counters, 1};
-  traffic_context context{settings,   headers, state, shards,
-                          owners_own, pool,    clock, counters};
+  team_limiter limiter{owning, settings, state, clock, counters, 1};
+  traffic_context context{settings, headers, state, shards,  owners_own,
+                          limiter,  pool,    clock, counters};
   placing_server server{owning, context};
   placing_client client{asking, clock, counters, 100};
 
@@ -154,8 +155,9 @@
 TEST_CASE("an owner without targets leaves it to the asker") {
   rig r;
   traffic_state empty;
-  traffic_context context{r.settings,   r.headers, empty,   r.shards,
-                          r.owners_own, r.pool,    r.clock, r.counters};
+  traffic_context context{r.settings, r.headers,    empty,
+                          r.shards,   r.owners_own, r.limiter,
+                          r.pool,     r.clock,      r.counters};
   const placing_server server(r.owning, context);
   CHECK(r.MustAnswer().verdict == placing_verdict::kPlaceYourself);
 }
--- /dev/null
+++ b/tests/traffic/team_limiter_test.cc
@@ -0,0 +1,175 @@
+#include "traffic/team_limiter.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "support/manual_clock.h"
+#include "traffic/direct_transport.h"
+
+using namespace samphire;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kTeam = "team-1";
+
+manifest_ptr Manifest(std::uint64_t version, double rate) {
+  traffic_team team;
+  team.name = kTeam;
+  team.api_keys = {"key-1"};
+  team.limit = {.rate = rate, .burst = rate};
+  return manifest_ptr(new traffic_manifest(version, {}, {}, {}, {team}));
+}
+
+// One entry's limiter, which knows the entries "a" and "b" of its region.
+struct node {
+  manual_clock& clock;
+  direct_transport transport;
+  metrics counters;
+  traffic_settings settings;
+  traffic_state state;
+  team_limiter limiter{transport, settings, state, clock, counters, 1};
+
+  node(manual_clock& shared_clock, const std::string& name)
+      : clock(shared_clock), transport(name + ":1") {
+    settings.place = {name, name + "-1", "r"};
+    settings.startup_time = 0ms;
+    state.SetManifest(Manifest(1, 10));
+    boost::intrusive_ptr<entry_list> list(new entry_list);
+    list->names = {"a", "b"};
+    list->peer_addresses = {"a:1", "b:1"};
+    list->region_peak = 2;
+    list->fleet_peak = 2;
+    list->fleet_sharers = 2;
+    list->unchanged_since = clock.now() - 10s;
+    state.entries().Replace(list);
+  }
+  int TakeAll() {
+    int taken = 0;
+    while (taken < 100 && limiter.Take(kTeam).decision.granted)
+      ++taken;
+    return taken;
+  }
+};
+
+struct rig {
+  manual_clock clock;
+  node a{clock, "a"};
+  node b{clock, "b"};
+  node* owner = nullptr;
+  node* other = nullptr;
+
+  rig() {
+    a.transport.ConnectTo(b.transport);
+    b.transport.ConnectTo(a.transport);
+    const bool a_owns = *ChooseGrantors(kTeam, {"a", "b"}).owner == 0;
+    owner = a_owns ? &a : &b;
+    other = a_owns ? &b : &a;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("an entry and the owner of a team's permits share its limit") {
+  rig r;
+  CHECK(r.other->limiter.Take(kTeam).decision.granted);
+  CHECK(r.owner->TakeAll() == 9);
+  const auto refused = r.other->limiter.Take(kTeam);
+  CHECK_FALSE(refused.decision.granted);
+  CHECK(refused.decision.retry_after > 0ms);
+  CHECK(refused.role == permit_role::kOwner);
+}
+
+TEST_CASE("an unused permit is returned to the entry that granted it") {
+  rig r;
+  const auto permit = r.other->limiter.Take(kTeam);
+  CHECK(r.owner->TakeAll() == 9);
+  r.other->limiter.ReturnPermit(kTeam, permit);
+  CHECK(r.other->TakeAll() == 1);
+}
+
+// Guards against requests failing, or each waiting for the timeout, while the
+// owner does not answer.
+TEST_CASE("the deputy replaces a silent owner, which is asked once a second") {
+  rig r;
+  r.other->transport.holds = true;
+  const auto permit = r.other->limiter.Take(kTeam);
+  CHECK(permit.decision.granted);
+  CHECK(permit.role == permit_role::kDeputy);
+  r.other->TakeAll();
+  CHECK(r.other->transport.sent.size() == 1);
+  r.clock.Advance(1s);
+  CHECK(r.other->TakeAll() <= 7);
+  CHECK(r.other->transport.sent.size() == 2);
+}
+
+// Guards against losing permits whose grant arrives after the timeout.
+TEST_CASE("a permit granted by a late answer is returned to the owner") {
+  rig r;
+  r.other->transport.holds = true;
+  r.other->limiter.Take(kTeam);
+  r.other->transport.holds = false;
+  r.other->transport.DeliverHeld();
+  CHECK(r.owner->TakeAll() == 10);
+}
+
+// Guards against overloading the owner with requests of a hot team.
+TEST_CASE("a refusal by the owner is cached") {
+  rig r;
+  r.owner->TakeAll();
+  for (int i = 0; i < 50; ++i)
+    CHECK_FALSE(r.other->limiter.Take(kTeam).decision.granted);
+  CHECK(r.other->transport.sent.size() == 1);
+  r.clock.Advance(100ms);
+  CHECK(r.other->limiter.Take(kTeam).decision.granted);
+}
+
+TEST_CASE("a lowered limit takes effect at the owner immediately") {
+  rig r;
+  r.owner->state.SetManifest(Manifest(2, 4));
+  CHECK(r.other->TakeAll() == 4);
+}
+
+TEST_CASE("a team without a limit needs no permit") {
+  rig r;
+  for (auto* each : {&r.a, &r.b})
+    each->state.SetManifest(Manifest(2, 0));
+  CHECK(r.other->TakeAll() == 100);
+  CHECK(r.other->transport.sent.empty());
+}
+
+TEST_CASE("permit messages that can't be decoded are counted and dropped") {
+  rig r;
+  for (const auto kind :
+       {message_kind::kPermitAsk, message_kind::kPermitAnswer,
+        message_kind::kPermitReturn, message_kind::kPermitBorrow,
+        message_kind::kPermitLoan})
+    REQUIRE(r.other->transport.Send("", kind, "x"));
+  CHECK(r.owner->counters.Render().find("permits_malformed_total 5") !=
+        std::string::npos);
+  CHECK(r.owner->transport.sent.empty());
+}
+
+// Two regions with one entry each; all of a team's callers are in one of them.
+TEST_CASE("an owner that runs short borrows from the owner in another region") {
+  rig r;
+  for (auto* each : {&r.a, &r.b}) {
+    const bool is_a = each == &r.a;
+    each->settings.place.region = is_a ? "r-a" : "r-b";
+    each->state.SetBounds([] {
+      traffic_bounds bounds;
+      bounds.regions = 2;
+      return bounds;
+    }());
+    boost::intrusive_ptr<entry_list> list(new entry_list);
+    list->names = {is_a ? "a" : "b"};
+    list->peer_addresses = {is_a ? "a:1" : "b:1"};
+    list->fleet_sharers = 2;
+    list->other_regions = {{is_a ? "r-b" : "r-a", {is_a ? "b:1" : "a:1"}}};
+    list->unchanged_since = r.clock.now() - 10s;
+    each->state.entries().Replace(list);
+  }
+  CHECK(r.a.TakeAll() > 5);
+  CHECK(r.a.TakeAll() + r.b.TakeAll() < 5);
+}
