Don't let a deputy grant permits beside a silent owner of an over-limit team

Cause: the owner of a team that sends several times its limit receives up to 300 permit requests a second and has a tenth of a core. Requests that it did not answer within 100 ms went to its deputy, which granted 0.7 of the region's share in addition to the owner.

Ruled out: smaller shares for deputies (0.4 instead of 0.7 in the model). Callers of teams far below their limits would be refused whenever an owner is slow.

Change: if the owner does not answer, an entry that was refused a permit for the team in the last three seconds refuses with a retry delay of 200 ms instead of asking the deputy. Refusals by other entries are cached for up to 200 ms instead of 100 ms, which is meant to halve the requests to the owner.

--- a/src/libsamphire/traffic/team_limiter.cc
+++ b/src/libsamphire/traffic/team_limiter.cc
@@ -21,7 +21,9 @@
 // Most entries know each other after this time.
 constexpr milliseconds kStartupRetryAfter{500};
 // Maximum time for which another entry's refusal is cached.
-constexpr milliseconds kMaxRefusalAge{100};
+constexpr milliseconds kMaxRefusalAge{200};
+// Time after a refusal during which a team is assumed to exceed its limit.
+constexpr milliseconds kOverLimitWindow{3000};
 
 std::string OutcomeLabel(permit_role role, bool granted) {
   return fmt::format("role=\"{}\",outcome=\"{}\"",
@@ -100,6 +102,9 @@
                          .role = role};
     const auto& address = entries->peer_addresses[*index];
     const auto answer = Ask(address, team);
+    if (!answer && WasRefusedRecently(team))
+      return team_permit{.decision = {.retry_after = kMaxRefusalAge},
+                         .role = permit_role::kAlone};
     if (!answer || answer->verdict == permit_verdict::kUnknownTeam)
       continue;
     team_permit permit{
@@ -146,6 +151,17 @@
   });
 }
 
+// An owner may be too busy to answer in time because a team far over its limit
+// sends many permit requests. The deputy must not replace such an owner, since
+// both would grant permits and exceed the limit together.
+bool team_limiter::WasRefusedRecently(const std::string& team) {
+  return teams_.With(team, [&](auto& teams) {
+    const auto found = teams.find(team);
+    return found != teams.end() && found->second.refused_at &&
+           clock_.now() - *found->second.refused_at < kOverLimitWindow;
+  });
+}
+
 void team_limiter::NoteRefusal(const std::string& team,
                                const team_permit& refusal) {
   const auto until =
@@ -154,6 +170,7 @@
     auto& state = teams[team];
     state.refusal = refusal;
     state.refused_until = until;
+    state.refused_at = clock_.now();
   });
 }
 
--- a/src/libsamphire/traffic/team_limiter.h
+++ b/src/libsamphire/traffic/team_limiter.h
@@ -54,6 +54,7 @@
     // The last refusal by another entry, cached until `refused_until`.
     team_permit refusal;
     time_point refused_until;
+    std::optional<time_point> refused_at;
   };
   using team_map = std::map<std::string, team_state>;
 
@@ -74,6 +75,8 @@
   std::optional<team_permit> StartupRefusal(const traffic_manifest& manifest,
                                             const traffic_team& team);
   std::optional<team_permit> RecentRefusal(const std::string& team);
+  // Whether another entry refused the team a permit in the last few seconds.
+  bool WasRefusedRecently(const std::string& team);
   void NoteRefusal(const std::string& team, const team_permit& refusal);
   std::optional<permit_answer> Ask(const std::string& address,
                                    const std::string& team);
