Make followers ask all deputies in rotation

Cause: the platform may reject a third of the entries for nine seconds while serving the others. A follower whose watchers have no fresh copy asks two of four deputies, always the same two. If both of these and the follower itself are rejected, the follower keeps its old configuration for as long as the rejection lasts, although two other deputies have the new one.

Ruled out: asking all four deputies at once, because each deputy without a fresh copy keeps the caller waiting for 400 ms.

Change: platform_turn counts the rounds in which peers were stale, and each round asks the next two deputies.

Before: the two new tests can't be compiled. After: they pass.

--- a/src/libsamphire/traffic/platform_turn.cc
+++ b/src/libsamphire/traffic/platform_turn.cc
@@ -19,9 +19,11 @@
 void platform_turn::OnPeersStale(time_point now) {
   if (!stale_since_)
     stale_since_ = now;
+  ++stale_rounds_;
 }
 
 void platform_turn::OnNews() {
+  stale_rounds_ = 0;
   stale_since_.reset();
   not_before_ = {};
 }
--- a/src/libsamphire/traffic/platform_turn.h
+++ b/src/libsamphire/traffic/platform_turn.h
@@ -1,6 +1,7 @@
 #ifndef TRAFFIC_PLATFORM_TURN_H_
 #define TRAFFIC_PLATFORM_TURN_H_
 
+#include <cstddef>
 #include <optional>
 
 #include "base/clock_source.h"
@@ -19,10 +20,13 @@
   void OnPeersSilent() { stale_since_.reset(); }
   // A peer or the platform told what changed.
   void OnNews();
+  // Number of OnPeersStale() calls since the last OnNews().
+  std::size_t stale_rounds() const { return stale_rounds_; }
   void OnPlatformFailed(time_point now, milliseconds pause);
 
  private:
   std::optional<time_point> stale_since_;
+  std::size_t stale_rounds_ = 0;
   time_point not_before_;
 };
 
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -22,9 +22,8 @@
 // no fresh copy for this.
 constexpr milliseconds kSilencePause{3000};
 constexpr milliseconds kDeclinedPause{500};
-// How long a deputy has to get a fresh copy, and how many of them are asked.
+// Time limit for a deputy to obtain a fresh copy.
 constexpr milliseconds kDeputyWait{400};
-constexpr std::size_t kAskedDeputies = 2;
 // When no watcher has a fresh copy, the platform is mostly down, and a whole
 // fleet that asks it at once would be its next trouble.
 constexpr milliseconds kDeputyPause{1000};
@@ -109,8 +108,9 @@
     return answers;
   ask.await_fresh = true;
   ask.wait_ms = static_cast<std::uint32_t>(kDeputyWait.count());
-  const auto asked = std::min(kAskedDeputies, plan.deputies.size());
-  auto deputies = AskPeers(std::span(plan.deputies).first(asked), ask);
+  const auto stale_rounds = WithTurn(
+      ask.prefix, [](const auto& turn) { return turn.stale_rounds(); });
+  auto deputies = AskPeers(DeputiesToAsk(plan.deputies, stale_rounds), ask);
   deputies.stale |= answers.stale;
   deputies.silent |= answers.silent;
   return deputies;
--- a/src/libsamphire/traffic/source_plan.cc
+++ b/src/libsamphire/traffic/source_plan.cc
@@ -19,6 +19,8 @@
 // When both watchers are cut off from the platform and others are not, at least
 // one of these mostly isn't either.
 constexpr std::size_t kDeputies = 4;
+// Deputies asked per round. Each one without a fresh copy delays the caller.
+constexpr std::size_t kAskedDeputies = 2;
 
 // Those of the own failure domain first, whose bytes cost least, and else in an
 // order of this entry's own: asked in one order by all, the first would carry
@@ -70,4 +72,19 @@
           .deputies = InOwnOrder(deputies, self, entries)};
 }
 
+// The platform may reject some entries and serve others for an unbounded time.
+// If a follower always asked the same deputies and those were rejected, it
+// would keep an outdated configuration although other deputies have the current
+// one.
+std::vector<std::string> DeputiesToAsk(const std::vector<std::string>& deputies,
+                                       std::size_t stale_rounds) {
+  std::vector<std::string> asked;
+  const auto count = std::min(kAskedDeputies, deputies.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto index = stale_rounds * kAskedDeputies + i;
+    asked.push_back(deputies[index % deputies.size()]);
+  }
+  return asked;
+}
+
 }  // namespace samphire
--- a/src/libsamphire/traffic/source_plan.h
+++ b/src/libsamphire/traffic/source_plan.h
@@ -1,6 +1,7 @@
 #ifndef TRAFFIC_SOURCE_PLAN_H_
 #define TRAFFIC_SOURCE_PLAN_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,12 @@
 // All entries that know the same others agree on who watches.
 source_plan PlanSources(const entry_place& self, const entry_list& entries);
 
+// Returns up to two of `deputies` to ask next. `stale_rounds` is the number of
+// preceding rounds in which peers had no fresh copy; successive rounds cycle
+// through all deputies.
+std::vector<std::string> DeputiesToAsk(const std::vector<std::string>& deputies,
+                                       std::size_t stale_rounds);
+
 }  // namespace samphire
 
 #endif  // TRAFFIC_SOURCE_PLAN_H_
--- a/tests/routing/source_plan_test.cc
+++ b/tests/routing/source_plan_test.cc
@@ -46,6 +46,19 @@
     CHECK(count <= kMostFollowers);
 }
 
+// Guards against a follower that keeps an outdated configuration because it
+// only ever asks deputies that the platform rejects.
+TEST_CASE("a follower asks the next deputies after a stale round") {
+  const std::vector<std::string> deputies = {"a", "b", "c", "d"};
+  CHECK(DeputiesToAsk(deputies, 0) == std::vector<std::string>{"a", "b"});
+  CHECK(DeputiesToAsk(deputies, 1) == std::vector<std::string>{"c", "d"});
+  CHECK(DeputiesToAsk(deputies, 2) == std::vector<std::string>{"a", "b"});
+  CHECK(DeputiesToAsk({"a", "b", "c"}, 1) ==
+        std::vector<std::string>{"c", "a"});
+  CHECK(DeputiesToAsk({"a"}, 3) == std::vector<std::string>{"a"});
+  CHECK(DeputiesToAsk({}, 1).empty());
+}
+
 TEST_CASE("a watcher of the own failure domain is asked first") {
   const auto entries = Region(30);
   std::set<std::string> near;
--- a/tests/traffic/platform_turn_test.cc
+++ b/tests/traffic/platform_turn_test.cc
@@ -31,6 +31,17 @@
   CHECK(turn.MayAsk(kStart + 1s));
 }
 
+// Without the count, each round would ask the same deputies again.
+TEST_CASE("stale rounds are counted until there is news") {
+  platform_turn turn;
+  CHECK(turn.stale_rounds() == 0);
+  turn.OnPeersStale(kStart);
+  turn.OnPeersStale(kStart + 100ms);
+  CHECK(turn.stale_rounds() == 2);
+  turn.OnNews();
+  CHECK(turn.stale_rounds() == 0);
+}
+
 // A follower that can't reach its peers learns from nobody else.
 TEST_CASE("a follower that is cut off from its peers asks at once") {
   platform_turn turn;
