--- a/tests/routing/shared_bounds_model_test.cc
+++ b/tests/routing/shared_bounds_model_test.cc
@@ -43,7 +43,7 @@
 constexpr milliseconds kConfigLoadTime{1000};
 constexpr milliseconds kStartupTime{2500};
 // An installation has at least two failure domains per region.
-constexpr std::size_t kFailureDomains = 2 * kRegions;
+constexpr std::size_t kFailureDomains = std::size_t{2} * kRegions;
 
 std::string RegionName(int i) {
   return std::string(1, static_cast<char>('a' + i));
