Keep the test of revoked keys from using up its team's limit

Seen once, on a busy machine: "a revoked API key is refused on open connections" got 429 for the second key, since its own polling every few milliseconds had spent the team's limit of 50 a second. The team has no limit in this test now; all its assertions stay.

--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -451,7 +451,10 @@
 // Guards against a revoked API key staying valid until its connection closes.
 TEST_CASE("a revoked API key is refused on open connections") {
   rig r;
-  r.world.Write("config/main", TeamManifestObject("00000004"));
+  // Polling must not use up a limit.
+  const std::string limit = R"("ratePerS":50,"burst":20.5,)";
+  r.world.Write("config/main",
+                Replaced(TeamManifestObject("00000004"), limit, ""));
   r.StartReady();
   Poco::Net::HTTPClientSession session{
       Poco::Net::SocketAddress(r.settings.traffic.caller_address)};
@@ -469,7 +472,8 @@
   };
   REQUIRE(send_request() == 200);
   r.world.Write("config/main",
-                Replaced(TeamManifestObject("00000005"), R"("key-1",)", ""));
+                Replaced(Replaced(TeamManifestObject("00000005"), limit, ""),
+                         R"("key-1",)", ""));
   REQUIRE(Eventually([&] { return send_request() == 401; }));
   CHECK(r.RequestWithKey("key-2").status == 200);
 }
