Derive how long a refusal is cached; ask in one place who the owner is

refused_until followed from the refusal and the time at which it came, and four places compared an owner's name with this entry's. Behaviour unchanged.

--- a/src/libsamphire/traffic/team_limiter.cc
+++ b/src/libsamphire/traffic/team_limiter.cc
@@ -97,7 +97,7 @@
   for (const auto& [index, role] : order) {
     if (!index)
       continue;
-    if (entries->names[*index] == settings_.place.instance)
+    if (IsSelf(*entries, index))
       return team_permit{.decision = TakeLocally(team, role, limit),
                          .role = role};
     const auto& address = entries->peer_addresses[*index];
@@ -145,9 +145,13 @@
     const std::string& team) {
   return teams_.With(team, [&](auto& teams) -> std::optional<team_permit> {
     const auto found = teams.find(team);
-    if (found == teams.end() || clock_.now() >= found->second.refused_until)
+    if (found == teams.end() || !found->second.refused_at)
       return std::nullopt;
-    return found->second.refusal;
+    const auto& refusal = found->second.refusal;
+    const auto age = clock_.now() - *found->second.refused_at;
+    if (age >= std::min(refusal.decision.retry_after, kMaxRefusalAge))
+      return std::nullopt;
+    return refusal;
   });
 }
 
@@ -164,12 +168,9 @@
 
 void team_limiter::NoteRefusal(const std::string& team,
                                const team_permit& refusal) {
-  const auto until =
-      clock_.now() + std::min(refusal.decision.retry_after, kMaxRefusalAge);
   teams_.With(team, [&](auto& teams) {
     auto& state = teams[team];
     state.refusal = refusal;
-    state.refused_until = until;
     state.refused_at = clock_.now();
   });
 }
@@ -235,11 +236,10 @@
 // other owner granted.
 void team_limiter::OnEntriesChanged() {
   const auto entries = state_.entries().Get();
-  const auto& self = settings_.place.instance;
   teams_.ForEach([&](auto& teams) {
     for (auto& [team, state] : teams) {
       const auto owner = ChooseGrantors(team, entries->names).owner;
-      if (!owner || entries->names[*owner] != self)
+      if (!IsSelf(*entries, owner))
         state.permits.LoseOwnership();
     }
   });
@@ -312,7 +312,7 @@
   const auto owner = ChooseGrantors(borrow->team, entries->names).owner;
   if (!owner)
     return;
-  if (entries->names[*owner] == settings_.place.instance) {
+  if (IsSelf(*entries, owner)) {
     const auto shares = Shares();
     loan.permits = teams_.With(borrow->team, [&](auto& teams) {
       return teams[borrow->team].permits.Lend(team->limit, shares,
@@ -344,12 +344,15 @@
   });
 }
 
+bool team_limiter::IsSelf(const entry_list& entries,
+                          const std::optional<std::size_t>& index) const {
+  return index && entries.names[*index] == settings_.place.instance;
+}
+
 permit_role team_limiter::OwnRole(const std::string& team) const {
   const auto entries = state_.entries().Get();
   const auto owner = ChooseGrantors(team, entries->names).owner;
-  return owner && entries->names[*owner] == settings_.place.instance
-             ? permit_role::kOwner
-             : permit_role::kDeputy;
+  return IsSelf(*entries, owner) ? permit_role::kOwner : permit_role::kDeputy;
 }
 
 const traffic_team* team_limiter::FindTeam(const traffic_manifest* manifest,
--- a/src/libsamphire/traffic/team_limiter.h
+++ b/src/libsamphire/traffic/team_limiter.h
@@ -51,9 +51,8 @@
  private:
   struct team_state {
     team_permits permits;
-    // The last refusal by another entry, cached until `refused_until`.
+    // The last refusal by another entry, and when it arrived.
     team_permit refusal;
-    time_point refused_until;
     std::optional<time_point> refused_at;
   };
   using team_map = std::map<std::string, team_state>;
@@ -90,6 +89,9 @@
   std::string BorrowAddress(const std::string& region,
                             const std::vector<std::string>& contacts,
                             const std::string& team);
+  // Whether the entry at `index` of the list is this one.
+  bool IsSelf(const entry_list& entries,
+              const std::optional<std::size_t>& index) const;
   permit_role OwnRole(const std::string& team) const;
   // Returns null if there is no manifest or it does not contain the team.
   const traffic_team* FindTeam(const traffic_manifest* manifest,
