Move the fixture of the platform entry's tests to a file of its own

Cause: a test of several entries needs what platform_entry_test.cc kept for itself, and that file had grown to 598 lines.

Change: settings, calls and the setup of one entry with its targets are in entry_fixture. No test changes.

--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -1,5 +1,3 @@
-#include "platform_entry.h"
-
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -10,137 +8,17 @@
 #include <netinet/tcp.h>
 
 #include <catch2/catch.hpp>
-#include <functional>
-#include <memory>
 #include <thread>
 #include <utility>
 #include <vector>
 
-#include "platform_adapter/stand_in_platform.h"
-#include "platform_adapter/wire_target.h"
+#include "platform_adapter/entry_fixture.h"
 #include "platform_adapter/wire_text.h"
-#include "support/free_address.h"
-#include "support/wait_until.h"
 
 using namespace samphire;
 using namespace samphire::platform;
 using namespace std::chrono_literals;
 
-namespace {
-
-const std::string kKey = "0123456789abcdef0123456789abcdef";
-
-// Settings of an entry without start-up delays, on free local ports, with a
-// team limit that may be exceeded by 20 requests.
-platform_settings Settings(const std::string& store) {
-  platform_settings settings;
-  auto& traffic = settings.traffic;
-  traffic.place = {"entry-1", "a-1", "a"};
-  for (auto* address : {&traffic.caller_address, &traffic.readiness_address,
-                        &traffic.lookup_address, &traffic.peer_address,
-                        &traffic.metrics_address})
-    *address = FreeAddress();
-  traffic.peer_key = kKey;
-  traffic.settle_time = 0ms;
-  traffic.discovery_time = 0ms;
-  traffic.bounds.limit_slack = 20;
-  settings.store_addresses = {store};
-  settings.regions = {{"a-1", "a"}};
-  return settings;
-}
-
-// The parts of a response that tests check; `stamp` names the target that
-// served it.
-struct call_response {
-  int status = 0;
-  std::string body;
-  std::string stamp;
-  std::string retry_after;
-};
-
-// A request of a caller. `deadline` is the time left to it, in milliseconds.
-struct call_request {
-  std::string method = "GET";
-  std::string path = "/read/x";
-  std::string body;
-  std::string deadline = "2000";
-  std::vector<std::pair<std::string, std::string>> headers;
-};
-
-call_response SendCall(const std::string& address, const call_request& input) {
-  Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
-  Poco::Net::HTTPRequest request(input.method, input.path, "HTTP/1.1");
-  request.setHost("h.example");
-  request.set("Request-Id", "id-1");
-  request.set("Affinity-Key", "17");
-  request.set("Request-Deadline", input.deadline);
-  for (const auto& [name, value] : input.headers)
-    request.add(name, value);
-  request.setContentLength(static_cast<std::streamsize>(input.body.size()));
-  session.sendRequest(request) << input.body;
-  Poco::Net::HTTPResponse response;
-  call_response got;
-  Poco::StreamCopier::copyToString(session.receiveResponse(response), got.body);
-  got.status = response.getStatus();
-  got.stamp = response.get("Server-Stamp", "");
-  got.retry_after = response.get("Retry-After", "");
-  return got;
-}
-
-// Whether the condition becomes true within 10 s.
-bool Eventually(const std::function<bool()>& holds) {
-  return WaitUntil(holds, 10s);
-}
-
-// One entry, a stand-in of the platform's store and four targets, two for each
-// of the services "reads" and "writes".
-struct test_setup {
-  stand_in_platform stand_in;
-  wire_target read_1{"i-read-1"};
-  wire_target read_2{"i-read-2"};
-  wire_target write_1{"i-write-1"};
-  wire_target write_2{"i-write-2"};
-  platform_settings settings = Settings(stand_in.address());
-  std::unique_ptr<platform_entry> entry;
-
-  test_setup() {
-    stand_in.Write("config/main", ManifestObject("00000003"));
-    for (auto* target : {&read_1, &read_2})
-      stand_in.Write("servers/" + target->id(),
-                     TargetObject(target->address(), "reads"));
-    for (auto* target : {&write_1, &write_2})
-      stand_in.Write("servers/" + target->id(),
-                     TargetObject(target->address(), "writes"));
-  }
-  void Start() {
-    entry = std::make_unique<platform_entry>(
-        settings, peer_keys::Parse(settings.traffic.peer_key).value());
-    entry->Start();
-  }
-  void StartReady() {
-    Start();
-    REQUIRE(Eventually([&] { return Ready(); }));
-  }
-  bool Ready() const {
-    return SendCall(settings.traffic.readiness_address,
-                    {.path = "/samphirewinch/ready"})
-               .status == 200;
-  }
-  call_response Request(const call_request& input = {}) const {
-    return SendCall(settings.traffic.caller_address, input);
-  }
-  call_response RequestWithKey(const std::string& key,
-                               const std::string& path = "/read/x") const {
-    return Request({.path = path, .headers = {{"Credential", key}}});
-  }
-  // Returns the target of "reads" that sent the stamp.
-  wire_target& TargetWithStamp(const std::string& stamp) {
-    return stamp == "stamp.i-read-1" ? read_1 : read_2;
-  }
-};
-
-}  // namespace
-
 TEST_CASE(
     "a request is forwarded to a target and its response returned unchanged") {
   test_setup r;
@@ -574,12 +452,10 @@
   test_setup r;
   r.StartReady();
   r.stand_in.refuse_with = 503;
-  auto settings = Settings(r.stand_in.address());
+  auto settings = TestSettings(r.stand_in.address());
   settings.traffic.place.instance = "entry-2";
   settings.traffic.seeds = {r.settings.traffic.peer_address};
-  platform_entry late(settings,
-                      peer_keys::Parse(settings.traffic.peer_key).value());
-  late.Start();
+  const auto late = StartEntry(settings);
   CHECK(Eventually([&] {
     return SendCall(settings.traffic.caller_address, {}).status == 200;
   }));
