Read and log the rate limits that targets name

An entry that never reads the limit and entries that each keep to it alone look the same from outside.

Change: an entry reads the limit with each response of a target, logs when it begins, ends or changes (target-limit), and counts these and the attempts at limited targets. A malformed limit is counted and no statement at all, since a missing one ends a limit. Nothing decides by it yet.

--- a/src/libsamphire/routing/attempt_end.h
+++ b/src/libsamphire/routing/attempt_end.h
@@ -6,6 +6,7 @@
 
 #include "base/clock_source.h"
 #include "base/enum_names.h"
+#include "routing/target_notice.h"
 #include "routing/target_report.h"
 
 namespace samphire {
@@ -51,6 +52,9 @@
   std::uint64_t body_bytes = 0;
   // The load that the target reported with the response, if any.
   std::optional<target_report> report;
+  // What the target asked for with the response; nothing if there was no
+  // response of the target or it could not be parsed.
+  std::optional<target_notice> notice;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/routing/target_notice.h
@@ -0,0 +1,22 @@
+#ifndef ROUTING_TARGET_NOTICE_H_
+#define ROUTING_TARGET_NOTICE_H_
+
+#include <optional>
+#include <string>
+
+namespace samphire {
+
+// What a target asks of its senders with a response.
+struct target_notice {
+  // The number of requests per second that the target takes from all entries
+  // together; nothing if it takes any number.
+  std::optional<double> rate_limit;
+};
+
+// Parses a rate limit, a decimal number of requests per second. Returns nothing
+// if `text` is not a finite number of at least 0.
+std::optional<double> ParseRateLimit(const std::string& text);
+
+}  // namespace samphire
+
+#endif  // ROUTING_TARGET_NOTICE_H_
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -179,6 +179,7 @@
 void target_exchange::ClassifyResponse(const Poco::Net::HTTPResponse& head,
                                        target_exchange_end& end) const {
   const int status = head.getStatus();
+  end.attempt.notice = ReadNotice(head);
   end.attempt.report = ReadReport(head.get(context_.headers.target_load, ""));
   if (status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST) {
     end.attempt.result = attempt_result::kMisdirected;
@@ -199,6 +200,25 @@
   }
 }
 
+// Only a response that the target itself produced tells what it asks for. A
+// malformed header is no statement either: taken for a missing one, it would
+// end a limit.
+std::optional<target_notice> target_exchange::ReadNotice(
+    const Poco::Net::HTTPResponse& head) const {
+  if (!head.has(context_.headers.target_stamp) &&
+      !head.has(context_.headers.not_run))
+    return std::nullopt;
+  target_notice notice;
+  if (const auto& name = context_.headers.target_rate_limit; head.has(name)) {
+    notice.rate_limit = ParseRateLimit(head.get(name));
+    if (!notice.rate_limit) {
+      context_.counters.Count("target_notices_malformed_total");
+      return std::nullopt;
+    }
+  }
+  return notice;
+}
+
 void target_exchange::Stream(http_exchange& exchange,
                              const Poco::Net::HTTPResponse& head,
                              std::string_view first,
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
+#include <optional>
+
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
 #include "proxy/http_exchange.h"
@@ -39,6 +41,10 @@
   // Derives from the response's head whether the target has run the request.
   void ClassifyResponse(const Poco::Net::HTTPResponse& head,
                         target_exchange_end& end) const;
+  // Reads what the target asks for in the response. Returns nothing if the
+  // response is not the target's own or a statement is malformed.
+  std::optional<target_notice> ReadNotice(
+      const Poco::Net::HTTPResponse& head) const;
   // Streams the response to the caller, beginning with the part `first` of its
   // body.
   void Stream(http_exchange& exchange,
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -6,6 +6,7 @@
 #include "proxy/connection_pool.h"
 #include "traffic/placement_client.h"
 #include "traffic/service_shards.h"
+#include "traffic/target_limiter.h"
 #include "traffic/team_limiter.h"
 #include "traffic/traffic_headers.h"
 #include "traffic/traffic_settings.h"
@@ -23,6 +24,7 @@
   // Requests placements from the owners of keys.
   placement_client& remote_placement;
   team_limiter& limiter;
+  target_limiter& target_limits;
   // Connections to targets and peers.
   connection_pool& pool;
   const clock_source& clock;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -77,7 +77,11 @@
   const auto& target = std::get<placed_attempt>(placed.decision).target;
   ++attempts_;
   last_target_ = target.id;
+  const auto sent_at = context_.clock.now();
+  context_.target_limits.OnSend(target);
   auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
+  if (end.attempt.notice)
+    context_.target_limits.OnResponse(target, *end.attempt.notice, sent_at);
   ReportAttemptEnd(placed, end);
   if (end.may_have_run) {
     may_have_run_ = true;
--- a/src/libsamphire/traffic/traffic_headers.h
+++ b/src/libsamphire/traffic/traffic_headers.h
@@ -26,6 +26,9 @@
   std::string target_stamp;
   // Load of the responding target, as RUNNING,WAITING,SLOTS.
   std::string target_load;
+  // Requests per second that the responding target takes from all entries
+  // together, as a decimal number; missing if it has no limit.
+  std::string target_rate_limit;
   // Set if the target did not run the request and never will.
   std::string not_run;
 };
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -23,6 +23,7 @@
 #include "traffic/placement_server.h"
 #include "traffic/service_shards.h"
 #include "traffic/source_plan.h"
+#include "traffic/target_limiter.h"
 #include "traffic/team_limiter.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
@@ -103,6 +104,7 @@
   entry_list_builder entry_list_builder_;
   placement_client placement_client_;
   team_limiter limiter_;
+  target_limiter target_limiter_;
   traffic_context context_;
   placement_server placement_server_;
   front_server caller_front_;
