--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
+#include <fmt/format.h>
 
 #include <chrono>
 #include <thread>
@@ -32,6 +33,8 @@
     std::string body;
     Poco::StreamCopier::copyToString(request.stream(), body);
     response.set("Request-Id", request.get("Request-Id", ""));
+    if (const double limit = target_.rate_limit; limit >= 0)
+      response.set("Server-Limit", fmt::format("{}", limit));
     const auto behavior = target_.behavior.load();
     if (request.get("Target-Instance", "") != target_.id() ||
         behavior == target_behavior::kWrongInstance) {
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -50,6 +50,10 @@
   // Duration of a run, in milliseconds.
   std::atomic<int> work_ms = 0;
 
+  // The rate that the target names as its limit in all responses, in requests
+  // per second; negative for none.
+  std::atomic<double> rate_limit = -1;
+
   // Number of runs of each request, by request ID.
   std::map<std::string, int> runs_by_id() const;
   void CountRun(const std::string& id);
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -49,8 +49,9 @@
   connection_pool pool;
   placement_client owner_client{owner, clock, counters, 1};
   team_limiter limiter{owner, settings, state, clock, counters, 1};
-  traffic_context context{settings, headers, state, shards,  owner_client,
-                          limiter,  pool,    clock, counters};
+  target_limiter target_limits{clock, counters};
+  traffic_context context{settings, headers,       state, shards, owner_client,
+                          limiter,  target_limits, pool,  clock,  counters};
   placement_server server{owner, context};
   placement_client client{requester, clock, counters, 100};
 
