--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -164,9 +164,10 @@
   placement_fixture fixture;
   traffic_state empty;
   traffic_context context{
-      fixture.settings, fixture.headers,      empty,
-      fixture.shards,   fixture.owner_client, fixture.limiter,
-      fixture.pool,     fixture.clock,        fixture.counters};
+      fixture.settings,      fixture.headers,      empty,
+      fixture.shards,        fixture.owner_client, fixture.limiter,
+      fixture.target_limits, fixture.pool,         fixture.clock,
+      fixture.counters};
   const placement_server server(fixture.owner, context);
   CHECK(fixture.RequireResponse().verdict ==
         remote_placement_verdict::kPlaceLocally);
