Share the query of peers and the permits of limits

Cause: the limits that targets name need what only the limits of teams had: permits from an owner, a backup or alone, and a request to a peer that waits for its response and leaves a silent peer alone for a second. The latter stood twice, in the clients of placements and of team permits.

Change: peer_query serves both; peer_message_codec sends and decodes; team_permits and team_limit are limit_permits and rate_limit, since they say nothing of teams; whether an entry is isolated is told by entry_list. Names of metrics, messages and logs stay. The sliding count and the list of entries of the model test are test support.

--- a/bench/limits/limit_run.cc
+++ b/bench/limits/limit_run.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "routing/limit_permits.h"
 #include "routing/permit_grantors.h"
-#include "routing/team_permits.h"
 
 namespace samphire {
 
@@ -32,7 +32,7 @@
 
 struct team_state {
   std::string name;
-  team_limit limit;
+  rate_limit limit;
   double usual_rate = 0;
   bool hot = false;
   // Share of its requests that each region receives.
@@ -45,7 +45,7 @@
   std::string name;
   int region = 0;
   bool up = true;
-  std::vector<team_permits> permits;
+  std::vector<limit_permits> permits;
 };
 
 // A loan in transit to the borrower.
--- a/src/libsamphire/routing/team_permits.cc
+++ b/src/libsamphire/routing/limit_permits.cc
@@ -1,4 +1,4 @@
-#include "routing/team_permits.h"
+#include "routing/limit_permits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,14 +19,14 @@
 constexpr milliseconds kMaxRetryAfter{3000};
 
 double RateOf(permit_role role,
-              const team_limit& limit,
+              const rate_limit& limit,
               const permit_shares& shares) {
   return limit.rate * shares.Of(role);
 }
 
 // Entries that start together may each act as a team's owner for a while. No
 // burst is granted then, as it would be granted several times over.
-double OwnerCapacity(const team_limit& limit, const permit_shares& shares) {
+double OwnerCapacity(const rate_limit& limit, const permit_shares& shares) {
   const double minimum = std::max(1.0, shares.reserve);
   const double burst = limit.burst * shares.Of(permit_role::kOwner);
   return shares.settled ? std::max(minimum, burst) : minimum;
@@ -34,7 +34,7 @@
 
 // Returns at least 1, since a smaller bucket would never grant a permit.
 double CapacityOf(permit_role role,
-                  const team_limit& limit,
+                  const rate_limit& limit,
                   const permit_shares& shares) {
   switch (role) {
     case permit_role::kOwner:
@@ -57,10 +57,10 @@
 
 // A new owner starts with the reserve and what has accrued since the entries
 // last changed, since its predecessor may just have granted the whole burst.
-token_bucket& team_permits::Bucket(permit_role role,
-                                   const team_limit& limit,
-                                   const permit_shares& shares,
-                                   time_point now) {
+token_bucket& limit_permits::Bucket(permit_role role,
+                                    const rate_limit& limit,
+                                    const permit_shares& shares,
+                                    time_point now) {
   const auto select = [&]() -> token_bucket& {
     switch (role) {
       case permit_role::kOwner:
@@ -87,10 +87,10 @@
 
 // Staggers the retry times of refused callers at the rate at which permits
 // accrue, so that they don't all retry at once.
-permit_decision team_permits::Take(permit_role role,
-                                   const team_limit& limit,
-                                   const permit_shares& shares,
-                                   time_point now) {
+permit_decision limit_permits::Take(permit_role role,
+                                    const rate_limit& limit,
+                                    const permit_shares& shares,
+                                    time_point now) {
   auto& bucket = Bucket(role, limit, shares, now);
   if (bucket.TryTake())
     return {.granted = true};
@@ -101,9 +101,9 @@
   return {.retry_after = std::chrono::ceil<milliseconds>(next_retry_ - now)};
 }
 
-void team_permits::ReturnPermit(permit_role role,
-                                const team_limit& limit,
-                                const permit_shares& shares) {
+void limit_permits::ReturnPermit(permit_role role,
+                                 const rate_limit& limit,
+                                 const permit_shares& shares) {
   auto& bucket = role == permit_role::kOwner    ? owner_bucket_
                  : role == permit_role::kBackup ? backup_bucket_
                                                 : alone_bucket_;
@@ -111,9 +111,9 @@
     bucket->Add(1, CapacityOf(role, limit, shares));
 }
 
-bool team_permits::ShouldBorrow(const team_limit& limit,
-                                const permit_shares& shares,
-                                time_point now) {
+bool limit_permits::ShouldBorrow(const rate_limit& limit,
+                                 const permit_shares& shares,
+                                 time_point now) {
   const double threshold =
       kBorrowThreshold * CapacityOf(permit_role::kOwner, limit, shares);
   if (shares.regions < 2 || !owner_bucket_ ||
@@ -125,9 +125,9 @@
 }
 
 // Lends half of the surplus, so that some is left for other borrowers.
-double team_permits::Lend(const team_limit& limit,
-                          const permit_shares& shares,
-                          time_point now) {
+double limit_permits::Lend(const rate_limit& limit,
+                           const permit_shares& shares,
+                           time_point now) {
   auto& bucket = Bucket(permit_role::kOwner, limit, shares, now);
   const double retained =
       kRetainedFraction * CapacityOf(permit_role::kOwner, limit, shares);
@@ -136,10 +136,10 @@
   return lent;
 }
 
-void team_permits::OnBorrowed(double permits,
-                              const team_limit& limit,
-                              const permit_shares& shares,
-                              time_point now) {
+void limit_permits::OnBorrowed(double permits,
+                               const rate_limit& limit,
+                               const permit_shares& shares,
+                               time_point now) {
   Bucket(permit_role::kOwner, limit, shares, now)
       .Add(permits, CapacityOf(permit_role::kOwner, limit, shares));
 }
--- a/src/libsamphire/routing/team_permits.h
+++ b/src/libsamphire/routing/limit_permits.h
@@ -1,5 +1,5 @@
-#ifndef ROUTING_TEAM_PERMITS_H_
-#define ROUTING_TEAM_PERMITS_H_
+#ifndef ROUTING_LIMIT_PERMITS_H_
+#define ROUTING_LIMIT_PERMITS_H_
 
 #include <optional>
 
@@ -7,39 +7,39 @@
 #include "routing/permit_decision.h"
 #include "routing/permit_role.h"
 #include "routing/permit_shares.h"
-#include "routing/team_limit.h"
+#include "routing/rate_limit.h"
 #include "routing/token_bucket.h"
 
 namespace samphire {
 
-// Grants permits from one entry's share of a team's limit. Performs no I/O and
+// Grants permits from one entry's share of a limit. Performs no I/O and
 // takes the time as an argument. Not thread-safe.
-class team_permits {
+class limit_permits {
  public:
   // Grants a permit for one run of a request, or returns when to retry.
   permit_decision Take(permit_role role,
-                       const team_limit& limit,
+                       const rate_limit& limit,
                        const permit_shares& shares,
                        time_point now);
   // Takes back an unused permit that was granted in `role`.
   void ReturnPermit(permit_role role,
-                    const team_limit& limit,
+                    const rate_limit& limit,
                     const permit_shares& shares);
 
   // Returns whether to borrow from the owners in other regions now, which is at
   // most once every 100 ms.
-  bool ShouldBorrow(const team_limit& limit,
+  bool ShouldBorrow(const rate_limit& limit,
                     const permit_shares& shares,
                     time_point now);
   // Removes permits from this owner's bucket for the owner in another region
   // and returns how many.
-  double Lend(const team_limit& limit,
+  double Lend(const rate_limit& limit,
               const permit_shares& shares,
               time_point now);
   // Adds permits lent by the owner in another region to this owner's bucket.
   // Those above its capacity are lost.
   void OnBorrowed(double permits,
-                  const team_limit& limit,
+                  const rate_limit& limit,
                   const permit_shares& shares,
                   time_point now);
 
@@ -49,7 +49,7 @@
 
  private:
   token_bucket& Bucket(permit_role role,
-                       const team_limit& limit,
+                       const rate_limit& limit,
                        const permit_shares& shares,
                        time_point now);
 
@@ -63,4 +63,4 @@
 
 }  // namespace samphire
 
-#endif  // ROUTING_TEAM_PERMITS_H_
+#endif  // ROUTING_LIMIT_PERMITS_H_
--- a/src/libsamphire/routing/permit_decision.h
+++ b/src/libsamphire/routing/permit_decision.h
@@ -5,7 +5,7 @@
 
 namespace samphire {
 
-// The answer to an entry that needs a permit for one run of a team's request.
+// The answer to an entry that needs a permit to send one request.
 struct permit_decision {
   bool granted = false;
   // The time after which the caller should retry, if not granted.
--- a/src/libsamphire/routing/permit_grantors.cc
+++ b/src/libsamphire/routing/permit_grantors.cc
@@ -7,9 +7,9 @@
 
 namespace samphire {
 
-permit_grantors ChooseGrantors(std::string_view team,
+permit_grantors ChooseGrantors(std::string_view subject,
                                const std::vector<std::string>& entries) {
-  const auto hash = KeyHash(team);
+  const auto hash = KeyHash(subject);
   permit_grantors chosen;
   std::uint64_t owner_weight = 0;
   std::uint64_t backup_weight = 0;
--- a/src/libsamphire/routing/permit_grantors.h
+++ b/src/libsamphire/routing/permit_grantors.h
@@ -9,8 +9,8 @@
 
 namespace samphire {
 
-// Indexes of the entries that grant a team's permits, in the list given to
-// ChooseGrantors; nothing where the list has too few entries.
+// Indexes of the entries that grant the permits of a limit, in the list given
+// to ChooseGrantors; nothing where the list has too few entries.
 struct permit_grantors {
   std::optional<std::size_t> owner;
   // Grants permits while the owner does not respond.
@@ -18,8 +18,9 @@
 };
 
 // Chooses the owner and its backup by rendezvous hashing. The result depends
-// only on the team and the set of entries. Safe to call from any thread.
-permit_grantors ChooseGrantors(std::string_view team,
+// only on `subject`, which names what is limited, and on the set of entries.
+// Safe to call from any thread.
+permit_grantors ChooseGrantors(std::string_view subject,
                                const std::vector<std::string>& entries);
 
 }  // namespace samphire
--- a/src/libsamphire/routing/permit_role.h
+++ b/src/libsamphire/routing/permit_role.h
@@ -5,9 +5,9 @@
 
 namespace samphire {
 
-// The role in which an entry grants permits of a team.
+// The role in which an entry grants permits of a limit.
 enum class permit_role {
-  // Selected for the team among the region's entries by rendezvous hashing.
+  // Selected for the limit among the region's entries by rendezvous hashing.
   kOwner,
   // Acts while the owner does not respond.
   kBackup,
--- a/src/libsamphire/routing/permit_shares.h
+++ b/src/libsamphire/routing/permit_shares.h
@@ -8,7 +8,7 @@
 
 namespace samphire {
 
-// The division of a team's limit among entries, as seen by one entry.
+// The division of a limit among entries, as seen by one entry.
 struct permit_shares {
   std::size_t regions = 1;
   // Live entries of this region: now, and their maximum over the last minute.
@@ -16,8 +16,7 @@
   std::size_t region_peak = 1;
   // The maximum number of entries in all regions over the last minute.
   std::size_t fleet_peak = 1;
-  // Permits that each region may accumulate for a team, however small its
-  // limit.
+  // Permits that each region may accumulate, however small the limit.
   double reserve = 0;
   // Whether this entry has run long enough to know the other entries and to be
   // known by them.
--- a/src/libsamphire/routing/team_limit.h
+++ b/src/libsamphire/routing/rate_limit.h
@@ -1,10 +1,10 @@
-#ifndef ROUTING_TEAM_LIMIT_H_
-#define ROUTING_TEAM_LIMIT_H_
+#ifndef ROUTING_RATE_LIMIT_H_
+#define ROUTING_RATE_LIMIT_H_
 
 namespace samphire {
 
-// The limit on one team's requests, shared by all entries.
-struct team_limit {
+// A limit on requests that all entries share, such as one of a team.
+struct rate_limit {
   // Requests per second; 0 for no limit.
   double rate = 0;
   // Requests that may run at once after an idle period.
@@ -15,4 +15,4 @@
 
 }  // namespace samphire
 
-#endif  // ROUTING_TEAM_LIMIT_H_
+#endif  // ROUTING_RATE_LIMIT_H_
--- a/src/libsamphire/routing/traffic_team.h
+++ b/src/libsamphire/routing/traffic_team.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "routing/team_limit.h"
+#include "routing/rate_limit.h"
 
 namespace samphire {
 
@@ -13,7 +13,7 @@
 struct traffic_team {
   std::string name;
   std::vector<std::string> api_keys;
-  team_limit limit;
+  rate_limit limit;
   // Regions whose targets may run the team's requests; any if empty.
   std::vector<std::string> home_regions;
 };
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -44,6 +44,13 @@
   time_point unchanged_since;
   // Peer addresses of some entries of each other region, by region.
   std::map<std::string, std::vector<std::string>> other_regions;
+
+  // Whether this entry knows no other entries although the fleet has some, as
+  // after a start while it is cut off. Such an entry does not know the size of
+  // its region, so it must not grant permits as the owner.
+  bool IsIsolated(std::size_t min_fleet_size) const {
+    return names.size() <= 1 && other_regions.empty() && min_fleet_size > 1;
+  }
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/placement_client.cc
+++ b/src/libsamphire/traffic/placement_client.cc
@@ -12,10 +12,6 @@
 constexpr std::uint32_t kObjectiveDivisor = 20;
 constexpr milliseconds kMinResponseTimeout{10};
 constexpr milliseconds kMaxResponseTimeout{50};
-// Time for which an owner that did not respond is not queried again. It is
-// stalled, stopped or unreachable. Every request that waits for it loses time,
-// and one request a second is enough to notice its return.
-constexpr milliseconds kUnresponsivePause{1000};
 
 milliseconds ResponseTimeout(const remote_placement_request& request) {
   return std::clamp(milliseconds(request.objective_ms / kObjectiveDivisor),
@@ -29,9 +25,13 @@
                                    metrics& counters,
                                    std::uint64_t first_id)
     : transport_(transport),
-      clock_(clock),
       metrics_(counters),
-      next_id_(first_id) {
+      query_(transport,
+             clock,
+             counters,
+             message_kind::kPlacementRequest,
+             "placing_unanswered_total",
+             first_id) {
   transport_.OnMessage(
       message_kind::kPlacementResponse,
       [this](const peer_message& message) { OnResponse(message); });
@@ -44,20 +44,10 @@
 std::optional<remote_placement_response> placement_client::RequestPlacement(
     const std::string& owner_address,
     remote_placement_request request) {
-  if (unresponsive_.IsBackingOff(owner_address, clock_.now()))
-    return std::nullopt;
-  request.id = next_id_++;
-  pending_.Register(request.id, request.service);
-  const auto sent = transport_.Send(
-      owner_address, message_kind::kPlacementRequest, EncodeBinary(request));
-  auto response = pending_.Await(
-      request.id, sent ? ResponseTimeout(request) : milliseconds{0});
-  if (!response) {
-    metrics_.Count("placing_unanswered_total");
-    unresponsive_.StartBackoff(owner_address,
-                               clock_.now() + kUnresponsivePause);
-  }
-  return response;
+  auto service = request.service;
+  const auto timeout = ResponseTimeout(request);
+  return query_.Send(owner_address, std::move(request), std::move(service),
+                     timeout);
 }
 
 void placement_client::OnResponse(const peer_message& message) {
@@ -67,7 +57,7 @@
     metrics_.Count("placing_malformed_total");
     return;
   }
-  const auto timed_out_service = pending_.Deliver(response->id, *response);
+  const auto timed_out_service = query_.Deliver(*response);
   if (timed_out_service &&
       response->verdict == remote_placement_verdict::kPlaced) {
     ReportEnd(message.from, *timed_out_service, response->id,
--- a/src/libsamphire/traffic/placement_client.h
+++ b/src/libsamphire/traffic/placement_client.h
@@ -1,18 +1,16 @@
 #ifndef TRAFFIC_PLACEMENT_CLIENT_H_
 #define TRAFFIC_PLACEMENT_CLIENT_H_
 
-#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "base/backoff_list.h"
 #include "base/clock_source.h"
 #include "metrics/metrics.h"
 #include "peer/peer_transport.h"
-#include "peer/response_waiter.h"
 #include "routing/attempt_end.h"
 #include "routing/placement_criteria.h"
+#include "traffic/peer_query.h"
 #include "traffic/placement_messages.h"
 
 namespace samphire {
@@ -34,7 +32,7 @@
   // Blocks until the owner responds or the timeout expires, which is 1/20 of
   // the request's latency objective, but 10 to 50 ms. Returns nothing on a
   // timeout, and immediately if the owner timed out within the last second;
-  // this entry then places the attempt itself. Sets `request.id`.
+  // this entry then places the attempt itself. Ignores `request.id`.
   std::optional<remote_placement_response> RequestPlacement(
       const std::string& owner_address,
       remote_placement_request request);
@@ -49,13 +47,11 @@
   void OnResponse(const peer_message& message);
 
   peer_transport& transport_;
-  const clock_source& clock_;
   metrics& metrics_;
-  std::atomic<std::uint64_t> next_id_;
-  backoff_list unresponsive_;
   // The context is the service, which is needed to end the lease granted by a
   // late response.
-  response_waiter<remote_placement_response, std::string> pending_;
+  peer_query<remote_placement_request, remote_placement_response, std::string>
+      query_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/team_limiter.cc
+++ b/src/libsamphire/traffic/team_limiter.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "traffic/peer_message_codec.h"
+
 namespace samphire {
 
 namespace {
@@ -14,9 +16,6 @@
 // few milliseconds, but may take longer on a small CPU share while they load a
 // new configuration.
 constexpr milliseconds kResponseTimeout{100};
-// Time for which an entry that did not respond is not queried again, which
-// limits how often requests wait for it.
-constexpr milliseconds kUnresponsivePause{1000};
 // Fraction of the limit's slack that absorbs short bursts of small teams. The
 // rest covers permits granted twice while entries disagree on a team's owner.
 constexpr double kReserveOfSlack = 0.4;
@@ -48,7 +47,12 @@
       state_(state),
       clock_(clock),
       metrics_(counters),
-      next_id_(first_id),
+      permit_query_(transport,
+                    clock,
+                    counters,
+                    message_kind::kPermitRequest,
+                    "permits_unanswered_total",
+                    first_id),
       started_(clock.now()) {
   transport_.OnMessage(message_kind::kPermitRequest,
                        [this](const auto& message) { OnRequest(message); });
@@ -90,9 +94,9 @@
 
 std::optional<team_permit> team_limiter::TakeFromGrantor(
     const std::string& team,
-    const team_limit& limit) {
+    const rate_limit& limit) {
   const auto entries = state_.entries().Get();
-  if (IsIsolated(*entries))
+  if (entries->IsIsolated(settings_.min_fleet_size))
     return std::nullopt;
   const auto grantors = ChooseGrantors(team, entries->names);
   const std::pair<std::optional<std::size_t>, permit_role> order[] = {
@@ -105,7 +109,8 @@
       return team_permit{.decision = TakeLocally(team, role, limit),
                          .role = role};
     const auto& address = entries->peer_addresses[*index];
-    const auto response = RequestPermit(address, team);
+    const auto response =
+        permit_query_.Send(address, {.team = team}, team, kResponseTimeout);
     if (!response && WasRefusedRecently(team))
       return team_permit{.decision = {.retry_after = kMaxRefusalAge},
                          .role = permit_role::kAlone};
@@ -136,13 +141,6 @@
                      .role = permit_role::kAlone};
 }
 
-// An entry that started while isolated does not know the size of its region, so
-// it must not grant permits as the owner.
-bool team_limiter::IsIsolated(const entry_list& entries) const {
-  return entries.names.size() <= 1 && entries.other_regions.empty() &&
-         settings_.min_fleet_size > 1;
-}
-
 // Caches refusals so that a team far over its limit does not overload its owner
 // with permit requests.
 std::optional<team_permit> team_limiter::RecentRefusal(
@@ -179,27 +177,9 @@
   });
 }
 
-std::optional<permit_response> team_limiter::RequestPermit(
-    const std::string& address,
-    const std::string& team) {
-  if (unresponsive_.IsBackingOff(address, clock_.now()))
-    return std::nullopt;
-  const permit_request request{.id = next_id_++, .team = team};
-  pending_.Register(request.id, team);
-  const auto sent = transport_.Send(address, message_kind::kPermitRequest,
-                                    EncodeBinary(request));
-  auto response =
-      pending_.Await(request.id, sent ? kResponseTimeout : milliseconds{0});
-  if (!response) {
-    metrics_.Count("permits_unanswered_total");
-    unresponsive_.StartBackoff(address, clock_.now() + kUnresponsivePause);
-  }
-  return response;
-}
-
 permit_decision team_limiter::TakeLocally(const std::string& team,
                                           permit_role role,
-                                          const team_limit& limit) {
+                                          const rate_limit& limit) {
   const auto now = clock_.now();
   const auto shares = Shares();
   bool should_borrow = false;
@@ -297,7 +277,7 @@
   const auto response = Decode<permit_response>(message);
   if (!response)
     return;
-  const auto timed_out_team = pending_.Deliver(response->id, *response);
+  const auto timed_out_team = permit_query_.Deliver(*response);
   if (timed_out_team && response->verdict == permit_verdict::kGranted)
     Send(message.from, message_kind::kPermitReturn,
          permit_return{*timed_out_team});
@@ -386,17 +366,12 @@
 void team_limiter::Send(const std::string& address,
                         message_kind kind,
                         const Message& message) {
-  const auto sent = transport_.Send(address, kind, EncodeBinary(message));
-  if (!sent)
-    metrics_.CountRetry(sent.error().code);
+  SendToPeer(transport_, metrics_, address, kind, message);
 }
 
 template <typename Message>
 std::optional<Message> team_limiter::Decode(const peer_message& message) {
-  auto decoded = DecodeBinary<Message>(message.payload);
-  if (!decoded)
-    metrics_.Count("permits_malformed_total");
-  return decoded;
+  return DecodeFromPeer<Message>(message, metrics_, "permits_malformed_total");
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/team_limiter.h
+++ b/src/libsamphire/traffic/team_limiter.h
@@ -1,7 +1,6 @@
 #ifndef TRAFFIC_TEAM_LIMITER_H_
 #define TRAFFIC_TEAM_LIMITER_H_
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -9,15 +8,14 @@
 #include <string>
 #include <utility>
 
-#include "base/backoff_list.h"
 #include "base/clock_source.h"
 #include "base/sharded.h"
 #include "metrics/metrics.h"
 #include "peer/peer_transport.h"
-#include "peer/response_waiter.h"
+#include "routing/limit_permits.h"
 #include "routing/permit_grantors.h"
 #include "routing/startup_allowance.h"
-#include "routing/team_permits.h"
+#include "traffic/peer_query.h"
 #include "traffic/permit_messages.h"
 #include "traffic/team_permit.h"
 #include "traffic/traffic_settings.h"
@@ -54,7 +52,7 @@
 
  private:
   struct team_state {
-    team_permits permits;
+    limit_permits permits;
     // The last refusal by another entry, and the time of its arrival.
     team_permit refusal;
     std::optional<time_point> refused_at;
@@ -70,10 +68,7 @@
   // Takes a permit from the region's owner or backup owner. Returns nothing if
   // neither responds.
   std::optional<team_permit> TakeFromGrantor(const std::string& team,
-                                             const team_limit& limit);
-  // Whether this entry knows no other entries although the fleet has some.
-  // Isolated entries must not grant permits as the owner.
-  bool IsIsolated(const entry_list& entries) const;
+                                             const rate_limit& limit);
   // Applies the startup allowance. Returns nothing if the request may proceed
   // or the startup time is over.
   std::optional<team_permit> StartupRefusal(const traffic_manifest& manifest,
@@ -83,15 +78,11 @@
   // Whether another entry refused the team a permit in the last few seconds.
   bool WasRefusedRecently(const std::string& team);
   void CacheRefusal(const std::string& team, const team_permit& refusal);
-  // Requests a permit from the entry at `address`. Returns nothing if it does
-  // not respond, and immediately if it failed to within the last second.
-  std::optional<permit_response> RequestPermit(const std::string& address,
-                                               const std::string& team);
   // Takes a permit from this entry's own share for `role`, and requests loans
   // from other regions if the owner's share runs short.
   permit_decision TakeLocally(const std::string& team,
                               permit_role role,
-                              const team_limit& limit);
+                              const rate_limit& limit);
   void ReturnLocally(const std::string& team, permit_role role);
   // Requests loans of permits from the owners in all other regions.
   void RequestLoans(const std::string& team);
@@ -120,9 +111,8 @@
   const traffic_state& state_;
   const clock_source& clock_;
   metrics& metrics_;
-  std::atomic<std::uint64_t> next_id_;
-  backoff_list unresponsive_;
-  response_waiter<permit_response, std::string> pending_;
+  // The context is the team, to which a late permit is returned.
+  peer_query<permit_request, permit_response, std::string> permit_query_;
   sharded<team_map> teams_;
   // When this entry started.
   const time_point started_;
--- a/tests/routing/team_permits_test.cc
+++ b/tests/routing/limit_permits_test.cc
@@ -1,4 +1,4 @@
-#include "routing/team_permits.h"
+#include "routing/limit_permits.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,14 +12,14 @@
 namespace {
 
 const time_point kStart{1h};
-constexpr team_limit kLimit{.rate = 30, .burst = 30};
+constexpr rate_limit kLimit{.rate = 30, .burst = 30};
 constexpr auto kOwner = permit_role::kOwner;
 
 permit_shares Shares(std::size_t regions) {
   return {.regions = regions, .unchanged_since = kStart};
 }
 
-int TakeAll(team_permits& permits,
+int TakeAll(limit_permits& permits,
             permit_role role,
             const permit_shares& shares,
             time_point now) {
@@ -32,7 +32,7 @@
 }  // namespace
 
 TEST_CASE("an owner grants its region's share of the limit") {
-  team_permits permits;
+  limit_permits permits;
   const auto shares = Shares(3);
   CHECK(TakeAll(permits, kOwner, shares, kStart + 10s) == 10);
   CHECK(TakeAll(permits, kOwner, shares, kStart + 11s) == 10);
@@ -41,7 +41,7 @@
 
 // Guards against a second burst when the previous owner has just granted one.
 TEST_CASE("a new owner starts with what has accrued since it became one") {
-  team_permits permits;
+  limit_permits permits;
   CHECK(TakeAll(permits, kOwner, Shares(1), kStart) == 0);
   CHECK(TakeAll(permits, kOwner, Shares(1), kStart + 100ms) == 3);
 }
@@ -49,7 +49,7 @@
 // Guards against several bursts when entries start together and more than one
 // acts as the owner.
 TEST_CASE("an entry that has just started grants no burst") {
-  team_permits permits;
+  limit_permits permits;
   auto shares = Shares(1);
   shares.settled = false;
   CHECK(TakeAll(permits, kOwner, shares, kStart + 4s) == 1);
@@ -59,7 +59,7 @@
 // Guards against granting old tokens in addition to those that another owner
 // granted in the meantime.
 TEST_CASE("an owner that lost and regained a team starts without tokens") {
-  team_permits permits;
+  limit_permits permits;
   CHECK(TakeAll(permits, kOwner, Shares(1), kStart + 10s) == 30);
   permits.LoseOwnership();
   auto shares = Shares(1);
@@ -73,21 +73,21 @@
   auto shares = Shares(1);
   shares.region_entries = 10;
   shares.region_peak = 30;
-  team_permits permits;
+  limit_permits permits;
   CHECK(TakeAll(permits, kOwner, shares, kStart + 10s) == 10);
 }
 
 TEST_CASE("isolated entries together grant at most half of the limit") {
   auto shares = Shares(3);
   shares.fleet_peak = 10;
-  team_permits permits;
+  limit_permits permits;
   CHECK(TakeAll(permits, permit_role::kAlone, shares, kStart) == 1);
   CHECK(TakeAll(permits, permit_role::kAlone, shares, kStart + 10s) == 1);
   CHECK(shares.Of(permit_role::kAlone) * 10 <= 0.5);
 }
 
 TEST_CASE("a permit that was not used is granted again") {
-  team_permits permits;
+  limit_permits permits;
   const auto shares = Shares(3);
   TakeAll(permits, kOwner, shares, kStart + 10s);
   permits.ReturnPermit(kOwner, kLimit, shares);
@@ -96,7 +96,7 @@
 
 // Guards against refused callers that all retry at the same time.
 TEST_CASE("retry times of refused callers are staggered") {
-  team_permits permits;
+  limit_permits permits;
   const auto shares = Shares(3);
   const auto now = kStart + 10s;
   TakeAll(permits, kOwner, shares, now);
@@ -113,8 +113,8 @@
 }
 
 TEST_CASE("lending moves permits between regions without creating any") {
-  team_permits lender;
-  team_permits borrower;
+  limit_permits lender;
+  limit_permits borrower;
   const auto shares = Shares(3);
   const auto now = kStart + 10s;
   CHECK(TakeAll(borrower, kOwner, shares, now) == 10);
--- a/tests/routing/shared_bounds_model_test.cc
+++ b/tests/routing/shared_bounds_model_test.cc
@@ -7,13 +7,14 @@
 #include <utility>
 #include <vector>
 
+#include "routing/limit_permits.h"
 #include "routing/permit_grantors.h"
 #include "routing/retry_window.h"
 #include "routing/service_tracker.h"
 #include "routing/startup_allowance.h"
-#include "routing/team_permits.h"
 #include "support/membership_simulation.h"
-#include "traffic/entry_list_builder.h"
+#include "support/simulated_entry_list.h"
+#include "support/sliding_count.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -36,7 +37,7 @@
 // A team that always exceeds its limit, and the maximum number of its permits
 // in a window.
 const std::string kTeam = "team";
-constexpr team_limit kLimit{.rate = 100, .burst = 100};
+constexpr rate_limit kLimit{.rate = 100, .burst = 100};
 constexpr milliseconds kLimitWindow{5000};
 constexpr double kMaxPermits = (100 * 5 + 100) * 1.1 + 20;
 constexpr double kReserve = 0.4 * 20 / kRegions;
@@ -51,30 +52,6 @@
   return std::string(1, static_cast<char>('a' + i));
 }
 
-// Counts events in sliding windows of time.
-class sliding_count {
- public:
-  explicit sliding_count(milliseconds window) : window_(window) {}
-  void Add(time_point now) { times_.push_back(now); }
-  // Returns the number of events in the window that ends at `end`.
-  double Count(time_point end) const {
-    const auto last = std::upper_bound(times_.begin(), times_.end(), end);
-    const auto first =
-        std::upper_bound(times_.begin(), times_.end(), end - window_);
-    return static_cast<double>(last - first);
-  }
-  // Returns the maximum of the window that ends at `end`, the one before it and
-  // the one halfway between them.
-  double RecentMax(time_point end) const {
-    return std::max(
-        {Count(end), Count(end - window_ / 2), Count(end - window_)});
-  }
-
- private:
-  const milliseconds window_;
-  std::vector<time_point> times_;
-};
-
 struct modelled_entry {
   entry_location place;
   bool up = false;
@@ -84,7 +61,7 @@
   service_tracker tracker;
   retry_window retries;
   time_point started;
-  team_permits permits;
+  limit_permits permits;
   startup_allowance startup;
   std::vector<std::string> last_names;
   // Entries to borrow permits from, by region.
@@ -326,14 +303,7 @@
   time_point now() const { return world_.network.now(); }
   boost::intrusive_ptr<const entry_list> ListOf(modelled_entry& one,
                                                 time_point now) {
-    auto& core = world_.Core(one.place.instance);
-    std::vector<member> members = {core.table().self()};
-    for (const auto& [name, other] : core.table().other_members())
-      members.push_back(other);
-    std::vector<region_view> regions;
-    for (const auto& [name, digest] : core.regions().digests())
-      regions.push_back({digest, milliseconds{0}});
-    return one.builder->Build(members, regions, true, false, now);
+    return BuildEntryList(world_.Core(one.place.instance), *one.builder, now);
   }
   void SendCold(modelled_entry& one,
                 const std::vector<std::string>& known,
--- /dev/null
+++ b/tests/support/simulated_entry_list.h
@@ -0,0 +1,18 @@
+#ifndef SUPPORT_SIMULATED_ENTRY_LIST_H_
+#define SUPPORT_SIMULATED_ENTRY_LIST_H_
+
+#include "membership/membership_core.h"
+#include "traffic/entry_list_builder.h"
+
+namespace samphire {
+
+// Returns the list of entries that a ready entry with this view of the fleet
+// publishes.
+boost::intrusive_ptr<const entry_list> BuildEntryList(
+    membership_core& core,
+    entry_list_builder& builder,
+    time_point now);
+
+}  // namespace samphire
+
+#endif  // SUPPORT_SIMULATED_ENTRY_LIST_H_
