--- /dev/null
+++ b/tests/platform_adapter/fleet_fixture.cc
@@ -0,0 +1,30 @@
+#include "platform_adapter/fleet_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace samphire::platform {
+
+using namespace std::chrono_literals;
+
+fleet_setup::fleet_setup() {
+  for (int i = 1; i <= 4; ++i) {
+    auto one = TestSettings(targets.stand_in.address());
+    const std::string region = i == 4 ? "b" : "a";
+    one.traffic.place = {"entry-" + std::to_string(i), region + "-1", region};
+    one.regions = {{"a-1", "a"}, {"b-1", "b"}};
+    one.traffic.min_fleet_size = 2;
+    if (!settings.empty())
+      one.traffic.seeds = {settings.front().traffic.peer_address};
+    settings.push_back(one);
+    entries.push_back(StartEntry(one));
+  }
+  for (const auto& one : settings)
+    REQUIRE(Eventually([&] { return IsReady(one); }));
+  // By then all entries know each other, also those of the other region.
+  std::this_thread::sleep_for(3s);
+}
+
+}  // namespace samphire::platform
--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -35,6 +35,8 @@
     response.set("Request-Id", request.get("Request-Id", ""));
     if (const double limit = target_.rate_limit; limit >= 0)
       response.set("Server-Limit", fmt::format("{}", limit));
+    if (target_.leaving)
+      response.set("Server-Leaving", "1");
     const auto behavior = target_.behavior.load();
     if (request.get("Target-Instance", "") != target_.id() ||
         behavior == target_behavior::kWrongInstance) {
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -53,6 +53,8 @@
   // The rate that the target names as its limit in all responses, in requests
   // per second; negative for none.
   std::atomic<double> rate_limit = -1;
+  // Whether the target says in all responses that it leaves.
+  std::atomic<bool> leaving = false;
 
   // Number of runs of each request, by request ID.
   std::map<std::string, int> runs_by_id() const;
