Send nothing more to a target that says it leaves

They were still answered; later ones would have been lost with the target.

Cause: entries learned of a leaving target from the store's list only, which was frozen by an outage for 13 s and said ready. The same class as the limits: a statement of a target that nobody heeds.

Change: an entry that hears it pauses the target at once, whatever the list says then and later, and tells all entries. Pauses belong to a process of a target, so that one which starts under the same id is served again. target_notices applies what targets say; the limiter keeps the limits.

Evidence: "a target that says it leaves gets no more requests in an outage" was red (each request reached it, from the entry that heard it and the others) and passes. test_traffic: 27 cases pass.

--- a/src/libsamphire/routing/target_notice.h
+++ b/src/libsamphire/routing/target_notice.h
@@ -11,6 +11,8 @@
   // The number of requests per second that the target takes from all entries
   // together; nothing if it takes any number.
   std::optional<double> rate_limit;
+  // The target shuts down soon and must not get new requests.
+  bool leaving = false;
 };
 
 // Parses a rate limit, a decimal number of requests per second. Returns nothing
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -208,7 +208,7 @@
   if (!head.has(context_.headers.target_stamp) &&
       !head.has(context_.headers.not_run))
     return std::nullopt;
-  target_notice notice;
+  target_notice notice{.leaving = head.has(context_.headers.target_leaving)};
   if (const auto& name = context_.headers.target_rate_limit; head.has(name)) {
     notice.rate_limit = ParseRateLimit(head.get(name));
     if (!notice.rate_limit) {
--- a/src/libsamphire/traffic/target_limit_messages.h
+++ b/src/libsamphire/traffic/target_limit_messages.h
@@ -79,6 +79,10 @@
 struct target_news {
   std::string target;
   std::string service;
+  // As in live_target.
+  std::int64_t started_ms = 0;
+  // 1 if the target leaves; `limit` then says nothing.
+  std::uint8_t leaving = 0;
   target_limit_news limit;
   // 1 if the receiver is to pass the news on to the other entries of its
   // region, else 0.
@@ -87,7 +91,8 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(Bounded<kMaxTargetIdBytes>(target),
-            Bounded<kMaxServiceNameBytes>(service), limit, relay);
+            Bounded<kMaxServiceNameBytes>(service), started_ms, leaving, limit,
+            relay);
   }
 };
 
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -7,6 +7,7 @@
 #include "traffic/placement_client.h"
 #include "traffic/service_shards.h"
 #include "traffic/target_limiter.h"
+#include "traffic/target_notices.h"
 #include "traffic/team_limiter.h"
 #include "traffic/traffic_headers.h"
 #include "traffic/traffic_settings.h"
@@ -25,6 +26,7 @@
   placement_client& remote_placement;
   team_limiter& limiter;
   target_limiter& target_limits;
+  target_notices& notices;
   // Connections to targets and peers.
   connection_pool& pool;
   const clock_source& clock;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -80,7 +80,7 @@
   const auto sent_at = context_.clock.now();
   auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
   if (end.attempt.notice)
-    context_.target_limits.OnResponse(target, *end.attempt.notice, sent_at);
+    context_.notices.OnResponse(target, *end.attempt.notice, sent_at);
   ReportAttemptEnd(placed, end);
   if (end.may_have_run) {
     may_have_run_ = true;
--- a/src/libsamphire/traffic/traffic_headers.h
+++ b/src/libsamphire/traffic/traffic_headers.h
@@ -29,6 +29,8 @@
   // Requests per second that the responding target takes from all entries
   // together, as a decimal number; missing if it has no limit.
   std::string target_rate_limit;
+  // Set if the responding target shuts down soon.
+  std::string target_leaving;
   // Set if the target did not run the request and never will.
   std::string not_run;
 };
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -98,8 +98,11 @@
                       clock_,
                       metrics_,
                       incarnation_),
-      context_{settings_, headers_,        state_, shards_, placement_client_,
-               limiter_,  target_limiter_, pool_,  clock_,  metrics_},
+      target_notices_(shards_, target_limiter_, target_news_, clock_),
+      context_{settings_,       headers_,          state_,
+               shards_,         placement_client_, limiter_,
+               target_limiter_, target_notices_,   pool_,
+               clock_,          metrics_},
       placement_server_(transport_, context_),
       caller_front_(
           settings_.caller_address,
@@ -126,7 +129,7 @@
           metrics_) {
   state_.SetBounds(settings_.bounds);
   target_news_.on_news = [this](const target_news& news) {
-    target_limiter_.OnNews(news);
+    target_notices_.OnNews(news);
   };
   membership_.on_member_changed = [this](const member& /*changed*/) {
     RefreshEntryList();
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -25,6 +25,7 @@
 #include "traffic/source_plan.h"
 #include "traffic/target_limiter.h"
 #include "traffic/target_news_channel.h"
+#include "traffic/target_notices.h"
 #include "traffic/team_limiter.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_headers.h"
@@ -107,6 +108,7 @@
   team_limiter limiter_;
   target_news_channel target_news_;
   target_limiter target_limiter_;
+  target_notices target_notices_;
   traffic_context context_;
   placement_server placement_server_;
   front_server caller_front_;
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -52,8 +52,10 @@
   target_news_channel news{owner, settings, state, counters};
   target_limiter target_limits{owner, news,     settings, state,
                                clock, counters, 1};
-  traffic_context context{settings, headers,       state, shards, owner_client,
-                          limiter,  target_limits, pool,  clock,  counters};
+  target_notices notices{shards, target_limits, news, clock};
+  traffic_context context{settings,     headers, state,         shards,
+                          owner_client, limiter, target_limits, notices,
+                          pool,         clock,   counters};
   placement_server server{owner, context};
   placement_client client{requester, clock, counters, 100};
 
@@ -168,8 +170,8 @@
   traffic_context context{
       fixture.settings,      fixture.headers,      empty,
       fixture.shards,        fixture.owner_client, fixture.limiter,
-      fixture.target_limits, fixture.pool,         fixture.clock,
-      fixture.counters};
+      fixture.target_limits, fixture.notices,      fixture.pool,
+      fixture.clock,         fixture.counters};
   const placement_server server(fixture.owner, context);
   CHECK(fixture.RequireResponse().verdict ==
         remote_placement_verdict::kPlaceLocally);
