--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -43,6 +43,8 @@
       Send(response, 421, "");
     } else if (behavior == target_behavior::kShed) {
       response.set("Not-Executed", "1");
+      if (const int pause = target_.pause_s; pause > 0)
+        response.set("Retry-After", std::to_string(pause));
       Send(response, 503, "");
     } else {
       ++target_.runs;
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -53,6 +53,9 @@
   // The rate that the target names as its limit in all responses, in requests
   // per second; negative for none.
   std::atomic<double> rate_limit = -1;
+  // The time for which the target asks to be left alone when it sheds, in
+  // seconds; 0 for none.
+  std::atomic<int> pause_s = 0;
   // Whether the target says in all responses that it leaves.
   std::atomic<bool> leaving = false;
 
