Leave a target alone for the pause that it asks for

Cause: a refusal left its trace only in the request that met it, which excludes the target for its next attempt. The next request of the same key began there again. The same class as the limits: a statement of a target that nobody heeds.

Other entries are not told, since the pause is asked of one entry.

--- a/src/libsamphire/routing/target_notice.h
+++ b/src/libsamphire/routing/target_notice.h
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 
+#include "base/clock_source.h"
+
 namespace samphire {
 
 // What a target asks of its senders with a response.
@@ -13,11 +15,18 @@
   std::optional<double> rate_limit;
   // The target shuts down soon and must not get new requests.
   bool leaving = false;
+  // The target refused the request and wants none from this entry for this
+  // time; nothing if it did not ask for that.
+  std::optional<milliseconds> pause;
 };
 
 // Parses a rate limit, a decimal number of requests per second. Returns nothing
 // if `text` is not a finite number of at least 0.
 std::optional<double> ParseRateLimit(const std::string& text);
+// Parses the time until a retry, a decimal number of seconds, of which an hour
+// counts at most. Returns nothing if `text` is not a finite number of at least
+// 0, such as a date.
+std::optional<milliseconds> ParsePause(const std::string& text);
 
 }  // namespace samphire
 
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "front/header_names.h"
 #include "gateway/header_copy.h"
 #include "gateway/response_stream.h"
 
@@ -216,6 +217,12 @@
       return std::nullopt;
     }
   }
+  if (head.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+      head.has(kHeaderRetryAfter)) {
+    notice.pause = ParsePause(head.get(kHeaderRetryAfter));
+    if (!notice.pause)
+      context_.counters.Count("target_notices_malformed_total");
+  }
   return notice;
 }
 
--- a/src/libsamphire/traffic/target_notices.cc
+++ b/src/libsamphire/traffic/target_notices.cc
@@ -22,6 +22,8 @@
                                 const target_notice& notice,
                                 time_point sent_at) {
   limiter_.OnResponse(target, notice, sent_at);
+  if (notice.pause)
+    OnPause(target, *notice.pause);
   if (!notice.leaving || !OnLeaving(target, "response"))
     return;
   news_.Publish({.target = target.id,
@@ -42,6 +44,18 @@
   OnLeaving(target, "peer");
 }
 
+// Concerns this entry alone: the target may take requests of others.
+void target_notices::OnPause(const live_target& target, milliseconds pause) {
+  const auto now = clock_.now();
+  shards_.WithService(target.service, [&](auto& shard) {
+    shard.tracker.Pause(target, now + pause);
+  });
+  Log(log_level::kInfo, "target-paused",
+      {{"service", target.service},
+       {"target", target.id},
+       {"pause_ms", pause.count()}});
+}
+
 bool target_notices::OnLeaving(const live_target& target, const char* source) {
   const auto now = clock_.now();
   const bool is_news = shards_.WithService(target.service, [&](auto& shard) {
--- a/src/libsamphire/traffic/target_notices.h
+++ b/src/libsamphire/traffic/target_notices.h
@@ -29,6 +29,7 @@
   void OnNews(const target_news& news);
 
  private:
+  void OnPause(const live_target& target, milliseconds pause);
   // Returns whether the target was not known to leave yet.
   bool OnLeaving(const live_target& target, const char* source);
 
--- a/tests/routing/target_notice_test.cc
+++ b/tests/routing/target_notice_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace samphire;
+using namespace std::chrono_literals;
 
 TEST_CASE("a rate limit is a finite decimal number of at least 0") {
   CHECK(ParseRateLimit("3.25") == 3.25);
@@ -12,3 +13,13 @@
     CHECK_FALSE(ParseRateLimit(text));
   }
 }
+
+TEST_CASE("a pause is a finite decimal number of seconds, at most an hour") {
+  CHECK(ParsePause("3") == 3s);
+  CHECK(ParsePause("0.25") == 250ms);
+  CHECK(ParsePause("1e9") == 1h);
+  for (const auto* text : {"", "-1", "nan", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    INFO(text);
+    CHECK_FALSE(ParsePause(text));
+  }
+}
