Name only listed targets to the owner of a key as paused

Cause: an entry names up to eight paused targets when a key's owner places for it. A target that leaves stays paused for an hour, long after it ended, so that in a service with many changes the eight could all be gone, and a target in a pause could be chosen again. Found on reading; nothing was seen.

Change: the paused ones among the listed targets are named.

Evidence: test_routing (74 cases) and the tests of the three rules in test_platform_adapter pass.

--- a/src/libsamphire/routing/service_tracker.h
+++ b/src/libsamphire/routing/service_tracker.h
@@ -65,10 +65,8 @@
   void Pause(const live_target& target, time_point until) {
     pauses_.Pause(target, until);
   }
-  // Returns the ids of the targets that are paused at `now`.
-  std::vector<std::string> PausedTargets(time_point now) {
-    return pauses_.Paused(now);
-  }
+  // Returns whether any target is paused at `now`, listed or not.
+  bool HasPauses(time_point now) { return pauses_.HasAny(now); }
   bool IsPaused(const live_target& target, time_point now) const {
     return now < pauses_.PausedUntil(target);
   }
--- a/src/libsamphire/routing/target_pauses.cc
+++ b/src/libsamphire/routing/target_pauses.cc
@@ -18,13 +18,10 @@
   return same_process ? found->second.until : time_point{};
 }
 
-std::vector<std::string> target_pauses::Paused(time_point now) {
+bool target_pauses::HasAny(time_point now) {
   std::erase_if(pauses_,
                 [now](const auto& each) { return each.second.until <= now; });
-  std::vector<std::string> ids;
-  for (const auto& [id, current] : pauses_)
-    ids.push_back(id);
-  return ids;
+  return !pauses_.empty();
 }
 
 }  // namespace samphire
--- a/src/libsamphire/routing/target_pauses.h
+++ b/src/libsamphire/routing/target_pauses.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 #include "base/clock_source.h"
 #include "routing/live_target.h"
@@ -20,9 +19,9 @@
   void Pause(const live_target& target, time_point until);
   // Returns the end of the target's pause; a time in the past if it has none.
   time_point PausedUntil(const live_target& target) const;
-  // Returns the ids of the targets that are paused at `now`, and forgets the
-  // others.
-  std::vector<std::string> Paused(time_point now);
+  // Returns whether any target is paused at `now`. Forgets pauses that have
+  // ended.
+  bool HasAny(time_point now);
 
  private:
   struct pause {
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -94,7 +94,7 @@
   if (criteria_.for_region)
     return std::nullopt;
   const auto& address = entries.peer_addresses[*owner];
-  const auto request = BuildRequest();
+  const auto request = BuildRequest(targets);
   const auto response =
       context_.remote_placement.RequestPlacement(address, request);
   if (!response)
@@ -119,20 +119,25 @@
 
 // The targets that this entry must leave alone are its own matter: the owner
 // may use them for others.
-std::vector<std::string> request_placer::TargetsToExclude() const {
+std::vector<std::string> request_placer::TargetsToExclude(
+    const target_set& targets) const {
   auto excluded = criteria_.excluded;
-  const auto paused = context_.shards.WithService(service_, [&](auto& shard) {
-    return shard.tracker.PausedTargets(context_.clock.now());
+  const auto now = context_.clock.now();
+  context_.shards.WithService(service_, [&](auto& shard) {
+    if (!shard.tracker.HasPauses(now))
+      return;
+    for (const auto& target : targets.OfService(service_)) {
+      if (excluded.size() < kMaxExcludedTargets &&
+          shard.tracker.IsPaused(target, now) &&
+          std::ranges::find(excluded, target.id) == excluded.end())
+        excluded.push_back(target.id);
+    }
   });
-  for (const auto& target : paused) {
-    if (excluded.size() < kMaxExcludedTargets &&
-        std::ranges::find(excluded, target) == excluded.end())
-      excluded.push_back(target);
-  }
   return excluded;
 }
 
-remote_placement_request request_placer::BuildRequest() const {
+remote_placement_request request_placer::BuildRequest(
+    const target_set& targets) const {
   return {
       .service = service_,
       .route = criteria_.route,
@@ -143,7 +148,7 @@
       .time_left_ms = static_cast<std::uint32_t>(
           std::max(milliseconds{0}, criteria_.time_left).count()),
       .home_regions = criteria_.home_regions,
-      .excluded = TargetsToExclude()};
+      .excluded = TargetsToExclude(targets)};
 }
 
 // The owner's list of targets may be older than this entry's. A target that has
--- a/src/libsamphire/traffic/request_placer.h
+++ b/src/libsamphire/traffic/request_placer.h
@@ -51,9 +51,9 @@
                                              const entry_list& entries);
   placed_request PlaceLocally(const target_set& targets,
                               const entry_list& entries);
-  remote_placement_request BuildRequest() const;
+  remote_placement_request BuildRequest(const target_set& targets) const;
   // Returns the ids of the targets that the owner must not choose.
-  std::vector<std::string> TargetsToExclude() const;
+  std::vector<std::string> TargetsToExclude(const target_set& targets) const;
   // Returns nothing if the owner left the decision to this entry or chose a
   // target that is not open or is paused here.
   std::optional<placement_result> PlacementFrom(
--- a/tests/routing/target_pauses_test.cc
+++ b/tests/routing/target_pauses_test.cc
@@ -24,8 +24,8 @@
   pauses.Pause(Target(1), kStart + 3s);
   pauses.Pause(Target(1), kStart + 1s);
   CHECK(pauses.PausedUntil(Target(1)) == kStart + 3s);
-  CHECK(pauses.Paused(kStart) == std::vector<std::string>{"t"});
-  CHECK(pauses.Paused(kStart + 3s).empty());
+  CHECK(pauses.HasAny(kStart));
+  CHECK_FALSE(pauses.HasAny(kStart + 3s));
 }
 
 // Guards against a target that restarts under the same id and gets no requests
