Decide locally when a key's owner has paused all targets

Cause: pauses are asked of one entry. A key's owner that has paused all targets of a request refused it also for entries that no target had asked for a pause. Found on writing the test below; nothing was seen.

Change: such a refusal is left to the asking entry, whose own pauses then decide. A test of eight entries, whose keys have owners, holds each entry to its pause.

Evidence: "an entry keeps to its pause when a key's owner places for it" passes; there was no such test before.

--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -99,9 +99,12 @@
       context_.remote_placement.RequestPlacement(address, request);
   if (!response)
     return std::nullopt;
-  // The owner does not know when the targets left out here can be used again.
-  if (response->verdict == remote_placement_verdict::kRefused &&
-      request.excluded.size() > criteria_.excluded.size())
+  // Pauses of the owner don't bind this entry, and the owner does not know when
+  // the targets left out here can be used again.
+  const bool has_pauses =
+      request.excluded.size() > criteria_.excluded.size() ||
+      ResultCodeOf(response->reason) == result_code::kTargetsPaused;
+  if (response->verdict == remote_placement_verdict::kRefused && has_pauses)
     return std::nullopt;
   auto decision = PlacementFrom(*response, targets);
   if (decision)
--- a/tests/platform_adapter/fleet_fixture.cc
+++ b/tests/platform_adapter/fleet_fixture.cc
@@ -9,10 +9,10 @@
 
 using namespace std::chrono_literals;
 
-fleet_setup::fleet_setup() {
-  for (int i = 1; i <= 4; ++i) {
+fleet_setup::fleet_setup(std::size_t count) {
+  for (std::size_t i = 1; i <= count; ++i) {
     auto one = TestSettings(targets.stand_in.address());
-    const std::string region = i == 4 ? "b" : "a";
+    const std::string region = i == count ? "b" : "a";
     one.traffic.place = {"entry-" + std::to_string(i), region + "-1", region};
     one.regions = {{"a-1", "a"}, {"b-1", "b"}};
     one.traffic.min_fleet_size = 2;
--- a/tests/platform_adapter/fleet_fixture.h
+++ b/tests/platform_adapter/fleet_fixture.h
@@ -9,14 +9,14 @@
 
 namespace samphire::platform {
 
-// Four entries that know each other, three of them in the region "a" of all
-// targets.
+// Entries that know each other: all but the last one are in the region "a" of
+// all targets.
 struct fleet_setup {
   test_setup targets;
   std::vector<platform_settings> settings;
   std::vector<std::unique_ptr<platform_entry>> entries;
 
-  fleet_setup();
+  explicit fleet_setup(std::size_t count = 4);
   call_response Request(std::size_t entry) const {
     return SendCall(settings[entry].traffic.caller_address, {});
   }
--- a/tests/platform_adapter/target_pause_test.cc
+++ b/tests/platform_adapter/target_pause_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "platform_adapter/entry_fixture.h"
+#include "platform_adapter/fleet_fixture.h"
 
 using namespace samphire;
 using namespace samphire::platform;
@@ -42,3 +42,20 @@
   CHECK(std::stod(refused.retry_after) > 25);
   CHECK(r.read_1.arrivals + r.read_2.arrivals == before);
 }
+
+// Guards against an owner of keys that knows nothing of the pauses which other
+// entries were asked for, and sends their requests there all the same.
+TEST_CASE("an entry keeps to its pause when a key's owner places for it") {
+  // One more than the entries of a region that place for themselves.
+  constexpr std::size_t kEntries = 8;
+  fleet_setup fleet(kEntries);
+  auto& busy = fleet.targets.TargetWithStamp(fleet.Request(0).stamp);
+  busy.behavior = target_behavior::kShed;
+  busy.pause_s = 30;
+  for (std::size_t entry = 0; entry < kEntries; ++entry)
+    CHECK(fleet.Request(entry).status == 200);
+  const int before = busy.arrivals;
+  for (std::size_t i = 0; i < 5 * kEntries; ++i)
+    CHECK(fleet.Request(i % kEntries).status == 200);
+  CHECK(busy.arrivals == before);
+}
