Serve at targets without a limit once permits are refused

Cause: a request gave up after four targets without a permit, though a fifth without a limit could have served it; targets with a limit were remembered for as long as the process lived; a target whose limit changes with each response would have written a log line each time. All found on reading; nothing was seen.

Change: after four refusals only targets without a limit are considered; of many targets, those not heard of for ten minutes are forgotten; changes of a rate are logged at debug, begin and end at info. The messages' header is target_messages.h, since it holds more than limits.

--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Upper bound on the targets of one attempt whose permits are used up. Each
-// costs a request to another entry.
+// Upper bound on the requests for permits of one attempt that are refused.
+// After that, only targets without a limit are considered.
 constexpr int kMaxPermitRefusals = 4;
 // Lower bound on the time for which a target is left alone after it had no
 // permit, so that a service with many requests does not ask for each of them.
@@ -46,8 +46,23 @@
     retry_after = std::max(permit.retry_after, kMinPermitPause);
     Pause(attempt->target, context_.clock.now() + retry_after);
   }
-  return {.decision = placement_refusal{.reason = result_code::kTargetsPaused,
-                                        .retry_after = retry_after}};
+  auto placed = PlaceAtUnlimited();
+  if (auto* refusal = std::get_if<placement_refusal>(&placed.decision))
+    *refusal = {.reason = result_code::kTargetsPaused,
+                .retry_after = retry_after};
+  return placed;
+}
+
+placed_request request_placer::PlaceAtUnlimited() {
+  const auto tried = criteria_.excluded;
+  const auto targets = context_.state.targets();
+  for (const auto& target : targets->OfService(service_)) {
+    if (context_.target_limits.IsLimited(target))
+      criteria_.excluded.push_back(target.id);
+  }
+  auto placed = PlaceOnce();
+  criteria_.excluded = tried;
+  return placed;
 }
 
 void request_placer::Pause(const live_target& target, time_point until) {
--- a/src/libsamphire/traffic/request_placer.h
+++ b/src/libsamphire/traffic/request_placer.h
@@ -44,6 +44,8 @@
 
  private:
   placed_request PlaceOnce();
+  // Places the attempt at a target that has named no rate limit.
+  placed_request PlaceAtUnlimited();
   // Places no attempts of this entry at the target until `until`.
   void Pause(const live_target& target, time_point until);
   // Returns nothing if this entry must decide.
--- a/src/libsamphire/traffic/target_limiter.cc
+++ b/src/libsamphire/traffic/target_limiter.cc
@@ -33,9 +33,10 @@
 // Upper bound on the time for which a refused entry leaves a target alone.
 // Longer ones would leave permits unused when the demand falls.
 constexpr milliseconds kMaxRetryAfter{1000};
-// Number of targets per shard of the map beyond which those without a limit are
-// dropped.
+// Number of targets per shard of the map beyond which those are dropped that
+// have no limit or have not been heard of for the time below.
 constexpr std::size_t kMaxTargetsPerShard = 256;
+constexpr std::chrono::minutes kRetention{10};
 // Upper bound on the cached addresses of owners in other regions.
 constexpr std::size_t kMaxOwnerAddresses = 4096;
 
@@ -95,6 +96,10 @@
     transport_.OnMessage(kind, nullptr);
 }
 
+bool target_limiter::IsLimited(const live_target& target) {
+  return LimitOf(target.id).has_value();
+}
+
 // Entries that reach neither the owner nor its backup share a small part of the
 // limit, so that they don't exceed it together with those that do.
 permit_decision target_limiter::Take(const live_target& target) {
@@ -271,8 +276,10 @@
   });
   if (!changed)
     return;
-  LogChange(target.service, target.id, notice.rate_limit, "response");
-  if (limited_before != notice.rate_limit.has_value())
+  const bool is_news = limited_before != notice.rate_limit.has_value();
+  LogChange(is_news ? log_level::kInfo : log_level::kDebug, target.service,
+            target.id, notice.rate_limit, "response");
+  if (is_news)
     news_.Publish({.target = target.id,
                    .service = target.service,
                    .limit = {.limited = static_cast<std::uint8_t>(
@@ -285,7 +292,8 @@
 // keep asking for permits.
 void target_limiter::OnNews(const target_news& news) {
   if (ApplyNews(news.target, news.limit))
-    LogChange(news.service, news.target, RateOf(news.limit), "peer");
+    LogChange(log_level::kInfo, news.service, news.target, RateOf(news.limit),
+              "peer");
 }
 
 bool target_limiter::ApplyNews(const std::string& target,
@@ -326,11 +334,14 @@
   });
 }
 
-void target_limiter::Prune(target_map& targets) {
+void target_limiter::Prune(target_map& targets) const {
   if (targets.size() < kMaxTargetsPerShard)
     return;
-  std::erase_if(targets,
-                [](const auto& each) { return !each.second.limit.rate(); });
+  const auto oldest = clock_.now() - kRetention;
+  std::erase_if(targets, [oldest](const auto& each) {
+    const auto& limit = each.second.limit;
+    return !limit.rate() || limit.heard_at() < oldest;
+  });
 }
 
 std::optional<std::size_t> target_limiter::OwnerIndex(
@@ -357,13 +368,14 @@
           .alone_reserve = 0};
 }
 
-void target_limiter::LogChange(const std::string& service,
+void target_limiter::LogChange(log_level level,
+                               const std::string& service,
                                const std::string& target,
                                const std::optional<double>& rate,
                                const char* source) {
   constexpr double kNoLimit = -1;
   metrics_.Count("target_limit_changes_total");
-  Log(log_level::kInfo, "target-limit",
+  Log(level, "target-limit",
       {{"service", service},
        {"target", target},
        {"rate", rate.value_or(kNoLimit)},
--- a/src/libsamphire/traffic/target_limiter.h
+++ b/src/libsamphire/traffic/target_limiter.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock_source.h"
+#include "base/log_level.h"
 #include "base/sharded.h"
 #include "metrics/metrics.h"
 #include "peer/peer_transport.h"
@@ -18,7 +19,7 @@
 #include "routing/live_target.h"
 #include "routing/target_notice.h"
 #include "traffic/peer_query.h"
-#include "traffic/target_limit_messages.h"
+#include "traffic/target_messages.h"
 #include "traffic/target_news_channel.h"
 #include "traffic/traffic_settings.h"
 #include "traffic/traffic_state.h"
@@ -44,6 +45,8 @@
   target_limiter(const target_limiter&) = delete;
   target_limiter& operator=(const target_limiter&) = delete;
 
+  // Returns whether the target has named a limit, as far as this entry knows.
+  bool IsLimited(const live_target& target);
   // Decides whether one more request may be sent to the target. Always grants
   // if the target has no limit. Otherwise blocks until the queried entry
   // responds: up to 50 ms per entry in this region, 200 ms in another one.
@@ -100,9 +103,10 @@
   bool IsSelf(const entry_list& entries,
               const std::optional<std::size_t>& index) const;
   permit_shares Shares() const;
-  // Drops targets without a limit if there are many.
-  static void Prune(target_map& targets);
-  void LogChange(const std::string& service,
+  // Drops targets if there are many.
+  void Prune(target_map& targets) const;
+  void LogChange(log_level level,
+                 const std::string& service,
                  const std::string& target,
                  const std::optional<double>& rate,
                  const char* source);
--- a/src/libsamphire/traffic/target_limit_messages.h
+++ b/src/libsamphire/traffic/target_messages.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_LIMIT_MESSAGES_H_
-#define TRAFFIC_TARGET_LIMIT_MESSAGES_H_
+#ifndef TRAFFIC_TARGET_MESSAGES_H_
+#define TRAFFIC_TARGET_MESSAGES_H_
 
 #include <cstdint>
 #include <string>
@@ -98,4 +98,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_LIMIT_MESSAGES_H_
+#endif  // TRAFFIC_TARGET_MESSAGES_H_
--- a/src/libsamphire/traffic/target_news_channel.h
+++ b/src/libsamphire/traffic/target_news_channel.h
@@ -6,7 +6,7 @@
 
 #include "metrics/metrics.h"
 #include "peer/peer_transport.h"
-#include "traffic/target_limit_messages.h"
+#include "traffic/target_messages.h"
 #include "traffic/traffic_settings.h"
 #include "traffic/traffic_state.h"
 
--- a/tests/platform_adapter/target_limit_test.cc
+++ b/tests/platform_adapter/target_limit_test.cc
@@ -1,8 +1,12 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "platform_adapter/fleet_fixture.h"
+#include "platform_adapter/wire_text.h"
 
 using namespace samphire;
 using namespace samphire::platform;
@@ -33,3 +37,23 @@
   // The limit is used, not only obeyed.
   CHECK(arrivals >= kRate * 4 / 2);
 }
+
+// Guards against refusing what another target would serve, because many targets
+// have used up their limits.
+TEST_CASE("a request finds the one target of a service that has no limit") {
+  test_setup r;
+  constexpr int kLimited = 7;
+  std::vector<std::unique_ptr<wire_target>> limited;
+  for (int i = 0; i < kLimited; ++i) {
+    limited.push_back(
+        std::make_unique<wire_target>("i-limited-" + std::to_string(i)));
+    limited.back()->rate_limit = 0;
+    r.stand_in.Write("servers/" + limited.back()->id(),
+                     TargetObject(limited.back()->address(), "reads"));
+  }
+  r.read_1.rate_limit = 0;
+  r.StartReady();
+  for (int i = 0; i < 60; ++i)
+    CHECK(r.Request().status == 200);
+  CHECK(r.read_2.runs >= 60 - 3 * (kLimited + 1));
+}
