--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "gateway/peer_post.h"
+#include "traffic/source_log.h"
 
 namespace samphire {
 
@@ -161,8 +162,10 @@
   for (const auto& peer : peers) {
     if (pauses_.IsBackingOff(peer, clock_.now()))
       continue;
+    const auto start = clock_.now();
     auto batch = QueryPeer(peer, request,
                            milliseconds(request.wait_ms) + kPeerResponseMargin);
+    LogSourceResult(request.prefix, peer, ElapsedSince(start), batch);
     if (batch) {
       responses.batch = std::move(batch);
       return responses;
@@ -178,6 +181,10 @@
   return responses;
 }
 
+milliseconds shared_store::ElapsedSince(time_point start) const {
+  return std::chrono::duration_cast<milliseconds>(clock_.now() - start);
+}
+
 result<watch_batch> shared_store::QueryPeer(const std::string& peer,
                                             const mirror_request& request,
                                             milliseconds timeout) {
@@ -201,7 +208,9 @@
     return MakeError(
         result_code::kStoreUnreachable,
         "no peer has a fresh copy; platform not queried during back-off");
+  const auto start = clock_.now();
   auto batch = platform_.Watch(prefix, cursor, wait);
+  LogSourceResult(prefix, "platform", ElapsedSince(start), batch);
   if (batch)
     relay_.Publish(prefix, batch.value());
   WithFallback(prefix, [&](auto& fallback) {
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -79,6 +79,7 @@
                                     std::uint64_t cursor,
                                     milliseconds wait,
                                     source_role role);
+  milliseconds ElapsedSince(time_point start) const;
   // Calls `use` with the fallback state of this prefix while holding its lock.
   template <typename F>
   auto WithFallback(const std::string& prefix, F use) {
