--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -5,6 +5,8 @@
 
 #include "base/system_clock_source.h"
 #include "front/front_server.h"
+#include "front/response_writer.h"
+#include "gateway/peer_post.h"
 #include "support/free_address.h"
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
@@ -62,8 +64,86 @@
   backup_fixture() { server.Start(); }
 };
 
+// Responds to each request as an entry does that knows no patches.
+class earlier_version_handler final : public Poco::Net::HTTPRequestHandler {
+ public:
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    const auto body = static_cast<front_request&>(request).ReadBody(
+        4096, std::chrono::steady_clock::now() + 1s);
+    if (!body)
+      return;
+    const watch_batch batch{
+        .cursor = 6, .reset = false, .events = {{"k/a", 6, "A"}}};
+    WriteBody(response, "application/octet-stream", EncodeBinary(batch));
+  }
+};
+
+const std::string kLargeValue(10'000, 'v');
+
 }  // namespace
 
+// Guards against a rolling upgrade in which entries of two versions can't
+// follow each other.
+TEST_CASE("a peer that accepts no patches gets complete values") {
+  backup_fixture fixture;
+  fixture.backup_relay.Publish(
+      "k/", {.cursor = 6, .reset = true, .events = {{"k/a", 6, kLargeValue}}});
+  const mirror_request request{.prefix = "k/", .cursor = 0, .wait_ms = 10};
+  const auto response = PostToPeer(
+      fixture.pool, fixture.signer, fixture.address,
+      {.path = kMirrorPath, .body = EncodeBinary(request), .timeout = 2s});
+  REQUIRE(response);
+  const auto batch = DecodeBinary<watch_batch>(response.value().body);
+  REQUIRE(batch);
+  CHECK(batch->events.at(0).value == kLargeValue);
+}
+
+TEST_CASE("a follower understands a peer that sends no patches") {
+  backup_fixture fixture;
+  const auto address = FreeAddress();
+  front_server earlier{
+      address,
+      new handler_factory([](const Poco::Net::HTTPServerRequest&) {
+        return new earlier_version_handler;
+      }),
+      {.max_connections = 4},
+      fixture.counters};
+  earlier.Start();
+  shared_store store{fixture.platform,
+                     fixture.relay,
+                     fixture.pool,
+                     fixture.signer,
+                     fixture.clock,
+                     0ms,
+                     [&] {
+                       return source_plan{.role = source_role::kFollower,
+                                          .watchers = {address},
+                                          .backups = {},
+                                          .substitutes = {}};
+                     },
+                     [] { return std::vector<std::string>{}; }};
+  const auto batch = store.Watch("k/", 5, 1s);
+  REQUIRE(batch);
+  CHECK(batch.value().events.at(0).value == "A");
+}
+
+// Guards against a follower that never gets a version, because it lacks the one
+// that the difference was made from.
+TEST_CASE("a follower without the base of a patch gets a listing") {
+  backup_fixture fixture;
+  fixture.backup_relay.Publish(
+      "k/", {.cursor = 5, .reset = true, .events = {{"k/a", 5, kLargeValue}}});
+  fixture.backup_relay.Publish(
+      "k/",
+      {.cursor = 6, .reset = false, .events = {{"k/a", 6, kLargeValue + "2"}}});
+  const auto batch = fixture.store.Watch("k/", 5, 1s);
+  REQUIRE(batch);
+  CHECK(batch.value().reset);
+  REQUIRE(batch.value().events.size() == 1);
+  CHECK(batch.value().events[0].value == kLargeValue + "2");
+}
+
 // Guards against followers that poll a backup in a busy loop while the watchers
 // cannot reach the platform.
 TEST_CASE("a follower pauses before it queries an idle backup again") {
