Skip the differences of versions that a follower has

Cause: batches of two watchers end at other revisions, so a follower that goes from one to the other may be sent a version that it has. The difference does not apply there, and the follower asked for a listing of the whole configuration, compressed anew for each. Found on reading; nothing was seen.

Evidence: "a follower skips the patches of versions that it has" passes.

--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -241,7 +241,8 @@
   }
 }
 
-// The events of one object may form a chain of patches.
+// The events of one object may form a chain of patches. A replica that followed
+// another peer may have some of its versions already.
 result<watch_batch> object_relay::ResolvePatches(const std::string& prefix,
                                                  const patched_batch& batch) {
   std::set<std::string> keys;
@@ -256,6 +257,8 @@
     const auto* patch = std::get_if<value_patch>(&event.change);
     const auto* value = std::get_if<std::string>(&event.change);
     if (patch != nullptr) {
+      if (object.version >= event.version)
+        continue;
       if (patch->base_version != 0 && patch->base_version != object.version)
         return MakeError(result_code::kPeerMalformed,
                          "patch of another version of " + event.key);
--- a/tests/store/patched_relay_test.cc
+++ b/tests/store/patched_relay_test.cc
@@ -96,6 +96,26 @@
   CHECK(whole.value().events[0].value == LargeValue(3));
 }
 
+// Guards against listings that a follower asks for only because it has followed
+// another peer, whose batches ended at other revisions.
+TEST_CASE("a follower skips the patches of versions that it has") {
+  relay_pair relays;
+  relays.watcher.Publish(
+      "k/",
+      {.cursor = 10, .reset = false, .events = {{"k/a", 8, LargeValue(2)}}});
+  relays.watcher.Publish("k/", Change(12, 3));
+  relays.follower.Publish(
+      "k/",
+      {.cursor = 9, .reset = false, .events = {{"k/a", 8, LargeValue(2)}}},
+      false);
+  const auto patched = relays.watcher.WatchPatched("k/", 9, 0ms);
+  REQUIRE(patched);
+  const auto whole = relays.follower.ResolvePatches("k/", patched.value());
+  REQUIRE(whole);
+  REQUIRE(whole.value().events.size() == 1);
+  CHECK(whole.value().events[0].value == LargeValue(3));
+}
+
 TEST_CASE("an object that was deleted and created again is sent whole") {
   relay_pair relays;
   relays.watcher.Publish(
