--- a/src/libsamphire/traffic/source_plan.cc
+++ b/src/libsamphire/traffic/source_plan.cc
@@ -86,7 +86,7 @@
     return {.role = source_role::kBackup,
             .watchers = std::move(watcher_addresses),
             .backups = backup_addresses,
-            .substitutes = std::move(backup_addresses)};
+            .substitutes = backup_addresses};
   }
   return {.role = source_role::kFollower,
           .watchers = std::move(watcher_addresses),
--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -65,11 +65,11 @@
 }
 
 std::string followed_entry::Describe() const {
-  static const std::map<source_role, std::string> kRoles = {
+  static const std::map<source_role, std::string> role_names = {
       {source_role::kWatcher, "watcher"},
       {source_role::kBackup, "backup"},
       {source_role::kFollower, "follower"}};
-  return fmt::format("{} {}{}", name_, kRoles.at(plan_.role),
+  return fmt::format("{} {}{}", name_, role_names.at(plan_.role),
                      turned_away ? " turned away" : "");
 }
 
