Ask in one place which values are sent as patches

Cause: the relay and the conversion of a whole batch each tested a value's size, and the test's region counted store calls that no test reads. Found on reading the change once more; nothing was seen.

Change: one predicate beside patched_batch; the unread counters are gone. No behaviour and no assertion changes.

--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -24,10 +24,6 @@
 // still fresh.
 constexpr milliseconds kFreshnessCheckInterval{300};
 
-bool IsLarge(const store_event& event) {
-  return event.value && event.value->size() >= kMinPatchedBytes;
-}
-
 std::size_t SizeOf(const object_change& change) {
   struct visitor {
     std::size_t operator()(const object_deletion& /*none*/) const { return 0; }
--- a/src/libsamphire/store/patched_batch.cc
+++ b/src/libsamphire/store/patched_batch.cc
@@ -2,12 +2,16 @@
 
 namespace samphire {
 
+bool IsLarge(const store_event& event) {
+  return event.value && event.value->size() >= kMinPatchedBytes;
+}
+
 patched_batch ToPatchedBatch(const watch_batch& batch) {
   patched_batch patched{
       .cursor = batch.cursor, .reset = batch.reset, .events = {}};
   for (const auto& event : batch.events) {
     patched_event converted{event.key, event.version, object_deletion{}};
-    if (event.value && event.value->size() >= kMinPatchedBytes)
+    if (IsLarge(event))
       converted.change = MakePatch(0, "", *event.value);
     else if (event.value)
       converted.change = *event.value;
--- a/src/libsamphire/store/patched_batch.h
+++ b/src/libsamphire/store/patched_batch.h
@@ -34,6 +34,9 @@
   std::vector<patched_event> events;
 };
 
+// Whether the event's value is large enough to be sent as a patch.
+bool IsLarge(const store_event& event);
+
 // Returns `batch` with its large values compressed.
 patched_batch ToPatchedBatch(const watch_batch& batch);
 
--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -76,7 +76,6 @@
 result<watch_batch> followed_entry::Watch(const std::string& prefix,
                                           std::uint64_t cursor,
                                           milliseconds wait) {
-  ++store_calls;
   if (turned_away)
     return MakeError(result_code::kStoreUnreachable, "turned away");
   return store_.Watch(prefix, cursor, wait);
@@ -143,11 +142,4 @@
   }
 }
 
-int followed_region::StoreCalls() const {
-  int calls = 0;
-  for (const auto& entry : entries_)
-    calls += entry->store_calls;
-  return calls;
-}
-
 }  // namespace samphire
--- a/tests/traffic/followed_region.h
+++ b/tests/traffic/followed_region.h
@@ -31,6 +31,7 @@
   followed_entry(region_store& store,
                  const std::string& name,
                  std::int64_t link_bytes_per_second);
+
   // Starts to follow `prefixes` according to `plan`.
   void Start(const source_plan& plan, const std::vector<std::string>& prefixes);
   // Ends the calls that are under way.
@@ -41,9 +42,6 @@
   source_role role() const { return plan_.role; }
   // Name of this entry, its role, and whether the store turns it away.
   std::string Describe() const;
-  // Calls of the store so far, refused ones included.
-  std::atomic<int> store_calls = 0;
-
   // Peer address of this entry.
   const std::string& address() const { return link_.address(); }
   // Whether this entry has received the value.
@@ -79,12 +77,10 @@
 // product does.
 class followed_region {
  public:
-  explicit followed_region(std::size_t size,
-                           const std::vector<std::string>& prefixes);
+  followed_region(std::size_t size, const std::vector<std::string>& prefixes);
   ~followed_region();
 
   region_store& store() { return store_; }
-  std::vector<std::unique_ptr<followed_entry>>& entries() { return entries_; }
   // Lets the store turn away every `step`-th entry, beginning with `first`.
   void TurnAway(std::size_t first, std::size_t step);
   // Lets the store turn away up to `count` entries of a role.
@@ -94,7 +90,6 @@
   std::vector<std::string> WaitForAll(const std::string& key,
                                       const std::string& value,
                                       milliseconds limit) const;
-  int StoreCalls() const;
 
  private:
   region_store store_;
