Log which requests are the same as earlier ones

Change: each logged attempt names the fingerprint of its request, the same for requests of one caller that ask for the same; attempts are counted by result. Bounded by the logger's rate; nothing waits for it.

--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -1,6 +1,9 @@
 #include "traffic/traffic_dispatcher.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "base/log.h"
@@ -128,6 +131,10 @@
 void traffic_dispatcher::ReportAttemptEnd(const placed_request& placed,
                                           const target_exchange_end& end) {
   const auto pause = placer_.OnAttemptEnd(placed, end.attempt);
+  context_.counters.Count(
+      "attempts_total",
+      fmt::format("result=\"{}\"",
+                  NameOf(kAttemptResultNames, end.attempt.result)));
   LogAttempt(placed, end);
   if (pause > milliseconds{0}) {
     Log(log_level::kWarning, "target-ejected",
@@ -227,6 +234,7 @@
        {"load_age_ms", attempt.load_age.value_or(kNoReport).count()},
        {"knows_key", attempt.knows_key},
        {"result", NameOf(kAttemptResultNames, end.attempt.result)},
+       {"fingerprint", std::to_string(request_.fingerprint)},
        {"ms",
         std::chrono::duration<double, std::milli>(end.attempt.took).count()}});
 }
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock_source.h"
+#include "decision/request_fingerprint.h"
 #include "proxy/body_source.h"
 #include "routing/traffic_manifest.h"
 
@@ -44,6 +45,8 @@
   // is not declared.
   std::uint64_t body_bytes() const { return body_length.value_or(body.size()); }
 
+  // Equal for requests of the same caller that ask for the same.
+  request_fingerprint fingerprint = 0;
   // Hash of the route and the affinity key, by which targets and owners of keys
   // are chosen.
   std::uint64_t key_hash = 0;
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -122,6 +122,9 @@
       std::min(std::max(milliseconds{1}, caller_timeout - kResponseMargin),
                read.route->timeout);
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
+  read.fingerprint = FingerprintOf(
+      request.getHost(), read.team == nullptr ? "" : read.team->name,
+      read.method, read.path, DigestOfBody(read.body));
   // Requests without an affinity key are distributed by their own ids.
   read.key_hash = KeyHash(read.route->name,
                           request.get(context.headers.affinity_key, read.id));
