--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -23,6 +23,9 @@
 // closed, in microseconds.
 constexpr Poco::Timespan::TimeDiff kCallerCheckIntervalUs = 5000;
 
+// Interval at which a run checks whether the target has crashed.
+constexpr std::chrono::milliseconds kCrashCheckInterval{1};
+
 class target_handler final : public Poco::Net::HTTPRequestHandler {
  public:
   explicit target_handler(wire_target& target) : target_(target) {}
@@ -50,13 +53,28 @@
       ++target_.runs;
       target_.CountRun(request.get("Request-Id", ""));
       target_.SetLastHeaders({request.begin(), request.end()});
-      std::this_thread::sleep_for(
-          std::chrono::milliseconds(target_.work_ms.load()));
-      Run(behavior, request, response, body);
+      const bool crashes =
+          !target_.crash_path.empty() && request.getURI() == target_.crash_path;
+      const bool alive = !crashes && Work();
+      if (crashes)
+        ++target_.crashes;
+      Run(alive ? behavior : target_behavior::kCloseWithoutResponse, request,
+          response, body);
     }
   }
 
  private:
+  // Takes the time of a run. Returns false if the target crashes meanwhile.
+  bool Work() const {
+    const int crashes_before = target_.crashes;
+    const auto end = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(target_.work_ms.load());
+    while (std::chrono::steady_clock::now() < end &&
+           target_.crashes == crashes_before)
+      std::this_thread::sleep_for(kCrashCheckInterval);
+    return target_.crashes == crashes_before;
+  }
+
   static void Send(Poco::Net::HTTPServerResponse& response,
                    int status,
                    const std::string& body) {
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -59,6 +59,13 @@
   // Whether the target says in all responses that it leaves.
   std::atomic<bool> leaving = false;
 
+  // Requests for this path crash the target: it closes the connections of all
+  // requests that it runs, without a response. Empty for none; set before the
+  // first request.
+  std::string crash_path;
+  // Number of crashes so far.
+  std::atomic<int> crashes = 0;
+
   // Number of runs of each request, by request ID.
   std::map<std::string, int> runs_by_id() const;
   void CountRun(const std::string& id);
