--- a/src/libsamphire/store/stand_in_objects.cc
+++ b/src/libsamphire/store/stand_in_objects.cc
@@ -1,5 +1,7 @@
 #include "store/stand_in_objects.h"
 
+#include <algorithm>
+
 namespace samphire {
 
 stand_in_objects::stand_in_objects(const clock_source& clock,
@@ -65,9 +67,11 @@
     batch.cursor = revision_;
     return batch;
   }
+  const auto era = era_;
   changed_.wait_for(guard, wait, [&] {
-    return watches_interrupted_ || CollectEvents(prefix, batch);
+    return watches_interrupted_ || era != era_ || CollectEvents(prefix, batch);
   });
+  batch.reset |= era != era_;
   batch.cursor = revision_;
   return batch;
 }
@@ -77,6 +81,27 @@
   return instances_.VisibleAt(clock_.now());
 }
 
+stand_in_objects::copy stand_in_objects::MakeCopy() {
+  std::lock_guard guard(lock_);
+  return {objects_, revision_};
+}
+
+void stand_in_objects::Restore(const copy& from) {
+  std::lock_guard guard(lock_);
+  objects_ = from.objects;
+  revision_ = from.revision;
+  while (!log_.empty() && log_.back().cursor > revision_)
+    log_.pop_back();
+  trimmed_cursor_ = std::min(trimmed_cursor_, revision_);
+  ++era_;
+  changed_.notify_all();
+}
+
+std::uint64_t stand_in_objects::era() {
+  std::lock_guard guard(lock_);
+  return era_;
+}
+
 void stand_in_objects::SetInstance(const instance_info& instance) {
   std::lock_guard guard(lock_);
   instances_.Set(instance, clock_.now());
--- a/src/libsamphire/store/stand_in_objects.h
+++ b/src/libsamphire/store/stand_in_objects.h
@@ -39,6 +39,19 @@
                             milliseconds wait) override;
   result<std::vector<instance_info>> Instances() override;
 
+  // The objects at one moment.
+  struct copy {
+    std::map<std::string, store_object> objects;
+    std::uint64_t revision = 1;
+  };
+  copy MakeCopy();
+  // Goes back to the copy, as a store that was restored from a backup: what was
+  // written since is lost, its revisions are given out again, and the era rises
+  // by one. Ends all watches with `reset`.
+  void Restore(const copy& from);
+  // Number of restores, plus one.
+  std::uint64_t era();
+
   // Change the instance list; visible after the lag.
   void SetInstance(const instance_info& instance);
   void RemoveInstance(const std::string& name);
@@ -71,6 +84,7 @@
   std::uint64_t revision_ = 1;
   // The cursor up to which events were removed from `log_`.
   std::uint64_t trimmed_cursor_ = 1;
+  std::uint64_t era_ = 1;
   bool watches_interrupted_ = false;
 };
 
--- a/tests/platform_adapter/stand_in_platform.cc
+++ b/tests/platform_adapter/stand_in_platform.cc
@@ -65,6 +65,7 @@
     response.setStatus(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
     response.setContentType("application/json");
+    response.set("Store-Era", std::to_string(platform_.objects_.era()));
     response.sendBuffer(reply.body.data(), reply.body.size());
   }
 
--- a/tests/platform_adapter/stand_in_platform.h
+++ b/tests/platform_adapter/stand_in_platform.h
@@ -27,6 +27,11 @@
   // functions throw an exception if that fails.
   void Write(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Keeps a copy of all objects.
+  void TakeCopy() { copy_ = objects_.MakeCopy(); }
+  // Comes back from the last copy: what was written since is lost, and its
+  // revisions are given out again.
+  void RestoreCopy() { objects_.Restore(copy_); }
 
   // HTTP status with which every call is refused; 0 to serve calls.
   std::atomic<int> refuse_with = 0;
@@ -45,6 +50,7 @@
 
   const system_clock_source clock_;
   stand_in_objects objects_;
+  stand_in_objects::copy copy_;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
