Tell the cause of lost targets from what ran beside it

Cause: two losses convicted a request, whatever else was lost. Copies of a poll that are lost together when a domain goes down or connections break counted each; a new request that ran twice beside the one that crashes targets was refused for an hour with it; a target's error at its time limit cleared the cause; an answered poll under suspicion made its callers wait for each other. What callers saw: innocent requests refused for an hour. Change: a loss counts only if its run began after the loss before; losses that others shared lead to another trial after 0.5 to 2 s, at different times, and the loss that follows clears the rest; only a whole response clears; a target that responds after its loss voids it. What is in quarantine can be told to others, with the time that is left.

--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace samphire {
 
@@ -14,6 +15,13 @@
 // lost targets are required before a request is quarantined, since a single
 // loss may be the target's own fault.
 constexpr std::size_t kCrashesToQuarantine = 2;
+// Losses of a request after which it is not tried again, whatever was lost with
+// it. As many are kept for each suspect, the latest ones.
+constexpr std::size_t kMaxCrashes = 5;
+// Unit of the time for which a request that was lost with two targets or more,
+// each time beside others, is refused before it is tried again.
+constexpr milliseconds kTrialPause{500};
+constexpr std::uint64_t kTrialSlots = 4;
 // Requests lost on one target within this time count as one loss of that
 // target.
 constexpr duration kLossWindow = std::chrono::seconds(1);
@@ -31,6 +39,9 @@
 constexpr std::size_t kMaxQuarantined = 4096;
 constexpr std::size_t kMaxAnswered = 8192;
 constexpr std::size_t kMaxLosses = 1024;
+constexpr std::size_t kMaxReleased = 256;
+// Less than a crashed target takes to start again.
+constexpr duration kMinRestartTime = std::chrono::seconds(2);
 
 // Decrements the count of `key`, erases it at zero and returns what is left.
 template <typename K>
@@ -45,24 +56,45 @@
   return rest;
 }
 
+// Returns the time until the next trial. Requests that were lost together are
+// tried at different times, so that the next loss tells them apart.
+duration TrialPause(request_fingerprint fingerprint, std::size_t crashes) {
+  const auto round = crashes - kCrashesToQuarantine;
+  const auto slot = (fingerprint >> (2 * round)) % kTrialSlots;
+  return kTrialPause * ((1U << round) * (1 + slot));
+}
+
 }  // namespace
 
 crash_quarantine::crash_quarantine()
     : suspects_(kMaxSuspects, kSuspicionTime),
       quarantined_(kMaxQuarantined, kQuarantineTime),
       answered_(kMaxAnswered, kAnswerRetention),
-      losses_(kMaxLosses, kLossWindow) {}
+      losses_(kMaxLosses, kLossWindow),
+      lost_at_(kMaxLosses, kMinRestartTime) {}
 
 quarantine_decision crash_quarantine::Decide(request_fingerprint fingerprint,
                                              time_point now) {
-  if (quarantined_.Find(fingerprint, now) != nullptr)
+  if (IsQuarantined(fingerprint, now))
     return quarantine_decision::kQuarantined;
-  if (suspects_.Find(fingerprint, now) == nullptr)
+  const auto* known = suspects_.Find(fingerprint, now);
+  if (known == nullptr)
     return quarantine_decision::kUnrestricted;
+  if (now < known->refused_until)
+    return quarantine_decision::kQuarantined;
   // Two copies running on two targets at once could take down both before the
-  // first loss is known.
-  return running_.contains(fingerprint) ? quarantine_decision::kWait
-                                        : quarantine_decision::kIsolate;
+  // first loss is known. A poll that has been answered rarely is the cause, and
+  // making its callers wait for each other would refuse most of them.
+  const bool answered = answered_.Find(fingerprint, now) != nullptr;
+  return running_.contains(fingerprint) && !answered
+             ? quarantine_decision::kWait
+             : quarantine_decision::kIsolate;
+}
+
+bool crash_quarantine::IsQuarantined(request_fingerprint fingerprint,
+                                     time_point now) {
+  const auto* term = quarantined_.Find(fingerprint, now);
+  return term != nullptr && now < term->ends_at;
 }
 
 std::vector<std::string> crash_quarantine::TargetsLostWith(
@@ -86,17 +118,21 @@
     request_fingerprint fingerprint,
     const std::string& target,
     attempt_outcome outcome,
-    time_point now) {
+    time_point now,
+    duration ran) {
   Decrement(running_, fingerprint);
   const auto others = Decrement(running_on_, target);
-  if (outcome == attempt_outcome::kOk ||
-      outcome == attempt_outcome::kTargetError)
+  // An error is no proof of innocence: at its time limit, a target responds
+  // with one before the request has done its harm.
+  if (outcome == attempt_outcome::kOk)
     Clear(fingerprint, now);
   if (outcome != attempt_outcome::kLost || StartedAfterLoss(target, now))
     return std::nullopt;
   const bool alone = RecordLoss(target, fingerprint, others > 0, now);
-  RecordSuspect(fingerprint, target, alone, now);
-  return crash_notice{fingerprint, target, alone};
+  RecordSuspect(fingerprint, {target, alone, now}, now - ran, now);
+  const auto ran_ms = std::chrono::duration_cast<milliseconds>(ran).count();
+  return crash_notice{fingerprint, target, alone,
+                      static_cast<std::uint32_t>(ran_ms)};
 }
 
 void crash_quarantine::OnNotice(const crash_notice& notice, time_point now) {
@@ -104,7 +140,72 @@
   // outcomes have not been reported yet.
   const bool shared = !notice.alone || running_on_.contains(notice.target);
   const bool alone = RecordLoss(notice.target, notice.fingerprint, shared, now);
-  RecordSuspect(notice.fingerprint, notice.target, alone, now);
+  RecordSuspect(notice.fingerprint, {notice.target, alone, now},
+                now - milliseconds(notice.ran_ms), now);
+}
+
+// When the connections of many entries break at once, or a domain goes down,
+// each request in progress looks as if it had crashed its target.
+void crash_quarantine::OnTargetResponded(const std::string& target,
+                                         time_point sent_at,
+                                         time_point now) {
+  const auto* lost_at = lost_at_.Find(target, now);
+  if (lost_at == nullptr || sent_at <= *lost_at)
+    return;
+  lost_at_.Erase(target);
+  losses_.Erase(target);
+  ForgetLossesOf(target);
+}
+
+void crash_quarantine::ForgetLossesOf(const std::string& target) {
+  ForgetSharedLosses({target});
+  std::vector<request_fingerprint> released;
+  quarantined_.ForEach([&](request_fingerprint fingerprint, const auto& term) {
+    if (std::ranges::find(term.targets, target) != term.targets.end())
+      released.push_back(fingerprint);
+  });
+  for (const auto fingerprint : released)
+    Release(fingerprint);
+}
+
+std::vector<quarantined_request> crash_quarantine::QuarantinedRequests(
+    time_point now) {
+  std::vector<quarantined_request> requests;
+  quarantined_.ForEach([&](request_fingerprint fingerprint, const auto& term) {
+    const auto left = std::chrono::floor<std::chrono::seconds>(
+        std::max(duration{0}, term.ends_at - now));
+    if (left.count() > 0)
+      requests.push_back(
+          {fingerprint, static_cast<std::uint32_t>(left.count())});
+  });
+  return requests;
+}
+
+// A request that this entry has seen answered is quarantined only for losses
+// that this entry hears of itself: the sender may not know of the response.
+void crash_quarantine::OnQuarantined(const quarantined_request& request,
+                                     time_point now) {
+  if (answered_.Find(request.fingerprint, now) != nullptr)
+    return;
+  const auto ends_at =
+      now + std::min<duration>(kQuarantineTime,
+                               std::chrono::seconds(request.remaining_s));
+  if (const auto* term = quarantined_.Find(request.fingerprint, now);
+      term != nullptr && term->ends_at >= ends_at)
+    return;
+  quarantined_.Touch(request.fingerprint, now).ends_at = ends_at;
+  suspects_.Erase(request.fingerprint);
+}
+
+void crash_quarantine::OnReleased(request_fingerprint fingerprint,
+                                  time_point now) {
+  answered_.Touch(fingerprint, now);
+  suspects_.Erase(fingerprint);
+  quarantined_.Erase(fingerprint);
+}
+
+std::vector<request_fingerprint> crash_quarantine::TakeReleased() {
+  return std::exchange(released_, {});
 }
 
 // A target that is going down still accepts connections for a moment and then
@@ -136,6 +237,7 @@
   bool added = false;
   auto& event = losses_.Touch(target, now, &added);
   if (added) {
+    lost_at_.Touch(target, now) = now;
     ++targets_lost_;
     event.first_suspect = fingerprint;
     const auto running = running_on_.find(target);
@@ -154,45 +256,120 @@
   return !event.shared;
 }
 
+// Copies of a poll run on many targets at any time. If several of these go down
+// at once, for whatever reason, all copies are lost together, which says no
+// more against the poll than one loss. So a loss counts only if its run began
+// after the loss before it: a request that crashes targets does so again and
+// again.
 void crash_quarantine::RecordSuspect(request_fingerprint fingerprint,
-                                     const std::string& target,
-                                     bool alone,
+                                     const crash_record& crash,
+                                     time_point started_at,
                                      time_point now) {
+  if (IsQuarantined(fingerprint, now))
+    return;
   auto& known = suspects_.Touch(fingerprint, now);
   auto& crashes = known.crashes;
   const auto same = std::find_if(
       crashes.begin(), crashes.end(),
-      [&](const crash_record& each) { return each.target == target; });
+      [&](const crash_record& each) { return each.target == crash.target; });
   if (same != crashes.end())
-    same->alone = same->alone || alone;
-  else if (crashes.size() < 2 * kCrashesToQuarantine)
-    crashes.push_back({target, alone});
-  const bool answered = answered_.Find(fingerprint, now) != nullptr;
-  if (MeetsQuarantineThreshold(crashes, answered)) {
-    quarantined_.Touch(fingerprint, now);
-    suspects_.Erase(fingerprint);
-  }
+    same->alone = same->alone || crash.alone;
+  else if (crashes.empty() || started_at >= crashes.back().lost_at)
+    crashes.push_back(crash);
+  else
+    return;
+  if (crashes.size() > kMaxCrashes)
+    crashes.erase(crashes.begin());
+  const auto counted = CountedCrashes(fingerprint, crashes, now);
+  if (counted < kCrashesToQuarantine)
+    return;
+  const auto alone = std::ranges::count_if(
+      crashes, [](const crash_record& each) { return each.alone; });
+  const bool is_cause =
+      static_cast<std::size_t>(alone) >= kCrashesToQuarantine ||
+      counted >= kMaxCrashes ||
+      (counted > kCrashesToQuarantine && !HasRival(fingerprint, crashes));
+  if (is_cause)
+    Quarantine(fingerprint, crashes, now);
+  else
+    known.refused_until = now + TrialPause(fingerprint, counted);
 }
 
 // A poll that every control room sends runs on many targets at any time, so two
 // crashes caused by another request may count against it twice. It differs from
 // the request that caused them in that it has been answered; so a shared loss
 // counts against a request only if no response to it is on record.
-bool crash_quarantine::MeetsQuarantineThreshold(
+std::size_t crash_quarantine::CountedCrashes(
+    request_fingerprint fingerprint,
     const std::vector<crash_record>& crashes,
-    bool answered) const {
-  const auto counted = std::count_if(
-      crashes.begin(), crashes.end(),
+    time_point now) {
+  const bool answered = answered_.Find(fingerprint, now) != nullptr;
+  const auto counted = std::ranges::count_if(
+      crashes,
       [&](const crash_record& each) { return each.alone || !answered; });
-  return static_cast<std::size_t>(counted) >= kCrashesToQuarantine;
+  return static_cast<std::size_t>(counted);
+}
+
+bool crash_quarantine::HasRival(request_fingerprint fingerprint,
+                                const std::vector<crash_record>& crashes) {
+  bool found = false;
+  suspects_.ForEach([&](request_fingerprint other, const suspect& each) {
+    const auto was_lost_with = [&](const crash_record& crash) {
+      return std::ranges::any_of(each.crashes, [&](const auto& its) {
+        return its.target == crash.target;
+      });
+    };
+    found |=
+        other != fingerprint && std::ranges::all_of(crashes, was_lost_with);
+  });
+  return found;
+}
+
+void crash_quarantine::Quarantine(request_fingerprint fingerprint,
+                                  const std::vector<crash_record>& crashes,
+                                  time_point now) {
+  std::vector<std::string> targets;
+  for (const auto& each : crashes)
+    targets.push_back(each.target);
+  suspects_.Erase(fingerprint);
+  ForgetSharedLosses(targets);
+  quarantined_.Touch(fingerprint, now) = {.ends_at = now + kQuarantineTime,
+                                          .targets = std::move(targets)};
+}
+
+// A request that was sent for the first time beside the one that crashes
+// targets looks just like it. Once the cause of the losses is known, the others
+// are free.
+void crash_quarantine::ForgetSharedLosses(
+    const std::vector<std::string>& targets) {
+  std::vector<request_fingerprint> cleared;
+  suspects_.ForEach([&](request_fingerprint fingerprint, suspect& each) {
+    const auto explained = std::erase_if(each.crashes, [&](const auto& crash) {
+      return std::ranges::find(targets, crash.target) != targets.end();
+    });
+    if (explained > 0)
+      each.refused_until = {};
+    if (each.crashes.empty())
+      cleared.push_back(fingerprint);
+  });
+  for (const auto fingerprint : cleared)
+    suspects_.Erase(fingerprint);
 }
 
 // A complete response clears a request, even one that was quarantined while
 // this attempt was running: a request that crashes every target never gets one.
 void crash_quarantine::Clear(request_fingerprint fingerprint, time_point now) {
   answered_.Touch(fingerprint, now);
-  suspects_.Erase(fingerprint);
-  quarantined_.Erase(fingerprint);
+  Release(fingerprint);
+}
+
+void crash_quarantine::Release(request_fingerprint fingerprint) {
+  const bool suspected = suspects_.Erase(fingerprint);
+  const bool quarantined = quarantined_.Erase(fingerprint);
+  if (!suspected && !quarantined)
+    return;
+  if (released_.size() < kMaxReleased)
+    released_.push_back(fingerprint);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -13,6 +13,7 @@
 #include "decision/crash_notice.h"
 #include "decision/expiring_lru_map.h"
 #include "decision/quarantine_decision.h"
+#include "decision/quarantined_request.h"
 #include "decision/request_fingerprint.h"
 
 namespace samphire {
@@ -36,15 +37,34 @@
   // Reports that an attempt has been sent to the target.
   void OnAttemptStarted(request_fingerprint fingerprint,
                         const std::string& target);
-  // Reports that an attempt has ended. Returns a notice to be sent to the other
-  // entries of the region if a target was lost with it.
+  // Reports that an attempt has ended, `ran` after it was sent. Returns a
+  // notice to be sent to the other entries if a target was lost with it.
   std::optional<crash_notice> OnAttemptFinished(request_fingerprint fingerprint,
                                                 const std::string& target,
                                                 attempt_outcome outcome,
-                                                time_point now);
+                                                time_point now,
+                                                duration ran = duration{0});
   // Applies a crash notice that another entry sent.
   void OnNotice(const crash_notice& notice, time_point now);
 
+  // Reports that a target responded to a request that was sent at `sent_at`.
+  // May be called only if each process of a target has a name of its own: a
+  // target that responds after it was lost with a request has not crashed, and
+  // its loss counts no more.
+  void OnTargetResponded(const std::string& target,
+                         time_point sent_at,
+                         time_point now);
+
+  // Returns the requests in quarantine.
+  std::vector<quarantined_request> QuarantinedRequests(time_point now);
+  // Applies what another entry has in quarantine.
+  void OnQuarantined(const quarantined_request& request, time_point now);
+  // Applies that another entry has released the request.
+  void OnReleased(request_fingerprint fingerprint, time_point now);
+  // Returns the suspects and the requests in quarantine that this entry has
+  // released since the last call, to be told to the other entries.
+  std::vector<request_fingerprint> TakeReleased();
+
   std::size_t suspects() const { return suspects_.size(); }
   std::size_t quarantined() const { return quarantined_.size(); }
   // Number of target losses seen; each counts once however many requests were
@@ -57,9 +77,20 @@
     std::string target;
     // Whether nothing else is known to have run on the target.
     bool alone = false;
+    time_point lost_at;
   };
+  // A series of losses, each with a run that began after the one before.
   struct suspect {
     std::vector<crash_record> crashes;
+    // Until then the request is refused, after that it is tried again: it was
+    // lost with several targets, but so were others.
+    time_point refused_until;
+  };
+  struct quarantine_term {
+    time_point ends_at;
+    // The targets that were lost with the request; empty if another entry
+    // decided.
+    std::vector<std::string> targets;
   };
   struct loss {
     request_fingerprint first_suspect = 0;
@@ -83,19 +114,40 @@
   // Adds the loss to the suspect's crashes, and quarantines the request when it
   // has caused enough of them.
   void RecordSuspect(request_fingerprint fingerprint,
-                     const std::string& target,
-                     bool alone,
+                     const crash_record& crash,
+                     time_point started_at,
                      time_point now);
-  bool MeetsQuarantineThreshold(const std::vector<crash_record>& crashes,
-                                bool answered) const;
+  bool IsQuarantined(request_fingerprint fingerprint, time_point now);
+  // Returns the number of losses that count against the request.
+  std::size_t CountedCrashes(request_fingerprint fingerprint,
+                             const std::vector<crash_record>& crashes,
+                             time_point now);
+  // Whether another suspect was lost with all these targets as well.
+  bool HasRival(request_fingerprint fingerprint,
+                const std::vector<crash_record>& crashes);
+  // Moves the suspect to quarantine, and clears the others of the losses that
+  // it has caused.
+  void Quarantine(request_fingerprint fingerprint,
+                  const std::vector<crash_record>& crashes,
+                  time_point now);
+  void ForgetSharedLosses(const std::vector<std::string>& targets);
   // Removes all suspicion from a request that got a complete response.
   void Clear(request_fingerprint fingerprint, time_point now);
+  // Removes all suspicion from the request, and remembers that for the other
+  // entries if there was any.
+  void Release(request_fingerprint fingerprint);
+  // Removes the losses of the target from all suspects, and releases the
+  // requests that were quarantined for them.
+  void ForgetLossesOf(const std::string& target);
 
   expiring_lru_map<request_fingerprint, suspect> suspects_;
-  expiring_lru_map<request_fingerprint, no_value> quarantined_;
+  expiring_lru_map<request_fingerprint, quarantine_term> quarantined_;
   // Requests that got a complete response recently.
   expiring_lru_map<request_fingerprint, no_value> answered_;
   expiring_lru_map<std::string, loss> losses_;
+  // When targets were lost, for as long as they can't have started again.
+  expiring_lru_map<std::string, time_point> lost_at_;
+  std::vector<request_fingerprint> released_;
   // How many attempts of this entry run on each target, and of each request.
   std::unordered_map<std::string, std::uint32_t> running_on_;
   std::unordered_map<request_fingerprint, std::uint32_t> running_;
--- a/src/libsamphire/decision/expiring_lru_map.h
+++ b/src/libsamphire/decision/expiring_lru_map.h
@@ -42,12 +42,14 @@
     return found->second.value;
   }
 
-  void Erase(const K& key) {
+  // Returns whether there was such an entry.
+  bool Erase(const K& key) {
     const auto found = entries_.find(key);
     if (found == entries_.end())
-      return;
+      return false;
     by_age_.erase(found->second.age);
     entries_.erase(found);
+    return true;
   }
 
   // Evicts the entries that were last touched more than `lifetime` before
@@ -58,6 +60,14 @@
       EvictOldest();
   }
 
+  // Calls `use` with the key and the value of each entry. `use` must not access
+  // this map.
+  template <typename F>
+  void ForEach(F use) {
+    for (auto& [key, each] : entries_)
+      use(key, each.value);
+  }
+
   std::size_t size() const { return entries_.size(); }
 
  private:
--- a/tests/decision/crash_quarantine_test.cc
+++ b/tests/decision/crash_quarantine_test.cc
@@ -160,3 +160,120 @@
   CHECK(entry.Decide(kPoll, kNow) == quarantine_decision::kUnrestricted);
   CHECK(entry.Decide(kCrasher, kNow) == quarantine_decision::kQuarantined);
 }
+
+// Guards against refusing a poll of many callers for an hour because a failure
+// domain went down, or all connections broke, while copies of it were running.
+TEST_CASE("copies that are lost at the same moment count as one loss") {
+  crash_quarantine entry;
+  for (const std::string target : {"t0", "t1", "t2", "t3"})
+    entry.OnAttemptStarted(kPoll, target);
+  milliseconds after{0};
+  for (const std::string target : {"t0", "t1", "t2", "t3"}) {
+    after += 20ms;
+    entry.OnAttemptFinished(kPoll, target, attempt_outcome::kLost, kNow + after,
+                            500ms);
+  }
+  entry.OnNotice({kPoll, "t4", true, 500}, kNow + 100ms);
+  CHECK(entry.Decide(kPoll, kNow + 100ms) == quarantine_decision::kIsolate);
+  // A run that began after them is lost as well.
+  entry.OnNotice({kPoll, "t5", true, 50}, kNow + 200ms);
+  CHECK(entry.Decide(kPoll, kNow + 200ms) == quarantine_decision::kQuarantined);
+}
+
+// Guards against refusing the callers of a poll that lost one target with
+// another request: their polls would wait for each other.
+TEST_CASE("an answered request under suspicion is not made to wait") {
+  crash_quarantine entry;
+  entry.OnAttemptStarted(kPoll, "t0");
+  entry.OnAttemptFinished(kPoll, "t0", attempt_outcome::kOk, kNow);
+  entry.OnAttemptStarted(kPoll, "t1");
+  LoseTarget(entry, kPoll, "t0", kNow);
+  CHECK(entry.Decide(kPoll, kNow) == quarantine_decision::kIsolate);
+}
+
+// Guards against releasing a request that crashes targets because one of them
+// gave up on it before the crash.
+TEST_CASE("an error response does not clear a suspect") {
+  crash_quarantine entry;
+  LoseTarget(entry, kCrasher, "t0", kNow);
+  entry.OnAttemptStarted(kCrasher, "t1");
+  entry.OnAttemptFinished(kCrasher, "t1", attempt_outcome::kTargetError, kNow);
+  CHECK(entry.Decide(kCrasher, kNow) == quarantine_decision::kIsolate);
+}
+
+// Guards against refusing requests whose connections broke twice while their
+// targets kept running.
+TEST_CASE("a target that responds after its loss has not crashed") {
+  crash_quarantine entry;
+  LoseTarget(entry, kPoll, "t0", kNow);
+  // The response to a request that was sent before says nothing.
+  entry.OnTargetResponded("t0", kNow - 1ms, kNow + 100ms);
+  CHECK(entry.suspects() == 1);
+  LoseTarget(entry, kPoll, "t1", kNow + 200ms);
+  REQUIRE(entry.Decide(kPoll, kNow + 200ms) ==
+          quarantine_decision::kQuarantined);
+  entry.OnTargetResponded("t1", kNow + 300ms, kNow + 400ms);
+  CHECK(entry.Decide(kPoll, kNow + 400ms) ==
+        quarantine_decision::kUnrestricted);
+  CHECK(entry.TakeReleased() == std::vector<request_fingerprint>{kPoll});
+  CHECK(entry.TakeReleased().empty());
+}
+
+// Guards against entries that keep each other's quarantine alive for ever, and
+// against one that forgets it too early.
+TEST_CASE("a quarantine that entries tell each other ends in time") {
+  crash_quarantine first;
+  crash_quarantine second;
+  LoseTarget(first, kCrasher, "t0", kNow);
+  LoseTarget(first, kCrasher, "t1", kNow);
+  for (auto at = kNow; at < kNow + 1h; at += 1s) {
+    for (const auto& each : first.QuarantinedRequests(at))
+      second.OnQuarantined(each, at + 70ms);
+    for (const auto& each : second.QuarantinedRequests(at))
+      first.OnQuarantined(each, at + 70ms);
+  }
+  CHECK(second.Decide(kCrasher, kNow + 59min) ==
+        quarantine_decision::kQuarantined);
+  CHECK(first.Decide(kCrasher, kNow + 1h + 2s) ==
+        quarantine_decision::kUnrestricted);
+  CHECK(second.Decide(kCrasher, kNow + 1h + 2s) ==
+        quarantine_decision::kUnrestricted);
+}
+
+// Guards against refusing a request for an hour that was sent for the first
+// time while another one crashed the targets on which both ran.
+TEST_CASE("a request lost beside the cause of all losses is free again") {
+  crash_quarantine entry;
+  constexpr request_fingerprint kBeside = 7;
+  const auto lose_both = [&](const std::string& target, time_point at) {
+    for (const auto request : {kBeside, kCrasher})
+      entry.OnAttemptStarted(request, target);
+    for (const auto request : {kBeside, kCrasher})
+      entry.OnAttemptFinished(request, target, attempt_outcome::kLost, at,
+                              50ms);
+  };
+  lose_both("t0", kNow);
+  lose_both("t1", kNow + 100ms);
+  CHECK(entry.Decide(kCrasher, kNow + 100ms) ==
+        quarantine_decision::kQuarantined);
+  CHECK(entry.Decide(kBeside, kNow + 100ms) ==
+        quarantine_decision::kQuarantined);
+  // Each is tried again, and the one that crashes targets does so.
+  auto at = kNow + 100ms;
+  while (entry.Decide(kCrasher, at) == quarantine_decision::kQuarantined)
+    at += 100ms;
+  CHECK(at <= kNow + 3s);
+  LoseTarget(entry, kCrasher, "t2", at + 50ms);
+  CHECK(entry.Decide(kCrasher, at + 1min) == quarantine_decision::kQuarantined);
+  CHECK(entry.Decide(kBeside, at + 50ms) == quarantine_decision::kUnrestricted);
+}
+
+TEST_CASE("a release that another entry tells applies") {
+  crash_quarantine entry;
+  entry.OnQuarantined({kPoll, 600}, kNow);
+  REQUIRE(entry.Decide(kPoll, kNow) == quarantine_decision::kQuarantined);
+  entry.OnReleased(kPoll, kNow);
+  // What others still tell does not bring it back.
+  entry.OnQuarantined({kPoll, 600}, kNow);
+  CHECK(entry.Decide(kPoll, kNow) == quarantine_decision::kUnrestricted);
+}
