Keep one quarantine of all entries, on both paths

Cause: nothing on the path of a request by host and path knew that requests can crash targets; each arrival counted as a new one. On the product's own path notices stayed inside a region, so that a request crashed two targets in each. Class: a fact that one entry learns, and that binds all, told to too few. Change: fleet_quarantine takes the place of synchronized_quarantine and serves both paths. It tells each loss to all entries, with one entry of each other region passing it on, and what is in quarantine again and again, so that entries that restart or were cut off learn it; no call of the store. news_channel is made of the channel that told what targets say. The path by hosts refuses with 2118, 503, as its callers know no other statement that a request did not run.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -114,6 +114,8 @@
      "The team has used up its limit of requests."},
     {kTargetsPaused, "targets-paused", 503, true,
      "Every target that could take the request asked for fewer requests."},
+    {kCrashesTargets, "crashes-targets", 503, true,
+     "A request like this one crashed targets; it did not run."},
 
     {kTargetUnreachable, "target-unreachable", 503, true,
      "No connection to a target could be made."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -71,6 +71,7 @@
   kNoCommonRegion = 2115,
   kTeamLimitReached = 2116,
   kTargetsPaused = 2117,
+  kCrashesTargets = 2118,
 
   // 22xx: the request was dispatched, but no complete response was received.
   kTargetUnreachable = 2201,
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -86,8 +86,10 @@
           clock_,
           [this](const loan_outbox& messages) { messenger_.Send(messages); }),
       quarantine_(
+          transport_,
+          [this] { return fleet_.NewsPeers(); },
           clock_,
-          [this](const crash_notice& notice) { messenger_.Broadcast(notice); }),
+          metrics_),
       deployment_manager_(state_, gates_, clock_, metrics_),
       partition_distributor_(settings_.region, gates_, clock_, metrics_),
       partitions_(store_,
@@ -144,7 +146,7 @@
                   new peer_handler_factory(services_, peer_calls_),
                   FrontLimits(settings_),
                   metrics_) {
-  messenger_.RegisterHandlers(gates_, quarantine_);
+  messenger_.RegisterHandlers(gates_);
   membership_.on_config_version =
       [this](std::uint64_t version, std::uint64_t /*digest*/,
              const std::string& peer) { OnPeerVersion(version, peer); };
--- a/src/libsamphire/gateway/entry_node.h
+++ b/src/libsamphire/gateway/entry_node.h
@@ -18,6 +18,7 @@
 #include "distribution/watcher_choice.h"
 #include "front/front_server.h"
 #include "gateway/deployment_manager.h"
+#include "gateway/fleet_quarantine.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gate_set.h"
 #include "gateway/load_reporter.h"
@@ -30,7 +31,6 @@
 #include "gateway/remote_server.h"
 #include "gateway/request_router.h"
 #include "gateway/service_handler.h"
-#include "gateway/synchronized_quarantine.h"
 #include "ledger/ledger_retry_thread.h"
 #include "ledger/local_shard_router.h"
 #include "membership/membership_service.h"
@@ -110,7 +110,7 @@
   fleet_view fleet_;
   peer_messenger messenger_;
   gate_set gates_;
-  synchronized_quarantine quarantine_;
+  fleet_quarantine quarantine_;
   deployment_manager deployment_manager_;
   partition_distributor partition_distributor_;
   partition_manager partitions_;
--- a/src/libsamphire/gateway/entry_node_ticks.cc
+++ b/src/libsamphire/gateway/entry_node_ticks.cc
@@ -86,6 +86,7 @@
                    present->declared().limits.max_configuration_age;
   }
   fleet_.Refresh(membership_, regions);
+  quarantine_.Tick();
   deployment_manager_.Tick();
   partition_distributor_.Tick();
   UpdateMembers();
--- a/src/libsamphire/gateway/fleet_view.cc
+++ b/src/libsamphire/gateway/fleet_view.cc
@@ -94,4 +94,16 @@
   return addresses;
 }
 
+news_peers fleet_view::NewsPeers() const {
+  news_peers peers{.region = OwnRegionPeers(), .relays = {}};
+  const auto present = snapshot_.Get();
+  if (!present)
+    return peers;
+  for (const auto& [name, part] : present->regions) {
+    if (!part.entries.empty())
+      peers.relays.push_back(part.entries.front().peer_address);
+  }
+  return peers;
+}
+
 }  // namespace samphire
--- a/src/libsamphire/gateway/fleet_view.h
+++ b/src/libsamphire/gateway/fleet_view.h
@@ -10,6 +10,7 @@
 #include "gateway/node_state.h"
 #include "gateway/peer_directory.h"
 #include "membership/membership_service.h"
+#include "peer/news_peers.h"
 #include "steering/shared_snapshot.h"
 
 namespace samphire {
@@ -39,6 +40,8 @@
   // Returns the peer addresses of the other members of the own region that are
   // not declared failed.
   std::vector<std::string> OwnRegionPeers() const;
+  // Returns those and one entry of each other region.
+  news_peers NewsPeers() const;
 
  private:
   struct region_part {
--- a/src/libsamphire/gateway/local_server.cc
+++ b/src/libsamphire/gateway/local_server.cc
@@ -54,7 +54,7 @@
 
 local_server::local_server(gate_set& gates,
                            ledger& reservations,
-                           synchronized_quarantine& quarantine,
+                           fleet_quarantine& quarantine,
                            retry_budgets& budgets,
                            connection_pool& pool,
                            const clock_source& clock,
@@ -196,6 +196,7 @@
                                       const slot_grant& grant) {
   static const caller_watch no_caller;
   const auto& request = state.request;
+  const auto started = clock_.now();
   quarantine_.AttemptStarted(request.fingerprint, grant.target);
   response_relay relay(pool_, state.ticket ? no_caller : state.caller,
                        state.sink,
@@ -205,7 +206,8 @@
   auto end = relay.Run(out);
   state.fresh_connection |= end.was_stale;
   state.may_have_run |= end.was_stale;
-  quarantine_.AttemptFinished(request.fingerprint, grant.target, end.outcome);
+  quarantine_.AttemptFinished(request.fingerprint, grant.target, end.outcome,
+                              clock_.now() - started);
   state.gate->Finish(grant, end.outcome, end.target_time);
   metrics_.Count("attempts_total",
                  "outcome=\"" +
--- a/src/libsamphire/gateway/local_server.h
+++ b/src/libsamphire/gateway/local_server.h
@@ -9,11 +9,11 @@
 
 #include "base/clock_source.h"
 #include "decision/admission_request.h"
+#include "gateway/fleet_quarantine.h"
 #include "gateway/gate_set.h"
 #include "gateway/region_server.h"
 #include "gateway/response_relay.h"
 #include "gateway/retry_budgets.h"
-#include "gateway/synchronized_quarantine.h"
 #include "ledger/ledger.h"
 #include "metrics/metrics.h"
 
@@ -27,7 +27,7 @@
  public:
   local_server(gate_set& gates,
                ledger& reservations,
-               synchronized_quarantine& quarantine,
+               fleet_quarantine& quarantine,
                retry_budgets& budgets,
                connection_pool& pool,
                const clock_source& clock,
@@ -93,7 +93,7 @@
 
   gate_set& gates_;
   ledger& ledger_;
-  synchronized_quarantine& quarantine_;
+  fleet_quarantine& quarantine_;
   retry_budgets& budgets_;
   connection_pool& pool_;
   const clock_source& clock_;
--- a/src/libsamphire/gateway/peer_messenger.cc
+++ b/src/libsamphire/gateway/peer_messenger.cc
@@ -47,24 +47,17 @@
                                metrics& counters)
     : transport_(transport), fleet_(fleet), metrics_(counters) {}
 
-void peer_messenger::RegisterHandlers(gate_set& gates,
-                                      synchronized_quarantine& quarantine) {
+void peer_messenger::RegisterHandlers(gate_set& gates) {
   for (const auto kind : kLoanKinds) {
     transport_.OnMessage(kind, [this, &gates](const peer_message& message) {
       OnLoan(gates, message);
     });
   }
-  transport_.OnMessage(
-      message_kind::kQuarantine, [&quarantine](const peer_message& message) {
-        if (const auto notice = DecodeBinary<crash_notice>(message.payload))
-          quarantine.OnNotice(*notice);
-      });
 }
 
 void peer_messenger::Stop() {
   for (const auto kind : kLoanKinds)
     transport_.OnMessage(kind, nullptr);
-  transport_.OnMessage(message_kind::kQuarantine, nullptr);
 }
 
 void peer_messenger::OnLoan(gate_set& gates, const peer_message& message) {
@@ -91,13 +84,4 @@
   }
 }
 
-void peer_messenger::Broadcast(const crash_notice& notice) {
-  metrics_.Count("crash_notices_total");
-  const auto payload = EncodeBinary(notice);
-  for (const auto& address : fleet_.OwnRegionPeers()) {
-    static_cast<void>(
-        transport_.Send(address, message_kind::kQuarantine, payload));
-  }
-}
-
 }  // namespace samphire
--- a/src/libsamphire/gateway/peer_messenger.h
+++ b/src/libsamphire/gateway/peer_messenger.h
@@ -1,35 +1,30 @@
 #ifndef GATEWAY_PEER_MESSENGER_H_
 #define GATEWAY_PEER_MESSENGER_H_
 
-#include "decision/crash_notice.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gate_set.h"
-#include "gateway/synchronized_quarantine.h"
 #include "metrics/metrics.h"
 #include "peer/peer_transport.h"
 
 namespace samphire {
 
-// Carries loan messages and crash notices between the entries of a region, in
-// datagrams that may get lost. Send and Broadcast are thread-safe and don't
-// wait for delivery.
+// Carries loan messages between the entries of a region, in datagrams that may
+// get lost. Send is thread-safe and doesn't wait for delivery.
 class peer_messenger {
  public:
   peer_messenger(peer_transport& transport,
                  fleet_view& fleet,
                  metrics& counters);
 
-  // Delivers received messages to `gates` and `quarantine`, on the thread of
-  // the transport. To be called before the transport starts.
-  void RegisterHandlers(gate_set& gates, synchronized_quarantine& quarantine);
+  // Delivers received messages to `gates`, on the thread of the transport. To
+  // be called before the transport starts.
+  void RegisterHandlers(gate_set& gates);
 
   // Ends delivery; on return no handler is running.
   void Stop();
 
   // Sends each loan message to the member that it names.
   void Send(const loan_outbox& messages);
-  // Sends the notice to all other members of the region.
-  void Broadcast(const crash_notice& notice);
 
  private:
   // Decodes a loan message and passes it to the gate of its service.
--- a/src/libsamphire/peer/peer_message_codec.h
+++ b/src/libsamphire/peer/peer_message_codec.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PEER_MESSAGE_CODEC_H_
-#define TRAFFIC_PEER_MESSAGE_CODEC_H_
+#ifndef PEER_PEER_MESSAGE_CODEC_H_
+#define PEER_PEER_MESSAGE_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -38,4 +38,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PEER_MESSAGE_CODEC_H_
+#endif  // PEER_PEER_MESSAGE_CODEC_H_
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -198,6 +198,13 @@
   }
 }
 
+bool http_exchange::ended_without_response() const {
+  return stage_ == exchange_stage::kAwaitingHead && buffer_ &&
+         !buffer_->has_received() &&
+         (buffer_->failure() == result_code::kOk ||
+          buffer_->failure() == result_code::kTargetFailed);
+}
+
 void http_exchange::SetDeadline(time_point deadline) {
   deadline_ = deadline;
   if (buffer_)
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -74,6 +74,9 @@
   bool failed_on_stale_connection() const {
     return failed_on_stale_connection_;
   }
+  // Whether the other side ended the connection before it sent any byte of a
+  // response.
+  bool ended_without_response() const;
   const body_framing& framing() const { return framing_; }
 
  private:
--- a/src/libsamphire/proxy/socket_input_buf.cc
+++ b/src/libsamphire/proxy/socket_input_buf.cc
@@ -51,7 +51,10 @@
     if (entries[0].revents == 0)
       continue;
     try {
-      return socket_.receiveBytes(buffer, static_cast<int>(length));
+      const int received =
+          socket_.receiveBytes(buffer, static_cast<int>(length));
+      has_received_ |= received > 0;
+      return received;
     } catch (const Poco::Exception&) {
       failure_ = result_code::kTargetFailed;
       return -1;
--- a/src/libsamphire/proxy/socket_input_buf.h
+++ b/src/libsamphire/proxy/socket_input_buf.h
@@ -23,6 +23,8 @@
   // kDeadlineExceeded, kCallerGone, kTargetFailed after a connection error, or
   // kOk after an orderly end of the stream.
   result_code failure() const { return failure_; }
+  // Whether any byte was received.
+  bool has_received() const { return has_received_; }
   void set_deadline(time_point deadline) { deadline_ = deadline; }
 
  private:
@@ -32,6 +34,7 @@
   time_point deadline_;
   const caller_watch& caller_;
   result_code failure_ = result_code::kOk;
+  bool has_received_ = false;
 };
 
 }  // namespace samphire
--- /dev/null
+++ b/src/libsamphire/traffic/news_peers_of.h
@@ -0,0 +1,16 @@
+#ifndef TRAFFIC_NEWS_PEERS_OF_H_
+#define TRAFFIC_NEWS_PEERS_OF_H_
+
+#include <string>
+
+#include "peer/news_peers.h"
+#include "traffic/entry_list.h"
+
+namespace samphire {
+
+// Returns the peers to which the entry `self` tells news.
+news_peers NewsPeersOf(const entry_list& entries, const std::string& self);
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_NEWS_PEERS_OF_H_
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -144,6 +144,7 @@
   const auto got_head = exchange.ReadHead();
   if (!got_head) {
     Fail(got_head.error().code, end);
+    end.connection_lost = exchange.ended_without_response();
     return;
   }
   const auto& head = *got_head.value();
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -17,6 +17,8 @@
   result_code reason = result_code::kOk;
   // Whether the request may be running or have run at the target.
   bool may_have_run = false;
+  // Whether the target closed the connection without any response.
+  bool connection_lost = false;
   // Whether part of a long body was read from the caller without being
   // buffered, so that the request can't be sent again.
   bool body_consumed = false;
--- a/src/libsamphire/traffic/target_limiter.cc
+++ b/src/libsamphire/traffic/target_limiter.cc
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "base/log.h"
+#include "peer/peer_message_codec.h"
 #include "routing/permit_grantors.h"
-#include "traffic/peer_message_codec.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/team_limiter.cc
+++ b/src/libsamphire/traffic/team_limiter.cc
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <utility>
 
-#include "traffic/peer_message_codec.h"
+#include "peer/peer_message_codec.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -2,6 +2,7 @@
 #define TRAFFIC_TRAFFIC_CONTEXT_H_
 
 #include "base/clock_source.h"
+#include "gateway/fleet_quarantine.h"
 #include "metrics/metrics.h"
 #include "proxy/connection_pool.h"
 #include "traffic/placement_client.h"
@@ -27,6 +28,7 @@
   team_limiter& limiter;
   target_limiter& target_limits;
   target_notices& notices;
+  fleet_quarantine& quarantine;
   // Connections to targets and peers.
   connection_pool& pool;
   const clock_source& clock;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -25,6 +25,40 @@
 // Retry time given to callers whose last attempt failed.
 constexpr milliseconds kFailureRetryAfter{100};
 
+// Retry time given to callers whose request waits for the end of another run of
+// the same request, which was lost with a target before.
+constexpr milliseconds kSuspectRetryAfter{300};
+// Retry time given to callers whose request crashes targets: longer than
+// callers wait.
+constexpr milliseconds kQuarantineRetryAfter{60'000};
+
+// Returns a name that no other process of a target ever has.
+std::string ProcessNameOf(const live_target& target) {
+  return fmt::format("{}@{}", target.id, target.started_ms);
+}
+
+attempt_outcome OutcomeOf(const target_exchange_end& end) {
+  switch (end.attempt.result) {
+    case attempt_result::kAnswered:
+      return attempt_outcome::kOk;
+    case attempt_result::kTargetError:
+      return attempt_outcome::kTargetError;
+    case attempt_result::kTargetRefused:
+    case attempt_result::kMisdirected:
+      return attempt_outcome::kTargetShed;
+    case attempt_result::kConnectFailed:
+      return attempt_outcome::kConnectFailed;
+    case attempt_result::kLost:
+      return end.connection_lost ? attempt_outcome::kLost
+                                 : attempt_outcome::kTruncated;
+    case attempt_result::kTimedOut:
+      return attempt_outcome::kTimedOut;
+    case attempt_result::kCallerGone:
+      break;
+  }
+  return attempt_outcome::kCancelled;
+}
+
 // Whether the HTTP status for `code` tells callers that the request did not
 // run.
 bool ImpliesNotRun(result_code code) {
@@ -69,7 +103,7 @@
     FinishWithoutAttempt(result_code::kUnknownApiKey, milliseconds{0});
     return false;
   }
-  if (!TakePermit())
+  if (!PassesQuarantine() || !TakePermit())
     return false;
   auto placed = placer_.Place();
   if (const auto* refusal = std::get_if<placement_refusal>(&placed.decision)) {
@@ -80,10 +114,7 @@
   const auto& target = std::get<placed_attempt>(placed.decision).target;
   ++attempts_;
   last_target_ = target.id;
-  const auto sent_at = context_.clock.now();
-  auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
-  if (end.attempt.notice)
-    context_.notices.OnResponse(target, *end.attempt.notice, sent_at);
+  auto end = Exchange(target);
   ReportAttemptEnd(placed, end);
   if (end.may_have_run) {
     may_have_run_ = true;
@@ -101,6 +132,40 @@
   return true;
 }
 
+// Some requests crash every target that runs them, and their callers send them
+// again, to any entry.
+bool traffic_dispatcher::PassesQuarantine() {
+  switch (context_.quarantine.DecisionFor(request_.fingerprint)) {
+    case quarantine_decision::kUnrestricted:
+    case quarantine_decision::kIsolate:
+      return true;
+    case quarantine_decision::kWait:
+      FinishWithoutAttempt(result_code::kSuspectRunning, kSuspectRetryAfter);
+      return false;
+    case quarantine_decision::kQuarantined:
+      break;
+  }
+  FinishWithoutAttempt(result_code::kCrashesTargets, kQuarantineRetryAfter);
+  return false;
+}
+
+target_exchange_end traffic_dispatcher::Exchange(const live_target& target) {
+  const auto process = ProcessNameOf(target);
+  const auto sent_at = context_.clock.now();
+  auto& quarantine = context_.quarantine;
+  quarantine.AttemptStarted(request_.fingerprint, process);
+  auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
+  quarantine.AttemptFinished(request_.fingerprint, process, OutcomeOf(end),
+                             context_.clock.now() - sent_at);
+  if (end.attempt.notice) {
+    // Without a start, a new process may have the name of one that crashed.
+    if (target.started_ms != 0)
+      quarantine.TargetResponded(process, sent_at);
+    context_.notices.OnResponse(target, *end.attempt.notice, sent_at);
+  }
+  return end;
+}
+
 // A permit covers one run. The next attempt reuses it if no target can have run
 // the request, and takes a new one otherwise.
 bool traffic_dispatcher::TakePermit() {
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -35,6 +35,11 @@
   std::string ChooseService() const;
   // Makes one attempt. Returns whether to make another one.
   bool MakeAttempt();
+  // Finishes the request and returns false if it is not to run because requests
+  // like it were lost with their targets.
+  bool PassesQuarantine();
+  // Sends the request to the target once, and reports that to the quarantine.
+  target_exchange_end Exchange(const live_target& target);
   // Takes a permit if the team has a limit and none is held. Finishes the
   // request and returns false if it is refused.
   bool TakePermit();
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -10,6 +10,7 @@
 #include "membership/new_incarnation.h"
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
+#include "traffic/news_peers_of.h"
 #include "traffic/shared_store.h"
 #include "traffic/source_plan.h"
 #include "traffic/traffic_handler.h"
@@ -90,7 +91,12 @@
                           clock_.now()),
       placement_client_(transport_, clock_, metrics_, incarnation_),
       limiter_(transport_, settings_, state_, clock_, metrics_, incarnation_),
-      target_news_(transport_, settings_, state_, metrics_),
+      target_news_(
+          transport_,
+          message_kind::kTargetNews,
+          "target_news_malformed_total",
+          [this] { return NewsPeers(); },
+          metrics_),
       target_limiter_(transport_,
                       target_news_,
                       settings_,
@@ -99,10 +105,14 @@
                       metrics_,
                       incarnation_),
       target_notices_(shards_, target_limiter_, target_news_, clock_),
-      context_{settings_,       headers_,          state_,
-               shards_,         placement_client_, limiter_,
-               target_limiter_, target_notices_,   pool_,
-               clock_,          metrics_},
+      quarantine_(
+          transport_,
+          [this] { return NewsPeers(); },
+          clock_,
+          metrics_),
+      context_{settings_,         headers_, state_,          shards_,
+               placement_client_, limiter_, target_limiter_, target_notices_,
+               quarantine_,       pool_,    clock_,          metrics_},
       placement_server_(transport_, context_),
       caller_front_(
           settings_.caller_address,
@@ -155,6 +165,11 @@
        {"incarnation", incarnation_}});
 }
 
+void traffic_node::Tick() {
+  RefreshEntryList();
+  quarantine_.Tick();
+}
+
 void traffic_node::SetBounds(const traffic_bounds& bounds) {
   state_.SetBounds(bounds);
 }
@@ -242,7 +257,15 @@
   return PlanSources(settings_.place, *state_.entries().Get());
 }
 
+news_peers traffic_node::NewsPeers() const {
+  return NewsPeersOf(*state_.entries().Get(), settings_.place.instance);
+}
+
 std::string traffic_node::MetricsText() {
+  metrics_.Set("quarantined", "",
+               static_cast<double>(quarantine_.quarantined()));
+  metrics_.Set("targets_lost", "",
+               static_cast<double>(quarantine_.targets_lost()));
   return metrics_.Render();
 }
 
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -11,6 +11,7 @@
 
 #include "base/system_clock_source.h"
 #include "front/front_server.h"
+#include "gateway/fleet_quarantine.h"
 #include "gateway/peer_signer.h"
 #include "membership/membership_service.h"
 #include "metrics/metrics.h"
@@ -47,9 +48,9 @@
 
   // Opens the ports and joins the fleet.
   void Start();
-  // Updates the list of entries from membership. Must be called about once a
-  // second.
-  void Tick() { RefreshEntryList(); }
+  // Updates the list of entries from membership, and tells some of them which
+  // requests are in quarantine. Must be called about once a second.
+  void Tick();
   // Performs a planned stop: reports itself as not ready, keeps serving
   // until callers know about it, then completes the requests in progress.
   // Blocks until done, at most for `traffic_bounds::stop_grace`.
@@ -86,6 +87,7 @@
   // Peer addresses of entries that may provide their last known objects.
   std::vector<std::string> BootstrapAddresses() const;
   source_plan CurrentSourcePlan() const;
+  news_peers NewsPeers() const;
   std::string MetricsText();
 
   const traffic_settings settings_;
@@ -109,6 +111,7 @@
   target_news_channel target_news_;
   target_limiter target_limiter_;
   target_notices target_notices_;
+  fleet_quarantine quarantine_;
   traffic_context context_;
   placement_server placement_server_;
   front_server caller_front_;
--- a/tests/platform_adapter/repeated_crash_test.cc
+++ b/tests/platform_adapter/repeated_crash_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -21,6 +22,18 @@
       target->crash_path = kCrasher;
   }
 
+  // Does what the program does about once a second.
+  void Tick() {
+    std::lock_guard guard(entries_lock);
+    for (auto& entry : entries)
+      entry->Tick();
+  }
+  void Restart(std::size_t entry) {
+    std::lock_guard guard(entries_lock);
+    entries[entry].reset();
+    entries[entry] = StartEntry(settings[entry]);
+  }
+
   call_response Read(std::size_t entry, const std::string& path) const {
     return SendCall(settings[entry].traffic.caller_address, {.path = path});
   }
@@ -33,6 +46,14 @@
     Read(entry, kCrasher);
     REQUIRE(Eventually([&] { return Read(entry, "/read/x").status == 200; }));
   }
+
+  std::mutex entries_lock;
+  std::jthread ticker{[this](const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      Tick();
+      std::this_thread::sleep_for(200ms);
+    }
+  }};
 };
 
 // Two crashes convict a request; copies at other entries may be running then.
@@ -61,8 +82,7 @@
   for (std::size_t i = 0; i < 4; ++i)
     fleet.SendCrasher(i);
   const int before = fleet.Crashes();
-  fleet.entries[0].reset();
-  fleet.entries[0] = StartEntry(fleet.settings[0]);
+  fleet.Restart(0);
   REQUIRE(Eventually([&] { return IsReady(fleet.settings[0]); }));
   std::this_thread::sleep_for(5s);
   fleet.SendCrasher(0);
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -49,13 +49,17 @@
   connection_pool pool;
   placement_client owner_client{owner, clock, counters, 1};
   team_limiter limiter{owner, settings, state, clock, counters, 1};
-  target_news_channel news{owner, settings, state, counters};
+  target_news_channel news{owner, message_kind::kTargetNews,
+                           "target_news_malformed_total",
+                           [] { return news_peers{}; }, counters};
   target_limiter target_limits{owner, news,     settings, state,
                                clock, counters, 1};
   target_notices notices{shards, target_limits, news, clock};
+  fleet_quarantine quarantine{owner, [] { return news_peers{}; }, clock,
+                              counters};
   traffic_context context{settings,     headers, state,         shards,
                           owner_client, limiter, target_limits, notices,
-                          pool,         clock,   counters};
+                          quarantine,   pool,    clock,         counters};
   placement_server server{owner, context};
   placement_client client{requester, clock, counters, 100};
 
@@ -170,8 +174,8 @@
   traffic_context context{
       fixture.settings,      fixture.headers,      empty,
       fixture.shards,        fixture.owner_client, fixture.limiter,
-      fixture.target_limits, fixture.notices,      fixture.pool,
-      fixture.clock,         fixture.counters};
+      fixture.target_limits, fixture.notices,      fixture.quarantine,
+      fixture.pool,          fixture.clock,        fixture.counters};
   const placement_server server(fixture.owner, context);
   CHECK(fixture.RequireResponse().verdict ==
         remote_placement_verdict::kPlaceLocally);
--- a/tests/traffic/routed_transport.h
+++ b/tests/traffic/routed_transport.h
@@ -1,6 +1,7 @@
 #ifndef TRAFFIC_ROUTED_TRANSPORT_H_
 #define TRAFFIC_ROUTED_TRANSPORT_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -20,6 +21,9 @@
       is_reachable = [](const auto&, const auto&) { return true; };
   // Number of messages that could not be delivered.
   int failures = 0;
+  // Number of messages sent, and the size of their payloads in bytes.
+  int messages = 0;
+  std::size_t bytes = 0;
 };
 
 // A fake transport that delivers messages synchronously, on the sender's
@@ -39,6 +43,8 @@
   result<void> Send(const std::string& address,
                     message_kind kind,
                     const std::string& payload) override {
+    ++router_.messages;
+    router_.bytes += payload.size();
     const auto found = router_.transports.find(address);
     if (found == router_.transports.end() ||
         !router_.is_reachable(name_, address)) {
--- a/tests/traffic/target_limiter_model_test.cc
+++ b/tests/traffic/target_limiter_model_test.cc
@@ -7,6 +7,7 @@
 #include "support/membership_simulation.h"
 #include "support/simulated_entry_list.h"
 #include "support/sliding_count.h"
+#include "traffic/news_peers_of.h"
 #include "traffic/routed_transport.h"
 #include "traffic/target_limiter.h"
 
@@ -65,7 +66,12 @@
   traffic_settings settings;
   traffic_state state;
   metrics counters;
-  target_news_channel channel{transport, settings, state, counters};
+  target_news_channel channel{
+      transport, message_kind::kTargetNews, "target_news_malformed_total",
+      [this] {
+        return NewsPeersOf(*state.entries().Get(), settings.place.instance);
+      },
+      counters};
   entry_list_builder builder;
   time_point started;
   std::unique_ptr<target_limiter> limiter;
