Follow the store into the era after a restore

Cause: entries took what has a lower revision than they have seen for outdated. A store that comes back from a copy counts on from a lower revision, so that no change was taken until the revisions had caught up; an entry whose revision had been given out again missed the changes up to it for good, and skipped the difference of an object whose old version number was higher. Class: a count of somebody else taken for a clock that never goes back. Change: a cursor is an era of the store and a revision in it, compared in this order, in watches, copies for peers and their logs. A watch whose response names another era leads to a listing; an entry that is an era behind is no source for one that is ahead; objects are compared by value when the era changes, and differences between eras go to followers as after lost history, so that nobody but the watchers lists. Left, and listed: the copy undoes that a target leaves.

--- a/bench/distribution/counting_store.h
+++ b/bench/distribution/counting_store.h
@@ -40,7 +40,7 @@
     return objects_.List(prefix);
   }
   result<watch_batch> Watch(const std::string& prefix,
-                            std::uint64_t cursor,
+                            store_cursor cursor,
                             milliseconds wait) override {
     Add(0);
     return objects_.Watch(prefix, cursor, wait);
--- a/src/libsamphire/distribution/config_follower.cc
+++ b/src/libsamphire/distribution/config_follower.cc
@@ -288,13 +288,13 @@
 // afterwards is reported by the watch.
 duration config_follower::WatchStep() {
   if (!Snapshot().watching()) {
-    cursor_ = 0;
+    cursor_ = {};
     return limits_.max_retry_delay;
   }
   const auto batch =
       store_.Watch(kConfigRootKey, cursor_, limits_.watch_timeout);
   if (!batch) {
-    cursor_ = 0;
+    cursor_ = {};
     WithState([&](auto& state) { state.OnPlatformError(clock_.now()); });
     metrics_.Count("config_watch_failures_total",
                    fmt::format("reason=\"{}\"", NameOf(batch.error().code)));
@@ -305,7 +305,8 @@
 }
 
 void config_follower::OnWatchBatch(const watch_batch& batch) {
-  const bool unchanged = cursor_ != 0 && !batch.reset && batch.events.empty();
+  const bool unchanged =
+      cursor_.IsSet() && !batch.reset && batch.events.empty();
   if (batch.reset)
     metrics_.Count("config_watch_resets_total");
   cursor_ = batch.cursor;
--- a/src/libsamphire/distribution/config_follower.h
+++ b/src/libsamphire/distribution/config_follower.h
@@ -97,7 +97,7 @@
   follower_state state_;
   // Position in the platform's event stream, used by the watch thread only; 0
   // starts a new watch.
-  std::uint64_t cursor_ = 0;
+  store_cursor cursor_;
   stoppable_thread load_thread_;
   stoppable_thread watch_thread_;
 };
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -132,6 +132,8 @@
     store_http_reply reply;
     reply.status = response.getStatus();
     reply.etag = response.get("Etag", "");
+    if (!options_.era_header.empty())
+      reply.era = response.get(options_.era_header, "");
     session.socket().setReceiveTimeout(
         Poco::Timespan(microseconds(kMaxBodyPause).count()));
     reply.body = ReadBody(in, response.getContentLength64(), clock_,
--- a/src/libsamphire/store/http_object_store.cc
+++ b/src/libsamphire/store/http_object_store.cc
@@ -93,10 +93,11 @@
 }
 
 result<watch_batch> http_object_store::Watch(const std::string& prefix,
-                                             std::uint64_t cursor,
+                                             store_cursor cursor,
                                              milliseconds wait) {
-  const auto uri = fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}",
-                               UrlEncode(prefix), cursor, wait.count());
+  const auto uri =
+      fmt::format("/v1/watch?prefix={}&after={}&era={}&wait_ms={}",
+                  UrlEncode(prefix), cursor.revision, cursor.era, wait.count());
   return Read({store_call::kWatch,
                uri,
                {},
--- a/src/libsamphire/store/http_object_store.h
+++ b/src/libsamphire/store/http_object_store.h
@@ -31,7 +31,7 @@
   result<void> Delete(const std::string& key, std::uint64_t expected) override;
   result<std::vector<store_object>> List(const std::string& prefix) override;
   result<watch_batch> Watch(const std::string& prefix,
-                            std::uint64_t cursor,
+                            store_cursor cursor,
                             milliseconds wait) override;
   result<std::vector<instance_info>> Instances() override;
 
--- a/src/libsamphire/store/http_store_options.h
+++ b/src/libsamphire/store/http_store_options.h
@@ -23,6 +23,9 @@
   milliseconds watch_timeout_margin{2000};
   // Connections that have been idle for longer are closed, not reused.
   milliseconds max_idle_time{10'000};
+  // Name of the header in which responses name the era of the store; empty if
+  // they name none.
+  std::string era_header;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -55,11 +55,11 @@
   bool changed = mirror_.Apply(batch.value(), clock_.now());
   changed |= mirror_.Expire(clock_.now());
   changed |= redelivery_requested_.exchange(false);
-  if ((changed || !delivered_once_) && mirror_.cursor() != 0) {
+  if ((changed || !delivered_once_) && mirror_.cursor().IsSet()) {
     delivered_once_ = true;
     on_change_(mirror_.objects());
   }
-  const bool needs_listing = mirror_.cursor() == 0;
+  const bool needs_listing = !mirror_.cursor().IsSet();
   return needs_listing || !batch.value().events.empty() ? kBatchDelay
                                                         : milliseconds{0};
 }
--- a/src/libsamphire/store/object_mirror.cc
+++ b/src/libsamphire/store/object_mirror.cc
@@ -22,7 +22,7 @@
 // leaving. Such a listing is skipped and requested again.
 bool object_mirror::Apply(const watch_batch& batch, time_point now) {
   if (batch.cursor < highest_cursor_) {
-    cursor_ = 0;
+    cursor_ = {};
     return false;
   }
   highest_cursor_ = cursor_ = batch.cursor;
@@ -43,7 +43,7 @@
       stored = *event.value;
     }
   }
-  if (batch.reset && batch.cursor != 0) {
+  if (batch.reset && batch.cursor.IsSet()) {
     for (const auto& [key, value] : objects_) {
       if (!listed.contains(key))
         removed.insert(key);
--- a/src/libsamphire/store/object_mirror.h
+++ b/src/libsamphire/store/object_mirror.h
@@ -21,9 +21,9 @@
   // Values by key.
   using object_map = std::map<std::string, std::string>;
 
-  // The cursor from which the next watch has to continue; 0 requests a full
+  // The cursor from which the next watch has to continue; none requests a full
   // listing.
-  std::uint64_t cursor() const { return cursor_; }
+  store_cursor cursor() const { return cursor_; }
   // Applies the result of a watch from `cursor`. Returns whether the objects
   // changed.
   bool Apply(const watch_batch& batch, time_point now);
@@ -41,9 +41,9 @@
   // whether any was removed at once.
   bool Remove(const std::set<std::string>& keys, time_point now);
 
-  std::uint64_t cursor_ = 0;
+  store_cursor cursor_;
   // The highest cursor applied so far; batches with a lower one are skipped.
-  std::uint64_t highest_cursor_ = 0;
+  store_cursor highest_cursor_;
   object_map objects_;
   // Objects that were reported deleted but are still kept, and the time of
   // their removal.
--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -65,7 +65,7 @@
                            const watch_batch& batch,
                            bool confirmed) {
   // The platform has lost its history; a full listing follows.
-  if (batch.cursor == 0)
+  if (!batch.cursor.IsSet())
     return;
   const auto latest = WithoutSuperseded(batch);
   auto patches = confirmed ? MakePatches(prefix, latest) : patch_map{};
@@ -121,15 +121,16 @@
 void object_relay::ApplyBatch(prefix_replica& replica,
                               const watch_batch& batch,
                               patch_map patches) {
-  const bool first = replica.cursor == 0;
+  const bool first = !replica.cursor.IsSet();
   const auto new_events =
       batch.reset && !first ? DiffListing(replica, batch) : batch.events;
   if (first)
     replica.log_start = batch.cursor;
-  else if (batch.reset)
+  else if (batch.reset || batch.cursor.era != replica.cursor.era)
     replica.gaps.push_back({replica.cursor, batch.cursor});
   for (const auto& event : new_events) {
-    patched_event logged{event.key, event.version, object_deletion{}};
+    patched_event logged{event.key, event.version, object_deletion{},
+                         batch.cursor.era};
     if (event.version == 0) {
       replica.objects.erase(event.key);
     } else if (event.value) {
@@ -140,7 +141,7 @@
         logged.change = std::move(patch->second);
       else
         logged.change = *event.value;
-      stored = {event.version, *event.value};
+      stored = {event.version, *event.value, batch.cursor.era};
     }
     if (!first)
       AppendToLog(replica, batch.cursor, std::move(logged));
@@ -152,7 +153,9 @@
 // After lost history a new listing mostly contains what was known before. If it
 // were forwarded in full, it would be sent to every follower of this entry at
 // once, hundreds of kilobytes each, and saturate the entry's link while the
-// followers wait for changes. Only the differences are logged.
+// followers wait for changes. Only the differences are logged. Values are
+// compared as well, since a store that comes back from a copy gives out the
+// same revisions again.
 std::vector<store_event> object_relay::DiffListing(
     const prefix_replica& replica,
     const watch_batch& listing) {
@@ -162,7 +165,8 @@
     listed.insert(event.key);
     const auto known = replica.objects.find(event.key);
     if (known == replica.objects.end() ||
-        known->second.version != event.version)
+        known->second.version != event.version ||
+        known->second.value != event.value)
       changes.push_back(event);
   }
   for (const auto& [key, object] : replica.objects) {
@@ -173,16 +177,16 @@
 }
 
 void object_relay::AppendToLog(prefix_replica& replica,
-                               std::uint64_t revision,
+                               store_cursor position,
                                patched_event event) {
   replica.log_bytes += SizeOf(event.change);
-  replica.log.push_back({revision, std::move(event)});
+  replica.log.push_back({position, std::move(event)});
 }
 
 void object_relay::TrimLog(prefix_replica& replica) {
   while (replica.log.size() > kMaxLoggedEvents ||
          replica.log_bytes > kMaxLoggedBytes) {
-    replica.log_start = replica.log.front().revision;
+    replica.log_start = replica.log.front().position;
     replica.log_bytes -= SizeOf(replica.log.front().event.change);
     replica.log.pop_front();
   }
@@ -192,7 +196,7 @@
 }
 
 result<watch_batch> object_relay::Watch(const std::string& prefix,
-                                        std::uint64_t cursor,
+                                        store_cursor cursor,
                                         milliseconds wait,
                                         bool await_fresh) {
   std::unique_lock guard(lock_);
@@ -203,7 +207,7 @@
 }
 
 result<patched_batch> object_relay::WatchPatched(const std::string& prefix,
-                                                 std::uint64_t cursor,
+                                                 store_cursor cursor,
                                                  milliseconds wait,
                                                  bool await_fresh) {
   std::unique_lock guard(lock_);
@@ -217,7 +221,7 @@
 result<const object_relay::prefix_replica*> object_relay::AwaitChanges(
     std::unique_lock<std::mutex>& guard,
     const std::string& prefix,
-    std::uint64_t cursor,
+    store_cursor cursor,
     milliseconds wait,
     bool await_fresh) {
   const auto deadline = clock_.now() + wait;
@@ -225,12 +229,16 @@
     const auto& replica = replicas_[prefix];
     const auto now = clock_.now();
     const bool fresh = IsFresh(replica);
+    if (replica.cursor.era < cursor.era && (!await_fresh || now >= deadline))
+      return MakeError(result_code::kStoreUnreachable,
+                       "the copy of this prefix is of an earlier era");
     if (!fresh && (!await_fresh || now >= deadline))
       return MakeError(result_code::kStoreUnreachable,
                        "no fresh copy of this prefix");
     const bool has_changes = !CoversChangesSince(replica, cursor) ||
                              FirstAfter(replica, cursor) != replica.log.end();
-    if (fresh && (has_changes || now >= deadline || await_fresh))
+    if (fresh && replica.cursor.era >= cursor.era &&
+        (has_changes || now >= deadline || await_fresh))
       return &replica;
     const auto remaining = std::chrono::ceil<milliseconds>(deadline - now);
     changed_.wait_for(guard, std::min(remaining, kFreshnessCheckInterval));
@@ -253,7 +261,7 @@
     const auto* patch = std::get_if<value_patch>(&event.change);
     const auto* value = std::get_if<std::string>(&event.change);
     if (patch != nullptr) {
-      if (object.version >= event.version)
+      if (object.era == event.era && object.version >= event.version)
         continue;
       if (patch->base_version != 0 && patch->base_version != object.version)
         return MakeError(result_code::kPeerMalformed,
@@ -266,6 +274,7 @@
       object.value = *value;
     }
     object.version = event.version;
+    object.era = event.era;
     whole.events.push_back({event.key, event.version, std::nullopt});
     if (event.version != 0)
       whole.events.back().value = object.value;
@@ -278,13 +287,13 @@
 result<watch_batch> object_relay::LastKnown(const std::string& prefix) {
   std::lock_guard guard(lock_);
   const auto& replica = replicas_[prefix];
-  if (replica.cursor == 0)
+  if (!replica.cursor.IsSet())
     return MakeError(result_code::kStoreUnreachable, "no copy of this prefix");
   return Snapshot(replica);
 }
 
 bool object_relay::IsFresh(const prefix_replica& replica) const {
-  return replica.cursor != 0 &&
+  return replica.cursor.IsSet() &&
          clock_.now() - replica.confirmed_at <= kMaxConfirmationAge;
 }
 
@@ -292,7 +301,7 @@
 // that was ahead of that cursor, objects may have been created and deleted
 // again without being seen here.
 bool object_relay::CoversChangesSince(const prefix_replica& replica,
-                                      std::uint64_t cursor) {
+                                      store_cursor cursor) {
   return cursor >= replica.log_start &&
          std::ranges::none_of(replica.gaps, [cursor](const gap& each) {
            return each.after < cursor && cursor < each.before;
@@ -306,19 +315,19 @@
   return batch;
 }
 
-// The log is ordered by revision.
+// The log is ordered by position.
 std::deque<object_relay::logged_event>::const_iterator object_relay::FirstAfter(
     const prefix_replica& replica,
-    std::uint64_t cursor) {
+    store_cursor cursor) {
   return std::partition_point(
       replica.log.begin(), replica.log.end(),
-      [cursor](const auto& each) { return each.revision <= cursor; });
+      [cursor](const auto& each) { return each.position <= cursor; });
 }
 
 // A peer that used another source before may be ahead of this replica; its
 // cursor must not go back.
 watch_batch object_relay::ChangesSince(const prefix_replica& replica,
-                                       std::uint64_t cursor) {
+                                       store_cursor cursor) {
   watch_batch batch{
       .cursor = std::max(cursor, replica.cursor), .reset = false, .events = {}};
   for (auto next = FirstAfter(replica, cursor); next != replica.log.end();
@@ -335,7 +344,7 @@
 
 // Leaves out what a later event of the same object makes needless.
 patched_batch object_relay::PatchedChangesSince(const prefix_replica& replica,
-                                                std::uint64_t cursor) {
+                                                store_cursor cursor) {
   patched_batch batch{
       .cursor = std::max(cursor, replica.cursor), .reset = false, .events = {}};
   std::set<std::string_view> complete;
--- a/src/libsamphire/store/object_relay.h
+++ b/src/libsamphire/store/object_relay.h
@@ -18,8 +18,8 @@
 namespace samphire {
 
 // Forwards to peers the results of this entry's own watches of the platform.
-// Uses the platform's revisions as cursors, so that a peer can switch between
-// sources at any time. Thread-safe.
+// Uses the platform's cursors, so that a peer can switch between sources at any
+// time. Thread-safe.
 class object_relay {
  public:
   // `clock` must outlive this object.
@@ -27,23 +27,24 @@
 
   // Applies the result of a watch under `prefix` and wakes up waiting peers.
   // `confirmed` if it came from the platform itself rather than from a peer.
-  // Ignores a batch whose cursor is 0 or below that of the replica.
+  // Ignores a batch without a cursor or with one below that of the replica.
   void Publish(const std::string& prefix,
                const watch_batch& batch,
                bool confirmed = true);
 
   // Serves a watch like the platform, from `cursor` and for at most `wait`, but
-  // returns kStoreUnreachable when the replica is not fresh, that is, was not
-  // confirmed by the platform recently enough. With `await_fresh` it waits
+  // returns kStoreUnreachable when the replica is of an earlier era than
+  // `cursor`, or not fresh, that is, was not confirmed by the platform recently
+  // enough. With `await_fresh` it waits
   // until the replica becomes fresh, and does not wait for changes to a fresh
   // one.
   result<watch_batch> Watch(const std::string& prefix,
-                            std::uint64_t cursor,
+                            store_cursor cursor,
                             milliseconds wait,
                             bool await_fresh = false);
   // Like Watch(), but returns the differences of large values.
   result<patched_batch> WatchPatched(const std::string& prefix,
-                                     std::uint64_t cursor,
+                                     store_cursor cursor,
                                      milliseconds wait,
                                      bool await_fresh = false);
   // Returns `batch`, received from a peer, with complete values. Fails with
@@ -56,22 +57,24 @@
   result<watch_batch> LastKnown(const std::string& prefix);
 
  private:
-  // Value and version of an object.
+  // Value and version of an object, and the era in which the version became
+  // known.
   struct stored_object {
     std::uint64_t version = 0;
     std::string value;
+    std::uint64_t era = 0;
   };
   using object_map = std::map<std::string, stored_object>;
   // A change and the cursor of the batch that contained it.
   struct logged_event {
-    std::uint64_t revision = 0;
+    store_cursor position;
     patched_event event;
   };
-  // The range between two revisions within which the individual events are
+  // The range between two positions within which the individual events are
   // unknown.
   struct gap {
-    std::uint64_t after = 0;
-    std::uint64_t before = 0;
+    store_cursor after;
+    store_cursor before;
   };
   // The copy of the objects under one prefix.
   struct prefix_replica {
@@ -79,12 +82,12 @@
     std::deque<logged_event> log;
     // Size of the values and patches in the log.
     std::size_t log_bytes = 0;
-    // Events up to and including this revision are not in the log any more.
-    std::uint64_t log_start = 0;
+    // Events up to and including this position are not in the log any more.
+    store_cursor log_start;
     // In ascending order; dropped with the part of the log that contains them.
     std::deque<gap> gaps;
-    // Revision of the last applied batch; 0 before the first.
-    std::uint64_t cursor = 0;
+    // That of the last applied batch; none before the first.
+    store_cursor cursor;
     // When the platform last confirmed the replica.
     time_point confirmed_at;
   };
@@ -95,26 +98,26 @@
   bool IsFresh(const prefix_replica& replica) const;
   // Whether the log contains all events after `cursor`.
   static bool CoversChangesSince(const prefix_replica& replica,
-                                 std::uint64_t cursor);
+                                 store_cursor cursor);
   // Waits until the replica is fresh and has changes after `cursor`, and
   // returns it. `guard` holds the lock. Fails like Watch().
   result<const prefix_replica*> AwaitChanges(
       std::unique_lock<std::mutex>& guard,
       const std::string& prefix,
-      std::uint64_t cursor,
+      store_cursor cursor,
       milliseconds wait,
       bool await_fresh);
   // Returns a full listing.
   static watch_batch Snapshot(const prefix_replica& replica);
   // Returns the current state of the objects that changed after `cursor`.
   static watch_batch ChangesSince(const prefix_replica& replica,
-                                  std::uint64_t cursor);
+                                  store_cursor cursor);
   static patched_batch PatchedChangesSince(const prefix_replica& replica,
-                                           std::uint64_t cursor);
+                                           store_cursor cursor);
   // Returns the first logged event after `cursor`.
   static std::deque<logged_event>::const_iterator FirstAfter(
       const prefix_replica& replica,
-      std::uint64_t cursor);
+      store_cursor cursor);
   // Returns the objects that exist of these keys.
   object_map CopyObjects(const std::string& prefix,
                          const std::set<std::string>& keys);
@@ -125,7 +128,7 @@
                          const watch_batch& batch,
                          patch_map patches);
   static void AppendToLog(prefix_replica& replica,
-                          std::uint64_t revision,
+                          store_cursor position,
                           patched_event event);
   static void TrimLog(prefix_replica& replica);
   // Returns the events that turn the replica into `listing`.
--- a/src/libsamphire/store/object_watcher.h
+++ b/src/libsamphire/store/object_watcher.h
@@ -22,7 +22,7 @@
   // its current cursor without events, a source that keeps copies of the
   // objects returns all of them.
   virtual result<watch_batch> Watch(const std::string& prefix,
-                                    std::uint64_t cursor,
+                                    store_cursor cursor,
                                     milliseconds wait) = 0;
 
   // Returns a listing of everything under `prefix` that is at most some seconds
--- a/src/libsamphire/store/patched_batch.cc
+++ b/src/libsamphire/store/patched_batch.cc
@@ -10,7 +10,8 @@
   patched_batch patched{
       .cursor = batch.cursor, .reset = batch.reset, .events = {}};
   for (const auto& event : batch.events) {
-    patched_event converted{event.key, event.version, object_deletion{}};
+    patched_event converted{event.key, event.version, object_deletion{},
+                            batch.cursor.era};
     if (IsLarge(event))
       converted.change = MakePatch(0, "", *event.value);
     else if (event.value)
--- a/src/libsamphire/store/patched_batch.h
+++ b/src/libsamphire/store/patched_batch.h
@@ -23,13 +23,15 @@
   // Version of the object after the change; 0 if it was deleted.
   std::uint64_t version = 0;
   object_change change;
+  // The era of the store in which the change became known.
+  std::uint64_t era = 0;
 };
 
 // The result of a watch, as entries send it to each other: like watch_batch,
 // but with differences in place of large values. Several events may concern one
 // object; they apply in order.
 struct patched_batch {
-  std::uint64_t cursor = 0;
+  store_cursor cursor;
   bool reset = false;
   std::vector<patched_event> events;
 };
--- a/src/libsamphire/store/stand_in_handler.cc
+++ b/src/libsamphire/store/stand_in_handler.cc
@@ -160,9 +160,11 @@
     case store_call::kWatch: {
       const auto wait = std::min<std::uint64_t>(
           ParseNumber(QueryParameter(uri, "wait_ms")), kMaxWatchWaitMs);
-      const auto batch = objects_.Watch(
-          QueryParameter(uri, "prefix"),
-          ParseNumber(QueryParameter(uri, "after")), milliseconds(wait));
+      const auto batch =
+          objects_.Watch(QueryParameter(uri, "prefix"),
+                         {ParseNumber(QueryParameter(uri, "after")),
+                          ParseNumber(QueryParameter(uri, "era"))},
+                         milliseconds(wait));
       return {200, WriteBatch(batch.value()), {}};
     }
     case store_call::kInstances:
--- a/src/libsamphire/store/store_http_call.h
+++ b/src/libsamphire/store/store_http_call.h
@@ -27,6 +27,8 @@
   int status = 0;
   // Empty if the response has no Etag.
   std::string etag;
+  // Value of the header that http_store_options names; empty without it.
+  std::string era;
   std::string body;
 };
 
--- a/src/libsamphire/store/store_json.cc
+++ b/src/libsamphire/store/store_json.cc
@@ -117,8 +117,8 @@
     return fmt::format(R"({{"key":{},"version":{}}})", JsonQuote(event.key),
                        event.version);
   };
-  return fmt::format(R"({{"cursor":{},"reset":{},"events":[{}]}})",
-                     batch.cursor, batch.reset,
+  return fmt::format(R"({{"cursor":{},"era":{},"reset":{},"events":[{}]}})",
+                     batch.cursor.revision, batch.cursor.era, batch.reset,
                      JoinWithCommas(batch.events, write));
 }
 
@@ -126,8 +126,10 @@
   return CatchParseErrors<watch_batch>([&]() -> result<watch_batch> {
     const auto json = ParseObject(text);
     BOOST_OUTCOME_TRY(events, ReadArray(json, "events", ParseStoreEvent));
-    return watch_batch{json->getValue<std::uint64_t>("cursor"),
-                       json->getValue<bool>("reset"), std::move(events)};
+    const auto era = json->optValue<std::uint64_t>("era", 0);
+    return watch_batch{{json->getValue<std::uint64_t>("cursor"), era},
+                       json->getValue<bool>("reset"),
+                       std::move(events)};
   });
 }
 
--- a/src/libsamphire/store/watch_batch.h
+++ b/src/libsamphire/store/watch_batch.h
@@ -1,9 +1,9 @@
 #ifndef STORE_WATCH_BATCH_H_
 #define STORE_WATCH_BATCH_H_
 
-#include <cstdint>
 #include <vector>
 
+#include "store/store_cursor.h"
 #include "store/store_event.h"
 
 namespace samphire {
@@ -12,7 +12,7 @@
 // means that events were lost and everything has to be read again, or that the
 // events are a full listing.
 struct watch_batch {
-  std::uint64_t cursor = 0;
+  store_cursor cursor;
   bool reset = false;
   std::vector<store_event> events;
 };
--- a/src/libsamphire/traffic/mirror_messages.h
+++ b/src/libsamphire/traffic/mirror_messages.h
@@ -37,9 +37,8 @@
 // response is a patched_batch, or a watch_batch for peers that accept no other.
 struct mirror_request {
   std::string prefix;
-  // The platform's revision after which changes are returned; 0 requests all
-  // objects.
-  std::uint64_t cursor = 0;
+  // The position after which changes are returned; none requests all objects.
+  store_cursor cursor;
   // How long the peer may wait for a change before it returns an empty batch.
   std::uint32_t wait_ms = 0;
   // Returns all known objects regardless of their age, and does not wait.
@@ -80,7 +79,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, patched_event& event) {
-  archive(Bounded<kMaxMirrorKeyBytes>(event.key), event.version, event.change);
+  archive(Bounded<kMaxMirrorKeyBytes>(event.key), event.version, event.change,
+          event.era);
 }
 
 template <typename Archive>
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -76,9 +76,9 @@
       discovery_ends_at_(clock.now() + discovery_time) {}
 
 result<watch_batch> shared_store::Watch(const std::string& prefix,
-                                        std::uint64_t cursor,
+                                        store_cursor cursor,
                                         milliseconds wait) {
-  if (cursor != 0)
+  if (cursor.IsSet())
     return WatchFresh(prefix, cursor, wait);
   auto batch = List(prefix);
   if (!batch)
@@ -100,7 +100,7 @@
 }
 
 result<watch_batch> shared_store::WatchFresh(const std::string& prefix,
-                                             std::uint64_t cursor,
+                                             store_cursor cursor,
                                              milliseconds wait) {
   const auto plan = plan_();
   const auto peer_wait = std::min(wait, kPeerWatchTime);
@@ -186,7 +186,7 @@
     Log(log_level::kWarning, "started-from-peer",
         {{"prefix", prefix},
          {"peer", peer},
-         {"revision", batch.value().cursor},
+         {"revision", batch.value().cursor.revision},
          {"objects", batch.value().events.size()}});
     relay_.Publish(prefix, batch.value(), false);
     return batch;
@@ -234,9 +234,9 @@
                                             milliseconds timeout) {
   auto batch = FetchFromPeer(peer, request, timeout);
   if (batch || batch.error().code != result_code::kPeerMalformed ||
-      request.cursor == 0)
+      !request.cursor.IsSet())
     return batch;
-  request.cursor = 0;
+  request.cursor = {};
   return FetchFromPeer(peer, request, timeout);
 }
 
@@ -261,7 +261,7 @@
 }
 
 result<watch_batch> shared_store::WatchPlatform(const std::string& prefix,
-                                                std::uint64_t cursor,
+                                                store_cursor cursor,
                                                 milliseconds wait,
                                                 source_role role) {
   const bool is_watcher = role == source_role::kWatcher;
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -49,7 +49,7 @@
   // last known objects of any peer. Fails with kStoreUnreachable or
   // kStoreCorrupt.
   result<watch_batch> Watch(const std::string& prefix,
-                            std::uint64_t cursor,
+                            store_cursor cursor,
                             milliseconds wait) override;
 
  private:
@@ -65,7 +65,7 @@
 
   result<watch_batch> List(const std::string& prefix);
   result<watch_batch> WatchFresh(const std::string& prefix,
-                                 std::uint64_t cursor,
+                                 store_cursor cursor,
                                  milliseconds wait);
   // Watches the platform, or a substitute while the platform fails.
   result<watch_batch> WatchPlatformOrSubstitutes(const source_plan& plan,
@@ -84,7 +84,7 @@
                                     const mirror_request& request,
                                     milliseconds timeout);
   result<watch_batch> WatchPlatform(const std::string& prefix,
-                                    std::uint64_t cursor,
+                                    store_cursor cursor,
                                     milliseconds wait,
                                     source_role role);
   milliseconds ElapsedSince(time_point start) const;
