Keep what is known when the store comes back from an older copy

Cause: after a restore entries applied the copy as it was. A target that had said that it leaves was ready again, one that had gone was there again, and an evacuation younger than the copy ended, until their owners had written again what was lost. Class: an older state taken for a newer one because of where it comes from. Evidence: the failing test shows requests at a leaving target for all of the 4 s. A listing that is older than what was seen is requested again at growing intervals. Before and after: red before, passes; the suite of the adapter passes whole.

--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -30,11 +30,13 @@
 object_follower::object_follower(object_watcher& store,
                                  const clock_source& clock,
                                  std::string prefix,
-                                 change_handler on_change)
+                                 change_handler on_change,
+                                 object_ranker ranker)
     : store_(store),
       clock_(clock),
       prefix_(std::move(prefix)),
-      on_change_(std::move(on_change)) {}
+      on_change_(std::move(on_change)),
+      mirror_(std::move(ranker)) {}
 
 void object_follower::Start() {
   last_contact_ = clock_.now();
@@ -59,9 +61,17 @@
     delivered_once_ = true;
     on_change_(mirror_.objects());
   }
-  const bool needs_listing = !mirror_.cursor().IsSet();
-  return needs_listing || !batch.value().events.empty() ? kBatchDelay
-                                                        : milliseconds{0};
+  if (!mirror_.cursor().IsSet())
+    return ListingDelay();
+  return batch.value().events.empty() ? milliseconds{0} : kBatchDelay;
+}
+
+// A source that stays behind would otherwise be listed several times a second
+// by each entry, at the full price of a listing.
+milliseconds object_follower::ListingDelay() const {
+  constexpr std::uint32_t kMaxDoublings = 4;
+  return kBatchDelay *
+         (1U << std::min(mirror_.skipped_batches(), kMaxDoublings));
 }
 
 milliseconds object_follower::OnFailure(const error& failure) {
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -23,11 +23,13 @@
   using change_handler = std::function<void(const object_mirror::object_map&)>;
 
   // `on_change` is called with the first complete listing and after each
-  // change. `store` and `clock` must outlive the follower.
+  // change. `ranker` orders the versions of an object. `store` and `clock` must
+  // outlive the follower.
   object_follower(object_watcher& store,
                   const clock_source& clock,
                   std::string prefix,
-                  change_handler on_change);
+                  change_handler on_change,
+                  object_ranker ranker = nullptr);
 
   // Starts the thread. To be called once.
   void Start();
@@ -40,6 +42,8 @@
   // Makes one watch and processes its result. Returns the delay before the next
   // one.
   milliseconds Step();
+  // Returns the delay before a listing is requested again.
+  milliseconds ListingDelay() const;
   // Logs the start of an outage and removes expired objects. Returns the
   // backoff.
   milliseconds OnFailure(const error& failure);
