Let the soak's store come back from copies

In each of the soak's seeds the store now and then goes back to an earlier copy, in series and beside all other faults; its owners write again what was lost. A new check: after the last fault each entry has the last configuration in force. Seeds draw the other faults as before.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -34,7 +34,8 @@
 
 // Injects faults at random and concurrently: entries are stopped, suspended,
 // killed and restarted; links are delayed, cut in one or both directions and
-// reset; targets fail and drain; the store refuses calls and loses its history.
+// reset; targets fail and drain; the store refuses calls, loses its history and
+// comes back from copies.
 // Guards against a claim that runs twice, a response to another request, a
 // request that ran although its caller was told that it did not, and an entry
 // that does not recover.
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -45,6 +45,7 @@
 soak_world::soak_world(std::uint64_t seed)
     : seed_(seed),
       random_(seed),
+      restore_random_(seed),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
   std::filesystem::create_directories(folder_);
@@ -101,9 +102,37 @@
       one.settings_path + ".log", child_output::kLog);
 }
 
-void soak_world::Register(const target& one, const std::string& state) {
-  store_.Write("servers/" + one.process->id(),
-               platform::TargetObject(one.link->address(), one.service, state));
+void soak_world::Register(target& one, const std::string& state) {
+  one.state = state;
+  store_.Write(
+      "servers/" + one.process->id(),
+      platform::Replaced(
+          platform::TargetObject(one.link->address(), one.service, state),
+          R"("seq":4)", fmt::format(R"("seq":{})", ++reports_)));
+}
+
+void soak_world::WriteConfiguration() {
+  store_.Write("config/main",
+               platform::ManifestObject(fmt::format("{:08x}", version_)));
+}
+
+// A store that comes back is away for a moment before, and its owners need up
+// to two seconds to write again what it has lost.
+void soak_world::InjectRestore() {
+  if (restore_random_() % 3 != 0) {
+    store_.TakeCopy();
+    return;
+  }
+  const int refusing = store_.refuse_with.exchange(503);
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(restore_random_() % 500));
+  store_.RestoreCopy();
+  store_.refuse_with = refusing;
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(restore_random_() % 1000));
+  WriteConfiguration();
+  for (auto& each : targets_)
+    Register(each, each.state);
 }
 
 std::vector<soak_finding> soak_world::Run(std::chrono::seconds fault_duration) {
@@ -130,6 +159,7 @@
   for (auto& caller : callers)
     caller.join();
   CheckRecovery();
+  CheckConfiguration();
   CheckClaims();
   CheckBrokenRequests();
   CheckLogs();
@@ -138,6 +168,8 @@
 
 // Injects one random fault or ends one. Faults of successive calls overlap.
 void soak_world::InjectFault() {
+  if (restore_random_() % 8 == 0)
+    InjectRestore();
   auto& one = *entries_[random_() % entries_.size()];
   auto& hit = targets_[random_() % targets_.size()];
   switch (random_() % 10) {
@@ -166,8 +198,8 @@
       store_.history_gone = random_() % 3 == 0;
       break;
     default:
-      store_.Write("config/main",
-                   platform::ManifestObject(fmt::format("{:08x}", ++version_)));
+      ++version_;
+      WriteConfiguration();
   }
 }
 
@@ -377,6 +409,25 @@
   }
 }
 
+// The last configuration was confirmed after the last restore of the store.
+void soak_world::CheckConfiguration() {
+  const auto expected = fmt::format(R"("version":{},)", version_);
+  for (const auto& each : entries_) {
+    const auto is_in_force = [&] {
+      std::ifstream file(each->settings_path + ".log");
+      std::string last;
+      for (std::string line; std::getline(file, line);) {
+        if (line.find(R"("event":"config-in-force")") != std::string::npos)
+          last = line;
+      }
+      return last.find(expected) != std::string::npos;
+    };
+    if (!WaitUntil(is_in_force, kRecoveryTimeout))
+      AddFinding("the last configuration is in force",
+                 fmt::format("{} without {}", each->caller_address, expected));
+  }
+}
+
 void soak_world::AddFinding(std::string guarantee, std::string detail) {
   std::lock_guard guard(lock_);
   findings_.push_back({std::move(guarantee),
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -61,6 +61,8 @@
     std::unique_ptr<platform::wire_target> process;
     std::unique_ptr<relay> link;
     std::string service;
+    // The state that it registered last.
+    std::string state;
   };
   // A request whose connection was closed without a complete response.
   struct broken_request {
@@ -80,7 +82,12 @@
 
   void StartEntry(entry& one);
   // Writes the object of a target, with its state, to the store.
-  void Register(const target& one, const std::string& state);
+  void Register(target& one, const std::string& state);
+  // Writes the configuration of the current version to the store.
+  void WriteConfiguration();
+  // Takes a copy of the store, or brings it back from the last one; its owners
+  // then write again what was lost.
+  void InjectRestore();
   // Inject a random fault, or end one.
   void InjectFault();
   void InjectEntryFault(entry& one);
@@ -96,15 +103,20 @@
   void CheckLogs();
   std::vector<std::string> LogLines() const;
   void CheckRecovery();
+  void CheckConfiguration();
   void AddFinding(std::string guarantee, std::string detail);
 
   const std::uint64_t seed_;
   std::mt19937_64 random_;
+  // Decides on restores of the store, apart from the other faults.
+  std::mt19937_64 restore_random_;
   const std::filesystem::path folder_;
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
   std::vector<target> targets_;
   std::uint64_t version_ = 1;
+  // Number of reports that targets have written.
+  int reports_ = 0;
   std::atomic<bool> sending_{false};
   std::atomic<int> sent_{0};
   std::atomic<int> served_{0};
