Tell callers when a request that is under suspicion is tried again

A request that was lost beside the cause of a crash is tried again after 0.5 to 2 s, but its callers were told to come back after a minute, longer than they wait. Retry-After is now the time until the trial, or until the quarantine ends.

--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -98,6 +98,15 @@
   return term != nullptr && now < term->ends_at;
 }
 
+duration crash_quarantine::RefusedFor(request_fingerprint fingerprint,
+                                      time_point now) {
+  if (const auto* term = quarantined_.Find(fingerprint, now))
+    return std::max(duration{0}, term->ends_at - now);
+  if (const auto* known = suspects_.Find(fingerprint, now))
+    return std::max(duration{0}, known->refused_until - now);
+  return duration{0};
+}
+
 std::vector<std::string> crash_quarantine::TargetsLostWith(
     request_fingerprint fingerprint,
     time_point now) {
--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -29,6 +29,10 @@
   // Decides how a request with this fingerprint may run now.
   quarantine_decision Decide(request_fingerprint fingerprint, time_point now);
 
+  // Returns for how long a request that Decide() reports as quarantined is
+  // refused; 0 for any other.
+  duration RefusedFor(request_fingerprint fingerprint, time_point now);
+
   // Returns the targets that were lost while the request, a suspect, ran on
   // them.
   std::vector<std::string> TargetsLostWith(request_fingerprint fingerprint,
--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -39,6 +39,12 @@
   return quarantine_.Decide(fingerprint, clock_.now());
 }
 
+milliseconds fleet_quarantine::RefusedFor(request_fingerprint fingerprint) {
+  std::lock_guard guard(lock_);
+  return std::chrono::ceil<milliseconds>(
+      quarantine_.RefusedFor(fingerprint, clock_.now()));
+}
+
 std::vector<std::string> fleet_quarantine::LostTargets(
     request_fingerprint fingerprint) {
   std::lock_guard guard(lock_);
--- a/src/libsamphire/gateway/fleet_quarantine.h
+++ b/src/libsamphire/gateway/fleet_quarantine.h
@@ -29,6 +29,8 @@
 
   // Returns how a request with this fingerprint may run now.
   quarantine_decision DecisionFor(request_fingerprint fingerprint);
+  // Returns for how long a request in quarantine is refused; 0 for any other.
+  milliseconds RefusedFor(request_fingerprint fingerprint);
   // Returns the targets that were lost while the request, a suspect, ran on
   // them.
   std::vector<std::string> LostTargets(request_fingerprint fingerprint);
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -28,11 +28,9 @@
 // Retry time given to callers whose request waits for the end of another run of
 // the same request, which was lost with a target before.
 constexpr milliseconds kSuspectRetryAfter{300};
-// Retry time given to callers whose request crashes targets: longer than
-// callers wait.
-constexpr milliseconds kQuarantineRetryAfter{60'000};
 
-// Returns a name that no other process of a target ever has.
+// Returns a name of the target's process. Only a target that tells its start
+// has another one after a restart.
 std::string ProcessNameOf(const live_target& target) {
   return fmt::format("{}@{}", target.id, target.started_ms);
 }
@@ -145,7 +143,8 @@
     case quarantine_decision::kQuarantined:
       break;
   }
-  FinishWithoutAttempt(result_code::kCrashesTargets, kQuarantineRetryAfter);
+  FinishWithoutAttempt(result_code::kCrashesTargets,
+                       context_.quarantine.RefusedFor(request_.fingerprint));
   return false;
 }
 
@@ -158,7 +157,6 @@
   quarantine.AttemptFinished(request_.fingerprint, process, OutcomeOf(end),
                              context_.clock.now() - sent_at);
   if (end.attempt.notice) {
-    // Without a start, a new process may have the name of one that crashed.
     if (target.started_ms != 0)
       quarantine.TargetResponded(process, sent_at);
     context_.notices.OnResponse(target, *end.attempt.notice, sent_at);
--- a/tests/decision/crash_quarantine_test.cc
+++ b/tests/decision/crash_quarantine_test.cc
@@ -258,6 +258,9 @@
         quarantine_decision::kQuarantined);
   CHECK(entry.Decide(kBeside, kNow + 100ms) ==
         quarantine_decision::kQuarantined);
+  // Callers are told when each is tried again.
+  CHECK(entry.RefusedFor(kBeside, kNow + 100ms) > 0ms);
+  CHECK(entry.RefusedFor(kBeside, kNow + 100ms) <= 2s);
   // Each is tried again, and the one that crashes targets does so.
   auto at = kNow + 100ms;
   while (entry.Decide(kCrasher, at) == quarantine_decision::kQuarantined)
