--- a/bench/slow_store.h
+++ b/bench/slow_store.h
@@ -49,7 +49,7 @@
     return MakeError(result_code::kStoreRefused);
   }
   result<watch_batch> Watch(const std::string&,
-                            std::uint64_t,
+                            store_cursor,
                             milliseconds) override {
     return MakeError(result_code::kStoreRefused);
   }
