Compare cursors in the linter's terms

The linter takes the operator that the compiler writes for a comparison with 0, and its library can't rotate ranges. No change of behaviour.

--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -146,8 +146,9 @@
   if (!requests.empty()) {
     const auto first =
         (ticks_ / kTicksPerNews * kMaxNewsRequests) % requests.size();
-    std::ranges::rotate(requests,
-                        requests.begin() + static_cast<std::ptrdiff_t>(first));
+    std::rotate(requests.begin(),
+                requests.begin() + static_cast<std::ptrdiff_t>(first),
+                requests.end());
   }
   requests.resize(count);
   return {.losses = {}, .quarantined = std::move(requests), .released = {}};
--- a/src/libsamphire/store/store_cursor.h
+++ b/src/libsamphire/store/store_cursor.h
@@ -22,8 +22,13 @@
 
   constexpr bool IsSet() const { return revision != 0; }
 
-  friend constexpr auto operator<=>(const store_cursor&,
-                                    const store_cursor&) = default;
+  friend constexpr bool operator==(const store_cursor&,
+                                   const store_cursor&) = default;
+  friend constexpr std::strong_ordering operator<=>(const store_cursor& a,
+                                                    const store_cursor& b) {
+    const auto by_era = a.era <=> b.era;
+    return std::is_neq(by_era) ? by_era : a.revision <=> b.revision;
+  }
 
   template <typename Archive>
   void serialize(Archive& archive) {
