--- a/tests/gateway/fleet_quarantine_test.cc
+++ b/tests/gateway/fleet_quarantine_test.cc
@@ -22,7 +22,7 @@
   struct entry {
     entry(transport_router& router,
           const std::string& name,
-          news_peers peers,
+          const news_peers& peers,
           const clock_source& clock)
         : transport(router, name),
           quarantine(
