Take what was released from quarantine under the lock that released it

Found on reading the change: each attempt took the quarantine's lock twice more to ask whether anything was released. No change of behaviour; test_gateway passes.

--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -62,12 +62,14 @@
                                        attempt_outcome outcome,
                                        duration ran) {
   std::optional<crash_notice> notice;
+  std::vector<request_fingerprint> released;
   {
     std::lock_guard guard(lock_);
     notice = quarantine_.OnAttemptFinished(fingerprint, target, outcome,
                                            clock_.now(), ran);
+    released = quarantine_.TakeReleased();
   }
-  PublishReleased();
+  PublishReleased(std::move(released));
   if (!notice)
     return;
   Log(log_level::kWarning, "target-lost-with-request",
@@ -84,19 +86,17 @@
 
 void fleet_quarantine::TargetResponded(const std::string& target,
                                        time_point sent_at) {
+  std::vector<request_fingerprint> released;
   {
     std::lock_guard guard(lock_);
     quarantine_.OnTargetResponded(target, sent_at, clock_.now());
+    released = quarantine_.TakeReleased();
   }
-  PublishReleased();
+  PublishReleased(std::move(released));
 }
 
-void fleet_quarantine::PublishReleased() {
-  std::vector<request_fingerprint> released;
-  {
-    std::lock_guard guard(lock_);
-    released = quarantine_.TakeReleased();
-  }
+void fleet_quarantine::PublishReleased(
+    std::vector<request_fingerprint> released) {
   if (released.empty())
     return;
   for (const auto fingerprint : released) {
--- a/src/libsamphire/gateway/fleet_quarantine.h
+++ b/src/libsamphire/gateway/fleet_quarantine.h
@@ -58,8 +58,8 @@
   std::uint64_t targets_lost() const;
 
  private:
-  // Tells the other entries what this entry has released from quarantine.
-  void PublishReleased();
+  // Tells the other entries what this entry has released, if anything.
+  void PublishReleased(std::vector<request_fingerprint> released);
   // Logs a change of the decision about the request.
   void LogDecision(request_fingerprint fingerprint, const char* source);
   // Returns up to one message of requests in quarantine, a different part of
