Add failing tests of a quarantine that leaks when entries restart

Five tests, red on this code: - losses that overlap count otherwise in another order; - entries that are back before the others miss them are told when their turn comes; - a conviction reaches entries that missed a loss by turns; - so it does the entry that saw the last loss and none before; - the pause of a suspect is told to nobody.

--- a/tests/decision/crash_quarantine_test.cc
+++ b/tests/decision/crash_quarantine_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -280,3 +281,27 @@
   entry.OnQuarantined({kPoll, 600}, kNow);
   CHECK(entry.Decide(kPoll, kNow) == quarantine_decision::kUnrestricted);
 }
+
+// Guards against entries that hear of the same losses in another order and
+// conclude otherwise: one refuses a request that another one still sends.
+TEST_CASE("losses count alike in whatever order they are heard of") {
+  // Three runs, the second of which overlaps both others.
+  const std::vector<crash_notice> losses = {
+      {.fingerprint = kCrasher, .target = "t0", .alone = true, .ran_ms = 100},
+      {.fingerprint = kCrasher, .target = "t1", .alone = true, .ran_ms = 150},
+      {.fingerprint = kCrasher, .target = "t2", .alone = true, .ran_ms = 50}};
+  const std::vector<time_point> lost_at = {kNow, kNow + 60ms, kNow + 80ms};
+  crash_quarantine in_order;
+  for (const std::size_t i : {0, 1, 2})
+    in_order.OnNotice(losses[i], lost_at[i]);
+  CHECK(in_order.Decide(kCrasher, kNow + 1s) ==
+        quarantine_decision::kQuarantined);
+  // The first loss is heard of last, by the time it happened.
+  crash_quarantine out_of_order;
+  for (const std::size_t i : {1, 2})
+    out_of_order.OnNotice(losses[i], lost_at[i]);
+  auto late = losses[0];
+  out_of_order.OnNotice(late, kNow);
+  CHECK(out_of_order.Decide(kCrasher, kNow + 1s) ==
+        quarantine_decision::kQuarantined);
+}
--- a/tests/gateway/fleet_quarantine_test.cc
+++ b/tests/gateway/fleet_quarantine_test.cc
@@ -16,6 +16,8 @@
 
 constexpr request_fingerprint kCrasher = 1;
 constexpr std::size_t kEntriesPerRegion = 3;
+// So many that a turn of ordinary news reaches few of them.
+constexpr std::size_t kEntriesOfLargeRegion = 10;
 
 // Two regions of entries that know each other. Addresses are "REGION/NUMBER".
 struct quarantine_fleet {
@@ -36,16 +38,17 @@
     fleet_quarantine quarantine;
   };
 
-  quarantine_fleet() {
+  explicit quarantine_fleet(std::size_t entries_per_region = kEntriesPerRegion)
+      : region_size(entries_per_region) {
     for (const std::string region : {"a", "b"}) {
-      for (std::size_t i = 0; i < kEntriesPerRegion; ++i)
+      for (std::size_t i = 0; i < region_size; ++i)
         Start(region + "/" + std::to_string(i));
     }
   }
   void Start(const std::string& name) {
     news_peers peers;
     const auto region = name.substr(0, 1);
-    for (std::size_t i = 0; i < kEntriesPerRegion; ++i) {
+    for (std::size_t i = 0; i < region_size; ++i) {
       const auto peer = region + "/" + std::to_string(i);
       if (peer != name)
         peers.region.push_back(peer);
@@ -78,6 +81,7 @@
     return count;
   }
 
+  const std::size_t region_size;
   manual_clock clock;
   transport_router router;
   std::map<std::string, std::unique_ptr<entry>> entries;
@@ -132,3 +136,67 @@
   CHECK(fleet.router.messages <= 2 * 100 * entries);
   CHECK(fleet.router.bytes <= std::size_t{100} * 100 * fleet.entries.size());
 }
+
+// Guards against an entry that is killed and back before the others miss it,
+// and sends what crashes targets until its turn to be told comes.
+TEST_CASE("an entry that is back at once asks what is in quarantine") {
+  quarantine_fleet fleet(kEntriesOfLargeRegion);
+  fleet.Tick(2);
+  fleet.Lose("a/1", "t0");
+  fleet.Lose("a/2", "t1");
+  REQUIRE(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
+  for (const std::string name : {"a/3", "a/4", "a/5", "a/6"})
+    fleet.Start(name);
+  fleet.Tick(1);
+  CHECK(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
+}
+
+// Guards against entries that go on with a request that others have convicted,
+// since a datagram about one of its losses did not reach them.
+TEST_CASE("a conviction reaches entries that missed a loss at once") {
+  quarantine_fleet fleet;
+  fleet.router.is_reachable = [](const auto&, const auto& to) {
+    return to != "a/2" && to != "b/2";
+  };
+  fleet.Lose("a/1", "t0");
+  fleet.router.is_reachable = [](const auto&, const auto&) { return true; };
+  fleet.Lose("a/1", "t1");
+  CHECK(fleet.Refusing() == 2 * kEntriesPerRegion);
+}
+
+// Guards against a loss seen by an entry that knows nothing of those before:
+// the others convict, and the one that sends the request goes on.
+TEST_CASE("an entry that missed the losses before its own hears the verdict") {
+  quarantine_fleet fleet(kEntriesOfLargeRegion);
+  fleet.Tick(2);
+  fleet.router.is_reachable = [](const auto&, const auto& to) {
+    return to != "a/7";
+  };
+  fleet.Lose("a/1", "t0");
+  fleet.router.is_reachable = [](const auto&, const auto&) { return true; };
+  fleet.Lose("a/7", "t1");
+  fleet.Tick(1);
+  CHECK(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
+}
+
+// Guards against an entry that sends a suspect again while the others hold it
+// back until they know which of two requests crashes targets.
+TEST_CASE("the pause of a suspect holds at entries that missed a loss") {
+  quarantine_fleet fleet;
+  constexpr request_fingerprint kBeside = 2;
+  const auto lose_both = [&](const std::string& target) {
+    auto& quarantine = fleet.entries.at("a/1")->quarantine;
+    quarantine.AttemptStarted(kCrasher, target);
+    quarantine.AttemptStarted(kBeside, target);
+    fleet.clock.Advance(50ms);
+    for (const auto request : {kCrasher, kBeside})
+      quarantine.AttemptFinished(request, target, attempt_outcome::kLost, 50ms);
+  };
+  fleet.router.is_reachable = [](const auto&, const auto& to) {
+    return to != "a/2";
+  };
+  lose_both("t0");
+  fleet.router.is_reachable = [](const auto&, const auto&) { return true; };
+  lose_both("t1");
+  CHECK(fleet.Refusing() == 2 * kEntriesPerRegion);
+}
