Count losses of a request alike in whatever order they are heard of

Cause: a loss counted if its run began after the loss that was heard before it. Entries that hear the same losses in another order, or miss one, then count otherwise: one refuses the request for an hour, another pauses it and sends it again.

Change: a suspect keeps its latest 16 losses with begin and end of each run, and what counts is the longest series of runs that do not overlap, which does not depend on the order. A copy that is lost beside a counted loss no longer prolongs the pause.

--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -17,8 +17,10 @@
 // loss may be the target's own fault.
 constexpr std::size_t kCrashesToQuarantine = 2;
 // Losses of a request after which it is not tried again, whatever was lost with
-// it. As many are kept for each suspect, the latest ones.
-constexpr std::size_t kMaxCrashes = 5;
+// it.
+constexpr std::size_t kMaxTrialCrashes = 5;
+// Losses kept for each suspect, the latest ones.
+constexpr std::size_t kMaxKeptCrashes = 16;
 // Unit of the time for which a request that was lost with two targets or more,
 // each time beside others, is refused before it is tried again.
 constexpr milliseconds kTrialPause{500};
@@ -57,6 +59,25 @@
   return rest;
 }
 
+// Copies of a poll run on many targets at any time. If several of these go down
+// at once, for whatever reason, all copies are lost together, which says no
+// more against the poll than one loss. So a loss counts only if its run began
+// after the loss before it: a request that crashes targets does so again and
+// again. The longest such series of the losses that `counts` selects is the
+// same in whatever order entries hear of them. `crashes` are ordered by the
+// time of the loss.
+template <typename Crash, typename Predicate>
+std::vector<Crash> LongestSeries(const std::vector<Crash>& crashes,
+                                 Predicate counts) {
+  std::vector<Crash> series;
+  for (const auto& each : crashes) {
+    if (counts(each) &&
+        (series.empty() || each.started_at >= series.back().lost_at))
+      series.push_back(each);
+  }
+  return series;
+}
+
 // Returns the time until the next trial. Requests that were lost together are
 // tried at different times, so that the next loss tells them apart.
 duration TrialPause(request_fingerprint fingerprint, std::size_t crashes) {
@@ -139,10 +160,12 @@
   if (outcome != attempt_outcome::kLost || StartedAfterLoss(target, now))
     return std::nullopt;
   const bool alone = RecordLoss(target, fingerprint, others > 0, now);
-  RecordSuspect(fingerprint, {target, alone, now}, now - ran, now);
+  RecordSuspect(fingerprint, {target, alone, now - ran, now}, now);
   const auto ran_ms = std::chrono::duration_cast<milliseconds>(ran).count();
-  return crash_notice{fingerprint, target, alone,
-                      static_cast<std::uint32_t>(ran_ms)};
+  return crash_notice{.fingerprint = fingerprint,
+                      .target = target,
+                      .alone = alone,
+                      .ran_ms = static_cast<std::uint32_t>(ran_ms)};
 }
 
 void crash_quarantine::OnNotice(const crash_notice& notice, time_point now) {
@@ -150,8 +173,9 @@
   // outcomes have not been reported yet.
   const bool shared = !notice.alone || running_on_.contains(notice.target);
   const bool alone = RecordLoss(notice.target, notice.fingerprint, shared, now);
-  RecordSuspect(notice.fingerprint, {notice.target, alone, now},
-                now - milliseconds(notice.ran_ms), now);
+  const auto started_at = now - milliseconds(notice.ran_ms);
+  RecordSuspect(notice.fingerprint, {notice.target, alone, started_at, now},
+                now);
 }
 
 // When the connections of many entries break at once, or a domain goes down,
@@ -266,58 +290,60 @@
   return !event.shared;
 }
 
-// Copies of a poll run on many targets at any time. If several of these go down
-// at once, for whatever reason, all copies are lost together, which says no
-// more against the poll than one loss. So a loss counts only if its run began
-// after the loss before it: a request that crashes targets does so again and
-// again.
+void crash_quarantine::AddCrash(std::vector<crash_record>& crashes,
+                                const crash_record& crash) {
+  const auto same =
+      std::ranges::find(crashes, crash.target, &crash_record::target);
+  if (same != crashes.end()) {
+    same->alone = same->alone || crash.alone;
+    return;
+  }
+  const auto later = std::ranges::upper_bound(
+      crashes, crash.lost_at, std::ranges::less{}, &crash_record::lost_at);
+  crashes.insert(later, crash);
+  if (crashes.size() > kMaxKeptCrashes)
+    crashes.erase(crashes.begin());
+}
+
 void crash_quarantine::RecordSuspect(request_fingerprint fingerprint,
                                      const crash_record& crash,
-                                     time_point started_at,
                                      time_point now) {
   if (IsQuarantined(fingerprint, now))
     return;
   auto& known = suspects_.Touch(fingerprint, now);
-  auto& crashes = known.crashes;
-  const auto same = std::find_if(
-      crashes.begin(), crashes.end(),
-      [&](const crash_record& each) { return each.target == crash.target; });
-  if (same != crashes.end())
-    same->alone = same->alone || crash.alone;
-  else if (crashes.empty() || started_at >= crashes.back().lost_at)
-    crashes.push_back(crash);
-  else
+  const auto counted_before =
+      CountedCrashes(fingerprint, known.crashes, now).size();
+  AddCrash(known.crashes, crash);
+  const auto counted = CountedCrashes(fingerprint, known.crashes, now);
+  if (counted.size() < kCrashesToQuarantine)
     return;
-  if (crashes.size() > kMaxCrashes)
-    crashes.erase(crashes.begin());
-  const auto counted = CountedCrashes(fingerprint, crashes, now);
-  if (counted < kCrashesToQuarantine)
+  const auto alone = LongestSeries(
+      known.crashes, [](const crash_record& each) { return each.alone; });
+  const bool is_cause = alone.size() >= kCrashesToQuarantine ||
+                        counted.size() >= kMaxTrialCrashes ||
+                        (counted.size() > kCrashesToQuarantine &&
+                         !HasRival(fingerprint, counted));
+  if (is_cause) {
+    Quarantine(fingerprint, known.crashes, now);
     return;
-  const auto alone = std::ranges::count_if(
-      crashes, [](const crash_record& each) { return each.alone; });
-  const bool is_cause =
-      static_cast<std::size_t>(alone) >= kCrashesToQuarantine ||
-      counted >= kMaxCrashes ||
-      (counted > kCrashesToQuarantine && !HasRival(fingerprint, crashes));
-  if (is_cause)
-    Quarantine(fingerprint, crashes, now);
-  else
-    known.refused_until = now + TrialPause(fingerprint, counted);
+  }
+  // A copy that is lost beside these losses is no reason for a longer pause.
+  if (counted.size() > counted_before)
+    known.refused_until = now + TrialPause(fingerprint, counted.size());
 }
 
 // A poll that every control room sends runs on many targets at any time, so two
 // crashes caused by another request may count against it twice. It differs from
 // the request that caused them in that it has been answered; so a shared loss
 // counts against a request only if no response to it is on record.
-std::size_t crash_quarantine::CountedCrashes(
+std::vector<crash_quarantine::crash_record> crash_quarantine::CountedCrashes(
     request_fingerprint fingerprint,
     const std::vector<crash_record>& crashes,
     time_point now) {
   const bool answered = answered_.Find(fingerprint, now) != nullptr;
-  const auto counted = std::ranges::count_if(
-      crashes,
-      [&](const crash_record& each) { return each.alone || !answered; });
-  return static_cast<std::size_t>(counted);
+  return LongestSeries(crashes, [&](const crash_record& each) {
+    return each.alone || !answered;
+  });
 }
 
 bool crash_quarantine::HasRival(request_fingerprint fingerprint,
--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -81,10 +81,11 @@
     std::string target;
     // Whether nothing else is known to have run on the target.
     bool alone = false;
+    time_point started_at;
     time_point lost_at;
   };
-  // A series of losses, each with a run that began after the one before.
   struct suspect {
+    // In the order of `lost_at`.
     std::vector<crash_record> crashes;
     // Until then the request is refused, after that it is tried again: it was
     // lost with several targets, but so were others.
@@ -119,13 +120,15 @@
   // has caused enough of them.
   void RecordSuspect(request_fingerprint fingerprint,
                      const crash_record& crash,
-                     time_point started_at,
                      time_point now);
+  static void AddCrash(std::vector<crash_record>& crashes,
+                       const crash_record& crash);
   bool IsQuarantined(request_fingerprint fingerprint, time_point now);
-  // Returns the number of losses that count against the request.
-  std::size_t CountedCrashes(request_fingerprint fingerprint,
-                             const std::vector<crash_record>& crashes,
-                             time_point now);
+  // Returns the losses that count against the request.
+  std::vector<crash_record> CountedCrashes(
+      request_fingerprint fingerprint,
+      const std::vector<crash_record>& crashes,
+      time_point now);
   // Whether another suspect was lost with all these targets as well.
   bool HasRival(request_fingerprint fingerprint,
                 const std::vector<crash_record>& crashes);
