Tell at once what an entry decides about requests that crash targets

Cause: only losses were told at once. What an entry concludes from them went to the others by turns, two entries every other second; the pause of a suspect went to nobody. An entry that is killed and back in half a second is never out of the region's list, so it had to wait for its turn too, and asked nobody. Class: a decision that binds all entries and reaches them when their turn comes.

What callers and targets saw: after the third loss the request went on to 10 targets at restarted entries, three of which were lost; they heard of it 1.2 to 4.0 s after their start.

Change: the entry that sees a loss tells all entries the conviction or the pause that follows. If it lacks the losses before, the others tell, the first whose tick comes. An entry that starts asks, and goes on until one answers that did not start with it.

Measured as a cost: entries that start together send at most 30 small messages each in five seconds, and none after. The test of that cost lets them start first, and bounds it.

--- a/src/libsamphire/decision/crash_notice.h
+++ b/src/libsamphire/decision/crash_notice.h
@@ -23,11 +23,13 @@
   bool alone = false;
   // How long the request had run there, in milliseconds.
   std::uint32_t ran_ms = 0;
+  // How long ago the target was lost, in milliseconds.
+  std::uint32_t age_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, Bounded<kMaxCrashedTargetBytes>(target), alone,
-            ran_ms);
+    archive(fingerprint, Bounded<kMaxCrashedTargetBytes>(target), alone, ran_ms,
+            age_ms);
   }
 };
 
--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -25,6 +25,8 @@
 // each time beside others, is refused before it is tried again.
 constexpr milliseconds kTrialPause{500};
 constexpr std::uint64_t kTrialSlots = 4;
+// Upper bound on a pause that another entry tells.
+constexpr milliseconds kMaxTrialPause{16'000};
 // Requests lost on one target within this time count as one loss of that
 // target.
 constexpr duration kLossWindow = std::chrono::seconds(1);
@@ -169,12 +171,17 @@
 }
 
 void crash_quarantine::OnNotice(const crash_notice& notice, time_point now) {
-  // Requests of this entry that run on the target are lost too, but their
-  // outcomes have not been reported yet.
-  const bool shared = !notice.alone || running_on_.contains(notice.target);
-  const bool alone = RecordLoss(notice.target, notice.fingerprint, shared, now);
-  const auto started_at = now - milliseconds(notice.ran_ms);
-  RecordSuspect(notice.fingerprint, {notice.target, alone, started_at, now},
+  const auto lost_at = now - milliseconds(notice.age_ms);
+  bool alone = notice.alone;
+  // What runs here by now started after an earlier loss.
+  if (now - lost_at < kLossWindow) {
+    // Requests of this entry that run on the target are lost too, but their
+    // outcomes have not been reported yet.
+    const bool shared = !notice.alone || running_on_.contains(notice.target);
+    alone = RecordLoss(notice.target, notice.fingerprint, shared, now);
+  }
+  const auto started_at = lost_at - milliseconds(notice.ran_ms);
+  RecordSuspect(notice.fingerprint, {notice.target, alone, started_at, lost_at},
                 now);
 }
 
@@ -215,6 +222,17 @@
   return requests;
 }
 
+std::optional<quarantined_request> crash_quarantine::QuarantinedRequest(
+    request_fingerprint fingerprint,
+    time_point now) {
+  if (!IsQuarantined(fingerprint, now))
+    return std::nullopt;
+  const auto left = std::chrono::floor<std::chrono::seconds>(
+      quarantined_.Find(fingerprint, now)->ends_at - now);
+  return quarantined_request{fingerprint,
+                             static_cast<std::uint32_t>(left.count())};
+}
+
 // A request that this entry has seen answered is quarantined only for losses
 // that this entry hears of itself: the sender may not know of the response.
 void crash_quarantine::OnQuarantined(const quarantined_request& request,
@@ -231,6 +249,47 @@
   suspects_.Erase(request.fingerprint);
 }
 
+std::optional<paused_request> crash_quarantine::PauseOf(
+    request_fingerprint fingerprint,
+    time_point now) {
+  const auto* known = suspects_.Find(fingerprint, now);
+  if (known == nullptr || now >= known->refused_until)
+    return std::nullopt;
+  const auto left =
+      std::chrono::floor<milliseconds>(known->refused_until - now);
+  return paused_request{fingerprint, static_cast<std::uint32_t>(left.count())};
+}
+
+void crash_quarantine::OnPaused(const paused_request& request, time_point now) {
+  if (answered_.Find(request.fingerprint, now) != nullptr ||
+      IsQuarantined(request.fingerprint, now))
+    return;
+  const auto ends_at =
+      now + std::min(milliseconds(request.remaining_ms), kMaxTrialPause);
+  auto& known = suspects_.Touch(request.fingerprint, now);
+  known.refused_until = std::max(known.refused_until, ends_at);
+}
+
+std::vector<crash_notice> crash_quarantine::SuspectedLosses(std::size_t limit,
+                                                            time_point now) {
+  std::vector<crash_notice> losses;
+  const auto in_ms = [](duration time) {
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(time).count());
+  };
+  suspects_.ForEach([&](request_fingerprint fingerprint, const suspect& each) {
+    for (const auto& crash : each.crashes) {
+      if (losses.size() < limit && now - crash.lost_at < kSuspicionTime)
+        losses.push_back({.fingerprint = fingerprint,
+                          .target = crash.target,
+                          .alone = crash.alone,
+                          .ran_ms = in_ms(crash.lost_at - crash.started_at),
+                          .age_ms = in_ms(now - crash.lost_at)});
+    }
+  });
+  return losses;
+}
+
 void crash_quarantine::OnReleased(request_fingerprint fingerprint,
                                   time_point now) {
   answered_.Touch(fingerprint, now);
--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -12,6 +12,7 @@
 #include "decision/attempt_outcome.h"
 #include "decision/crash_notice.h"
 #include "decision/expiring_lru_map.h"
+#include "decision/paused_request.h"
 #include "decision/quarantine_decision.h"
 #include "decision/quarantined_request.h"
 #include "decision/request_fingerprint.h"
@@ -61,8 +62,24 @@
 
   // Returns the requests in quarantine.
   std::vector<quarantined_request> QuarantinedRequests(time_point now);
+  // Returns the request as it is in quarantine; nothing if it is not.
+  std::optional<quarantined_request> QuarantinedRequest(
+      request_fingerprint fingerprint,
+      time_point now);
   // Applies what another entry has in quarantine.
   void OnQuarantined(const quarantined_request& request, time_point now);
+  // Returns the pause of the suspect; nothing if it may run now.
+  std::optional<paused_request> PauseOf(request_fingerprint fingerprint,
+                                        time_point now);
+  // Applies that another entry refuses the suspect until its next trial.
+  void OnPaused(const paused_request& request, time_point now);
+  // Returns the losses of all suspects, at most `limit`, for an entry that has
+  // started.
+  std::vector<crash_notice> SuspectedLosses(std::size_t limit, time_point now);
+  // Whether the request is refused for good, and not until a trial.
+  bool IsConvicted(request_fingerprint fingerprint, time_point now) {
+    return IsQuarantined(fingerprint, now);
+  }
   // Applies that another entry has released the request.
   void OnReleased(request_fingerprint fingerprint, time_point now);
   // Returns the suspects and the requests in quarantine that this entry has
--- a/src/libsamphire/peer/news_channel.h
+++ b/src/libsamphire/peer/news_channel.h
@@ -57,9 +57,10 @@
   }
   news_peers peers() const { return peers_(); }
 
-  // Called with the news of peers, on the transport's receiving thread. Must be
-  // set before the transport starts.
-  std::function<void(const News&)> on_news;
+  // Called with the news of peers and the address of the entry that sent or
+  // relayed them, on the transport's receiving thread. Must be set before the
+  // transport starts.
+  std::function<void(const News&, const std::string& from)> on_news;
 
  private:
   void Send(const std::string& address, const News& news) {
@@ -75,7 +76,7 @@
         Send(address, *news);
     }
     if (on_news)
-      on_news(*news);
+      on_news(*news, message.from);
   }
 
   peer_transport& transport_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -138,7 +138,8 @@
           {.max_connections = kPeerConnections},
           metrics_) {
   state_.SetBounds(settings_.bounds);
-  target_news_.on_news = [this](const target_news& news) {
+  target_news_.on_news = [this](const target_news& news,
+                                const std::string& /*from*/) {
     target_notices_.OnNews(news);
   };
   membership_.on_member_changed = [this](const member& /*changed*/) {
@@ -236,6 +237,7 @@
       entry_list_builder_.Build(membership_.members(), membership_.regions(),
                                 IsReady(), state_.leaving, clock_.now()));
   if (state_.entries().Get()->names != before->names) {
+    quarantine_.OnEntriesChanged();
     limiter_.OnEntriesChanged();
     target_limiter_.OnEntriesChanged();
   }
--- a/tests/gateway/fleet_quarantine_test.cc
+++ b/tests/gateway/fleet_quarantine_test.cc
@@ -125,6 +125,11 @@
 // Guards against load by messages: what is in quarantine is told all the time.
 TEST_CASE("a quarantine costs a few small messages a second") {
   quarantine_fleet fleet;
+  // Entries that start together ask each other for what they have missed.
+  fleet.Tick(5);
+  const auto started = static_cast<int>(fleet.entries.size());
+  CHECK(fleet.router.messages <= 5 * 2 * 3 * started);
+  fleet.router.messages = 0;
   fleet.Tick(10);
   CHECK(fleet.router.messages == 0);
   fleet.Lose("a/1", "t0");
@@ -141,7 +146,7 @@
 // and sends what crashes targets until its turn to be told comes.
 TEST_CASE("an entry that is back at once asks what is in quarantine") {
   quarantine_fleet fleet(kEntriesOfLargeRegion);
-  fleet.Tick(2);
+  fleet.Tick(6);
   fleet.Lose("a/1", "t0");
   fleet.Lose("a/2", "t1");
   REQUIRE(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
@@ -151,6 +156,22 @@
   CHECK(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
 }
 
+// Guards against an entry that asks only others which have restarted as well,
+// and takes it from them that nothing is in quarantine.
+TEST_CASE("an entry asks on until one answers that did not restart") {
+  quarantine_fleet fleet(kEntriesOfLargeRegion);
+  fleet.Tick(6);
+  fleet.Lose("a/1", "t0");
+  fleet.Lose("a/2", "t1");
+  fleet.router.is_reachable = [](const auto& from, const auto& to) {
+    return from[0] == to[0];
+  };
+  for (std::size_t i = 0; i + 1 < kEntriesOfLargeRegion; ++i)
+    fleet.Start("a/" + std::to_string(i));
+  fleet.Tick(4);
+  CHECK(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
+}
+
 // Guards against entries that go on with a request that others have convicted,
 // since a datagram about one of its losses did not reach them.
 TEST_CASE("a conviction reaches entries that missed a loss at once") {
@@ -168,7 +189,7 @@
 // the others convict, and the one that sends the request goes on.
 TEST_CASE("an entry that missed the losses before its own hears the verdict") {
   quarantine_fleet fleet(kEntriesOfLargeRegion);
-  fleet.Tick(2);
+  fleet.Tick(6);
   fleet.router.is_reachable = [](const auto&, const auto& to) {
     return to != "a/7";
   };
--- a/tests/traffic/target_limiter_model_test.cc
+++ b/tests/traffic/target_limiter_model_test.cc
@@ -59,7 +59,9 @@
     settings.min_fleet_size = kRegions;
     limiter = std::make_unique<target_limiter>(transport, channel, settings,
                                                state, clock, counters, 1);
-    channel.on_news = [this](const auto& news) { limiter->OnNews(news); };
+    channel.on_news = [this](const auto& news, const auto& /*from*/) {
+      limiter->OnNews(news);
+    };
   }
 
   routed_transport transport;
