Ask for the quarantine at the start already

Cause: an entry asked once membership had told it of others of its region or, a second later, of another one.

Change: it asks the entries through which it joins the fleet when its transport starts. Test: 'an entry asks those through which it joins the fleet', on a fleet that has not ticked yet.

--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -226,6 +226,12 @@
   }
 }
 
+// An entry serves callers before it knows others of the fleet.
+void fleet_quarantine::Ask(const std::vector<std::string>& addresses) {
+  for (const auto& address : addresses)
+    news_.SendTo(address, {.purpose = quarantine_news_purpose::kAsk});
+}
+
 void fleet_quarantine::OnEntriesChanged() {
   if (answered_)
     return;
--- a/src/libsamphire/gateway/fleet_quarantine.h
+++ b/src/libsamphire/gateway/fleet_quarantine.h
@@ -67,6 +67,9 @@
   void TargetResponded(const std::string& target, time_point sent_at);
   // Applies what another entry has told, and answers what it asks.
   void OnNews(const quarantine_news& news, const std::string& from);
+  // Asks the entries at these peer addresses for what they know. To be called
+  // at the start, with those through which this entry joins the fleet.
+  void Ask(const std::vector<std::string>& addresses);
   // Asks entries of the region and of others for what they know, unless one of
   // them has answered since this entry started. To be called when the list of
   // entries changes.
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -155,6 +155,7 @@
   RefreshEntryList();
   membership_.AddSeeds(settings_.seeds);
   transport_.Start();
+  quarantine_.Ask(settings_.seeds);
   membership_.Start();
   peer_front_.Start();
   caller_front_.Start();
--- a/tests/gateway/fleet_quarantine_test.cc
+++ b/tests/gateway/fleet_quarantine_test.cc
@@ -156,6 +156,17 @@
   CHECK(fleet.Refusing() == 2 * kEntriesOfLargeRegion);
 }
 
+// Guards against an entry that serves callers while it knows no other entry
+// yet.
+TEST_CASE("an entry asks those through which it joins the fleet") {
+  quarantine_fleet fleet;
+  fleet.Lose("a/1", "t0");
+  fleet.Lose("a/2", "t1");
+  fleet.Start("a/0");
+  fleet.entries.at("a/0")->quarantine.Ask({"a/9", "b/1"});
+  CHECK(fleet.Refusing() == 2 * kEntriesPerRegion);
+}
+
 // Guards against an entry that asks only others which have restarted as well,
 // and takes it from them that nothing is in quarantine.
 TEST_CASE("an entry asks on until one answers that did not restart") {
