Log when an entry suspects its own links to targets

No change of what is decided. Now link_monitor, pure, keeps which targets don't accept connections since when: link-suspect and link-trusted tell of two of a failure domain, or of two domains, without a success in between; the metric targets_unreachable counts them.

Connections are opened through an interface, connection_opener, so that tests can cut the links of one entry among several (tests/support cut_links: hang, reset, refuse new ones).

--- a/src/libsamphire/proxy/connection_pool.cc
+++ b/src/libsamphire/proxy/connection_pool.cc
@@ -1,11 +1,8 @@
 #include "proxy/connection_pool.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
-#include "proxy/dead_peer_timeout.h"
-
 namespace samphire {
 
 namespace {
@@ -19,11 +16,6 @@
 // towards one target, since its slots bound the work that is sent to it.
 constexpr std::size_t kMaxIdlePerAddress = 64;
 
-// Time without any acknowledgement after which a connection fails. Without it,
-// TCP would retransmit to a machine that lost power or is partitioned for many
-// minutes, and the waiting request would notice only at its deadline.
-constexpr milliseconds kDeadPeerTimeout{1000};
-
 // An idle connection must have no input. Readable means that it was closed, or
 // that an unsolicited response arrived, which must not be taken for the
 // response to the next request.
@@ -50,18 +42,8 @@
 result<connection_pool::pooled_connection> connection_pool::Open(
     const std::string& address,
     milliseconds connect_timeout) {
-  try {
-    Poco::Net::StreamSocket socket;
-    socket.connect(
-        Poco::Net::SocketAddress(address),
-        Poco::Timespan(
-            std::chrono::duration_cast<microseconds>(connect_timeout).count()));
-    socket.setNoDelay(true);
-    SetDeadPeerTimeout(socket, kDeadPeerTimeout);
-    return pooled_connection{socket, false};
-  } catch (const Poco::Exception& e) {
-    return MakeError(result_code::kTargetUnreachable, e.displayText());
-  }
+  BOOST_OUTCOME_TRY(socket, opener_.Open(address, connect_timeout));
+  return pooled_connection{socket, false};
 }
 
 void connection_pool::Release(const std::string& address,
--- a/src/libsamphire/proxy/connection_pool.h
+++ b/src/libsamphire/proxy/connection_pool.h
@@ -11,6 +11,7 @@
 #include "base/clock_source.h"
 #include "base/result.h"
 #include "base/sharded.h"
+#include "proxy/tcp_connection_opener.h"
 
 namespace samphire {
 
@@ -25,13 +26,18 @@
     bool reused = false;
   };
 
+  // `opener` must outlive the pool.
+  explicit connection_pool(
+      const connection_opener& opener = tcp_connection_opener::Default())
+      : opener_(opener) {}
+
   // Returns an idle connection that still appears open, or opens a new one.
   // Fails with kTargetUnreachable if connecting fails or exceeds the timeout.
   result<pooled_connection> Acquire(const std::string& address,
                                     milliseconds connect_timeout);
   // Opens a new connection in any case. Fails like Acquire().
-  static result<pooled_connection> Open(const std::string& address,
-                                        milliseconds connect_timeout);
+  result<pooled_connection> Open(const std::string& address,
+                                 milliseconds connect_timeout);
   // Makes a connection available for reuse. Over the bound per address, the
   // oldest idle connection is dropped.
   void Release(const std::string& address,
@@ -50,6 +56,7 @@
   std::optional<Poco::Net::StreamSocket> AcquireIdle(
       const std::string& address);
 
+  const connection_opener& opener_;
   sharded<idle_map> idle_;
 };
 
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -77,8 +77,8 @@
   if (time_left.count() <= 0)
     return MakeError(result_code::kDeadlineExceeded);
   const auto timeout = std::min(time_left, options_.connect_timeout);
-  auto acquired = fresh ? connection_pool::Open(address_, timeout)
-                        : pool_.Acquire(address_, timeout);
+  auto acquired =
+      fresh ? pool_.Open(address_, timeout) : pool_.Acquire(address_, timeout);
   if (!acquired)
     return acquired.error();
   connection_ = std::move(acquired.value());
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -68,6 +68,8 @@
   void SetDeadline(time_point deadline);
 
   exchange_stage stage() const { return stage_; }
+  // Whether Connect() opened a new connection.
+  bool is_new_connection() const { return connection_ && !connection_->reused; }
   // Whether the request failed on a reused connection, while it was sent or
   // before a complete response head was read: the likely cause is that the
   // target had closed the idle connection.
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -116,11 +116,8 @@
        .accept_unframed = true,
        .echo_header = request_.id.empty() ? "" : context_.headers.request_id,
        .echo_value = request_.id});
-  if (const auto connected = exchange.Connect(fresh); !connected) {
-    end.attempt.result = attempt_result::kConnectFailed;
-    end.reason = connected.error().code;
+  if (!ConnectToTarget(exchange, target, fresh, end))
     return true;
-  }
   // On an overloaded CPU, a request may have waited for so long that its caller
   // has disconnected; sending it would waste the target's capacity.
   if (caller_.IsDisconnected()) {
@@ -138,6 +135,26 @@
   return !exchange.failed_on_stale_connection() || fresh;
 }
 
+bool target_exchange::ConnectToTarget(http_exchange& exchange,
+                                      const live_target& target,
+                                      bool fresh,
+                                      target_exchange_end& end) {
+  const auto started = context_.clock.now();
+  const auto connected = exchange.Connect(fresh);
+  if (connected) {
+    if (exchange.is_new_connection())
+      context_.links.OnConnected(target);
+    return true;
+  }
+  // With little time left, a connection that is not opened tells nothing.
+  if (connected.error().code == result_code::kTargetUnreachable &&
+      request_.deadline - started >= kConnectTimeout)
+    context_.links.OnConnectFailed(target, started);
+  end.attempt.result = attempt_result::kConnectFailed;
+  end.reason = connected.error().code;
+  return false;
+}
+
 void target_exchange::ReceiveResponse(http_exchange& exchange,
                                       target_exchange_end& end) {
   const auto started = context_.clock.now();
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -37,6 +37,12 @@
   // was sent on a pooled connection that the target had already closed, so that
   // the target can't have received it.
   bool TryOnce(const live_target& target, bool fresh, target_exchange_end& end);
+  // Opens a connection to the target and reports that to the links. Returns
+  // false if it failed.
+  bool ConnectToTarget(http_exchange& exchange,
+                       const live_target& target,
+                       bool fresh,
+                       target_exchange_end& end);
   void ReceiveResponse(http_exchange& exchange, target_exchange_end& end);
   // Derives from the response's head whether the target has run the request.
   void ClassifyResponse(const Poco::Net::HTTPResponse& head,
--- /dev/null
+++ b/src/libsamphire/traffic/target_links.h
@@ -0,0 +1,58 @@
+#ifndef TRAFFIC_TARGET_LINKS_H_
+#define TRAFFIC_TARGET_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock_source.h"
+#include "metrics/metrics.h"
+#include "routing/link_monitor.h"
+
+namespace samphire {
+
+// What the threads of one entry know of its links to targets, and of the
+// entries through which it can reach them. Thread-safe.
+class target_links {
+ public:
+  // `clock` and `counters` must outlive this object.
+  target_links(const clock_source& clock, metrics& counters);
+
+  // As the functions of link_monitor.
+  target_path PathTo(const live_target& target);
+  bool IsLinkSuspect(const live_target& target);
+  bool IsUnreachable(const live_target& target);
+  void OnConnected(const live_target& target);
+  void OnConnectFailed(const live_target& target, time_point started);
+  std::optional<live_target> NextProbe();
+  std::size_t unreachable();
+
+  // Called when a target could not be reached, on the thread that tried. Must
+  // be set before the first request, and must not block.
+  std::function<void()> on_unreachable;
+
+  // Leaves the entry out of PassOver() for a second: it could not pass a
+  // request on.
+  void OnRelayFailed(const std::string& address);
+  // Removes the entries that failed recently, unless all of them did.
+  void PassOver(std::vector<std::string>& addresses);
+
+ private:
+  // Logs when the links of this entry come under suspicion or out of it. The
+  // lock must be held.
+  void LogChange(const live_target& target);
+
+  const clock_source& clock_;
+  metrics& metrics_;
+  std::mutex lock_;
+  link_monitor monitor_;
+  bool suspect_ = false;
+  std::map<std::string, time_point> failed_relays_;
+};
+
+}  // namespace samphire
+
+#endif  // TRAFFIC_TARGET_LINKS_H_
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -8,6 +8,7 @@
 #include "traffic/placement_client.h"
 #include "traffic/service_shards.h"
 #include "traffic/target_limiter.h"
+#include "traffic/target_links.h"
 #include "traffic/target_notices.h"
 #include "traffic/team_limiter.h"
 #include "traffic/traffic_headers.h"
@@ -29,6 +30,7 @@
   target_limiter& target_limits;
   target_notices& notices;
   fleet_quarantine& quarantine;
+  target_links& links;
   // Connections to targets and peers.
   connection_pool& pool;
   const clock_source& clock;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -64,11 +64,13 @@
 
 traffic_node::traffic_node(traffic_settings settings,
                            traffic_headers headers,
-                           peer_keys keys)
+                           peer_keys keys,
+                           const connection_opener& opener)
     : settings_(std::move(settings)),
       headers_(std::move(headers)),
       incarnation_(NewIncarnation()),
       shards_(settings_.disabled_mechanisms),
+      pool_(opener),
       transport_(settings_.peer_address,
                  settings_.place.instance,
                  incarnation_,
@@ -110,9 +112,11 @@
           [this] { return NewsPeers(); },
           clock_,
           metrics_),
+      links_(clock_, metrics_),
       context_{settings_,         headers_, state_,          shards_,
                placement_client_, limiter_, target_limiter_, target_notices_,
-               quarantine_,       pool_,    clock_,          metrics_},
+               quarantine_,       links_,   pool_,           clock_,
+               metrics_},
       placement_server_(transport_, context_),
       caller_front_(
           settings_.caller_address,
@@ -269,6 +273,8 @@
                static_cast<double>(quarantine_.quarantined()));
   metrics_.Set("targets_lost", "",
                static_cast<double>(quarantine_.targets_lost()));
+  metrics_.Set("targets_unreachable", "",
+               static_cast<double>(links_.unreachable()));
   return metrics_.Render();
 }
 
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -25,6 +25,7 @@
 #include "traffic/service_shards.h"
 #include "traffic/source_plan.h"
 #include "traffic/target_limiter.h"
+#include "traffic/target_links.h"
 #include "traffic/target_news_channel.h"
 #include "traffic/target_notices.h"
 #include "traffic/team_limiter.h"
@@ -41,9 +42,13 @@
 // except for Start() and Drain(), which are called once each.
 class traffic_node {
  public:
-  traffic_node(traffic_settings settings,
-               traffic_headers headers,
-               peer_keys keys);
+  // `opener` opens the connections to targets and peers; it must outlive this
+  // object.
+  traffic_node(
+      traffic_settings settings,
+      traffic_headers headers,
+      peer_keys keys,
+      const connection_opener& opener = tcp_connection_opener::Default());
   ~traffic_node();
 
   // Opens the ports and joins the fleet.
@@ -112,6 +117,7 @@
   target_limiter target_limiter_;
   target_notices target_notices_;
   fleet_quarantine quarantine_;
+  target_links links_;
   traffic_context context_;
   placement_server placement_server_;
   front_server caller_front_;
--- a/tests/platform_adapter/entry_fixture.cc
+++ b/tests/platform_adapter/entry_fixture.cc
@@ -32,9 +32,10 @@
   return settings;
 }
 
-std::unique_ptr<platform_entry> StartEntry(const platform_settings& settings) {
+std::unique_ptr<platform_entry> StartEntry(const platform_settings& settings,
+                                           const connection_opener& opener) {
   auto entry = std::make_unique<platform_entry>(
-      settings, peer_keys::Parse(settings.traffic.peer_key).value());
+      settings, peer_keys::Parse(settings.traffic.peer_key).value(), opener);
   entry->Start();
   return entry;
 }
@@ -43,8 +44,8 @@
   Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
   Poco::Net::HTTPRequest request(input.method, input.path, "HTTP/1.1");
   request.setHost("h.example");
-  request.set("Request-Id", "id-1");
-  request.set("Affinity-Key", "17");
+  request.set("Request-Id", input.id);
+  request.set("Affinity-Key", input.affinity_key);
   request.set("Request-Deadline", input.deadline);
   for (const auto& [name, value] : input.headers)
     request.add(name, value);
--- a/tests/platform_adapter/entry_fixture.h
+++ b/tests/platform_adapter/entry_fixture.h
@@ -19,7 +19,9 @@
 platform_settings TestSettings(const std::string& store);
 
 // Starts an entry that is ready once it has read the store.
-std::unique_ptr<platform_entry> StartEntry(const platform_settings& settings);
+std::unique_ptr<platform_entry> StartEntry(
+    const platform_settings& settings,
+    const connection_opener& opener = tcp_connection_opener::Default());
 
 // The parts of a response that tests check; `stamp` names the target that
 // served it.
@@ -36,6 +38,8 @@
   std::string path = "/read/x";
   std::string body;
   std::string deadline = "2000";
+  std::string id = "id-1";
+  std::string affinity_key = "17";
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
--- a/tests/platform_adapter/fleet_fixture.cc
+++ b/tests/platform_adapter/fleet_fixture.cc
@@ -19,7 +19,11 @@
     if (!settings.empty())
       one.traffic.seeds = {settings.front().traffic.peer_address};
     settings.push_back(one);
-    entries.push_back(StartEntry(one));
+    links.push_back(std::make_unique<cut_links>());
+    for (const auto* target :
+         {&targets.read_1, &targets.read_2, &targets.write_1, &targets.write_2})
+      links.back()->AddTarget(target->address());
+    entries.push_back(StartEntry(one, *links.back()));
   }
   for (const auto& one : settings)
     REQUIRE(Eventually([&] { return IsReady(one); }));
@@ -27,4 +31,10 @@
   std::this_thread::sleep_for(3s);
 }
 
+void ticking_fleet::Tick() {
+  std::lock_guard guard(entries_lock);
+  for (auto& entry : entries)
+    entry->Tick();
+}
+
 }  // namespace samphire::platform
--- a/tests/platform_adapter/repeated_crash_test.cc
+++ b/tests/platform_adapter/repeated_crash_test.cc
@@ -16,18 +16,12 @@
 const std::string kCrasher = "/read/crasher";
 
 // A fleet and two targets that one request crashes. They are back at once.
-struct crash_setup : fleet_setup {
+struct crash_setup : ticking_fleet {
   crash_setup() {
     for (auto* target : {&targets.read_1, &targets.read_2})
       target->crash_path = kCrasher;
   }
 
-  // Does what the program does about once a second.
-  void Tick() {
-    std::lock_guard guard(entries_lock);
-    for (auto& entry : entries)
-      entry->Tick();
-  }
   void Restart(std::size_t entry) {
     std::lock_guard guard(entries_lock);
     entries[entry].reset();
@@ -46,14 +40,6 @@
     Read(entry, kCrasher);
     REQUIRE(Eventually([&] { return Read(entry, "/read/x").status == 200; }));
   }
-
-  std::mutex entries_lock;
-  std::jthread ticker{[this](const std::stop_token& stop) {
-    while (!stop.stop_requested()) {
-      Tick();
-      std::this_thread::sleep_for(200ms);
-    }
-  }};
 };
 
 // Two crashes convict a request; copies at other entries may be running then.
--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -23,6 +23,9 @@
 // closed, in microseconds.
 constexpr Poco::Timespan::TimeDiff kCallerCheckIntervalUs = 5000;
 
+// Bounds the connections that a target serves, each with a thread. Those that a
+// cut holds open count as well.
+constexpr int kMaxConnections = 512;
 // Interval at which a run checks whether the target has crashed.
 constexpr std::chrono::milliseconds kCrashCheckInterval{1};
 
@@ -113,10 +116,11 @@
 
 }  // namespace
 
-wire_target::wire_target(std::string id) : id_(std::move(id)), threads_(2, 32) {
+wire_target::wire_target(std::string id)
+    : id_(std::move(id)), threads_(2, kMaxConnections) {
   Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(32);
+  params->setMaxThreads(kMaxConnections);
   server_ = std::make_unique<Poco::Net::HTTPServer>(
       new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
         return new target_handler(*this);
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -57,9 +57,10 @@
   target_notices notices{shards, target_limits, news, clock};
   fleet_quarantine quarantine{owner, [] { return news_peers{}; }, clock,
                               counters};
-  traffic_context context{settings,     headers, state,         shards,
-                          owner_client, limiter, target_limits, notices,
-                          quarantine,   pool,    clock,         counters};
+  target_links links{clock, counters};
+  traffic_context context{
+      settings, headers,    state, shards, owner_client, limiter, target_limits,
+      notices,  quarantine, links, pool,   clock,        counters};
   placement_server server{owner, context};
   placement_client client{requester, clock, counters, 100};
 
@@ -175,7 +176,8 @@
       fixture.settings,      fixture.headers,      empty,
       fixture.shards,        fixture.owner_client, fixture.limiter,
       fixture.target_limits, fixture.notices,      fixture.quarantine,
-      fixture.pool,          fixture.clock,        fixture.counters};
+      fixture.links,         fixture.pool,         fixture.clock,
+      fixture.counters};
   const placement_server server(fixture.owner, context);
   CHECK(fixture.RequireResponse().verdict ==
         remote_placement_verdict::kPlaceLocally);
