Add failing tests of entries that lose their links to targets

And a part of the class, red in tests/gateway: a target that answers one entry after its connection to another was reset still counts as lost at all others, so that two cuts convict a request.

--- a/tests/gateway/fleet_quarantine_test.cc
+++ b/tests/gateway/fleet_quarantine_test.cc
@@ -232,3 +232,16 @@
   lose_both("t1");
   CHECK(fleet.Refusing() == 2 * kEntriesPerRegion);
 }
+
+// Guards against requests that are refused, since cuts reset the connection on
+// which they ran, each time to another target: targets that respond afterwards
+// have not crashed, whoever hears it.
+TEST_CASE("a target that responds to any entry was not lost to others") {
+  quarantine_fleet fleet;
+  fleet.Lose("a/1", "t0");
+  fleet.clock.Advance(100ms);
+  fleet.entries.at("b/2")->quarantine.TargetResponded("t0", fleet.clock.now());
+  fleet.clock.Advance(10s);
+  fleet.Lose("a/1", "t1");
+  CHECK(fleet.Refusing() == 0);
+}
