Serve callers of an entry that has lost its links to targets

Cause: on the path by hosts a request could reach a target only by the connections of the entry that took it. Class: one entry's link is the only path, and is taken for the state of what is behind it.

What callers saw: 2 of 254 first tries served against 438 of 441 elsewhere.

Change: the entry that took the request stays in charge and asks another one to make the single attempt; that one connects to the target and passes the response on as it comes. Quarantine, permits, placing, retries and deadline stay where they were, and what the other entry says tells apart 'not sent', 'may have run' and 'the target closed'. Paths are chosen by link_monitor; a thread probes what can't be reached.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -131,6 +131,8 @@
      "The entry that the request was passed to did not answer."},
     {kTargetShedding, "target-shedding", 503, true,
      "Every target tried refused for its own load."},
+    {kTargetClosed, "target-closed", 502, true,
+     "The target closed the connection before any part of an answer."},
 
     {kLedgerUnavailable, "ledger-unavailable", 503, true,
      "The platform can't take the reservation, so the request is not run."},
@@ -174,6 +176,8 @@
      "The peer did not answer in time."},
     {kPeerDeclined, "peer-declined", 503, true,
      "The peer answered that it can't do what was asked."},
+    {kNoPathToTarget, "no-path-to-target", 503, true,
+     "No entry that was asked has a connection to the target; it did not run."},
 
     {kVersionConflict, "version-conflict", 409, false,
      "The configuration has another version than expected; not in force."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -81,6 +81,7 @@
   kCallerGone = 2205,
   kPeerLost = 2206,
   kTargetShedding = 2207,
+  kTargetClosed = 2208,
 
   // 23xx: requests with at-most-once semantics.
   kLedgerUnavailable = 2301,
@@ -107,6 +108,7 @@
   kPeerUnreachable = 4004,
   kPeerTimeout = 4005,
   kPeerDeclined = 4006,
+  kNoPathToTarget = 4007,
 
   // 50xx: operator calls.
   kVersionConflict = 5001,
--- a/src/libsamphire/routing/attempt_end.h
+++ b/src/libsamphire/routing/attempt_end.h
@@ -29,9 +29,12 @@
   // disconnected or sent an invalid, too long or late body, the attempt was
   // never made, or its placement lease expired.
   kCallerGone,
+  // The attempt was not made: neither this entry nor another one that it asked
+  // has a connection to the target. No evidence about the target.
+  kNotSent,
 };
 
-inline constexpr enum_names<attempt_result, 8> kAttemptResultNames{{
+inline constexpr enum_names<attempt_result, 9> kAttemptResultNames{{
     {attempt_result::kAnswered, "answered"},
     {attempt_result::kTargetError, "target-error"},
     {attempt_result::kTargetRefused, "target-refused"},
@@ -40,6 +43,7 @@
     {attempt_result::kLost, "lost"},
     {attempt_result::kTimedOut, "timed-out"},
     {attempt_result::kCallerGone, "caller-gone"},
+    {attempt_result::kNotSent, "not-sent"},
 }};
 
 // Describes the end of one attempt to the component that placed it.
--- a/src/libsamphire/routing/link_monitor.cc
+++ b/src/libsamphire/routing/link_monitor.cc
@@ -12,6 +12,8 @@
 // Failure domains with such targets until all links of this entry are
 // suspected.
 constexpr std::size_t kDomainsToSuspectLink = 2;
+// Time for which a connection that was opened proves that the links work.
+constexpr milliseconds kProofTime{500};
 // A target is probed as long as requests for it come within this time.
 constexpr duration kDoubtTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxDoubts = 4096;
@@ -66,9 +68,11 @@
   return found;
 }
 
-bool link_monitor::IsUnreachable(const live_target& target, time_point now) {
+bool link_monitor::IsDown(const live_target& target, time_point now) {
   const auto* known = doubts_.Find(target.id, now);
-  return known != nullptr && known->failed_at;
+  return known != nullptr && known->failed_at &&
+         connected_at_ + kProofTime >= *known->failed_at &&
+         !IsLinkSuspect(target, now);
 }
 
 void link_monitor::OnConnected(const live_target& target, time_point now) {
--- a/src/libsamphire/routing/link_monitor.h
+++ b/src/libsamphire/routing/link_monitor.h
@@ -30,8 +30,10 @@
   // entry's failures to connect are then no evidence against targets.
   bool IsLinkSuspect(const live_target& target, time_point now);
 
-  // Whether the last new connection to the target was not opened.
-  bool IsUnreachable(const live_target& target, time_point now);
+  // Whether the target is down as far as this entry can tell: the last new
+  // connection to it was not opened, and one to another target was, at about
+  // that time or since.
+  bool IsDown(const live_target& target, time_point now);
 
   // Reports that a new connection to the target was opened.
   void OnConnected(const live_target& target, time_point now);
--- a/src/libsamphire/routing/target_record.cc
+++ b/src/libsamphire/routing/target_record.cc
@@ -117,7 +117,8 @@
     misdirected_ = true;
     return milliseconds{0};
   }
-  if (end.result == attempt_result::kCallerGone)
+  if (end.result == attempt_result::kCallerGone ||
+      end.result == attempt_result::kNotSent)
     return milliseconds{0};
   failure_share_ +=
       ((IsFailure(end.result) ? 1.0 : 0.0) - failure_share_) * kFailureWeight;
--- a/src/libsamphire/traffic/placement_client.cc
+++ b/src/libsamphire/traffic/placement_client.cc
@@ -72,7 +72,9 @@
   remote_placement_end end_report{
       .id = lease_id,
       .service = service,
-      .result = end.result,
+      .result = end.result == attempt_result::kNotSent
+                    ? attempt_result::kCallerGone
+                    : end.result,
       .took_us = static_cast<std::uint64_t>(
           std::chrono::duration_cast<microseconds>(end.took).count()),
       .body_bytes = end.body_bytes};
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -15,6 +15,9 @@
 // Lower bound on the time for which a target is left alone after it had no
 // permit, so that a service with many requests does not ask for each of them.
 constexpr milliseconds kMinPermitPause{20};
+// Time for which a target is left alone that could not be reached directly nor
+// through other entries.
+constexpr milliseconds kNotSentPause{500};
 
 }  // namespace
 
@@ -228,6 +231,10 @@
   });
 }
 
+void request_placer::LeaveAlone(const live_target& target) {
+  Pause(target, context_.clock.now() + kNotSentPause);
+}
+
 void request_placer::Exclude(const std::string& target) {
   criteria_.excluded.push_back(target);
 }
--- a/src/libsamphire/traffic/request_placer.h
+++ b/src/libsamphire/traffic/request_placer.h
@@ -35,6 +35,9 @@
   // owner decides on that.
   milliseconds OnAttemptEnd(const placed_request& placed,
                             const attempt_end& end);
+  // Places no attempts of this entry at the target for a moment. Other entries
+  // may use it.
+  void LeaveAlone(const live_target& target);
   // Leaves the target with this id out of further attempts.
   void Exclude(const std::string& target);
 
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -9,6 +9,8 @@
 #include "front/header_names.h"
 #include "gateway/header_copy.h"
 #include "gateway/response_stream.h"
+#include "gateway/status_reader.h"
+#include "traffic/relayed_call.h"
 
 namespace samphire {
 
@@ -51,18 +53,28 @@
                                  response_sink& sink)
     : context_(context), request_(request), caller_(caller), sink_(sink) {}
 
+target_exchange_end target_exchange::Run(const live_target& target) {
+  return RunAt("", target);
+}
+
+target_exchange_end target_exchange::RunThrough(const std::string& relay,
+                                                const live_target& target) {
+  return RunAt(relay, target);
+}
+
 // A request that must not be repeated, or can't be because its body is not
 // buffered whole, is sent on a new connection. On a pooled connection that the
 // target is closing at that moment, it would be unknown whether the request
 // ran.
-target_exchange_end target_exchange::Run(const live_target& target) {
+target_exchange_end target_exchange::RunAt(const std::string& relay,
+                                           const live_target& target) {
   const auto started = context_.clock.now();
   target_exchange_end end;
   const bool needs_fresh_connection =
       !request_.route->idempotent || request_.body_rest != nullptr;
-  if (!TryOnce(target, needs_fresh_connection, end)) {
+  if (!TryOnce(relay, target, needs_fresh_connection, end)) {
     end = {};
-    TryOnce(target, true, end);
+    TryOnce(relay, target, true, end);
   }
   if (end.attempt.took == duration{0})
     end.attempt.took = context_.clock.now() - started;
@@ -80,7 +92,8 @@
   head.set(context_.headers.deadline,
            std::to_string(std::max<std::int64_t>(1, left.count())));
   head.set(context_.headers.expected_target, target.id);
-  SetTeamHeader(head);
+  if (!request_.from_peer)
+    SetTeamHeader(head);
   SetBodyFraming(head);
   head.setKeepAlive(true);
   return head;
@@ -107,16 +120,24 @@
     head.setChunkedTransferEncoding(true);
 }
 
-bool target_exchange::TryOnce(const live_target& target,
+bool target_exchange::TryOnce(const std::string& relay,
+                              const live_target& target,
                               bool fresh,
                               target_exchange_end& end) {
-  http_exchange exchange(
-      context_.pool, target.address, caller_, request_.deadline,
-      {.connect_timeout = kConnectTimeout,
-       .accept_unframed = true,
-       .echo_header = request_.id.empty() ? "" : context_.headers.request_id,
-       .echo_value = request_.id});
-  if (!ConnectToTarget(exchange, target, fresh, end))
+  const bool relayed = !relay.empty();
+  exchange_options options{.connect_timeout = kConnectTimeout,
+                           .accept_unframed = true};
+  // A relay checks the target's echo, and has none in its own refusals.
+  if (!relayed && !request_.id.empty()) {
+    options.echo_header = context_.headers.request_id;
+    options.echo_value = request_.id;
+  }
+  http_exchange exchange(context_.pool, relayed ? relay : target.address,
+                         caller_, request_.deadline, options);
+  const bool connected = relayed
+                             ? ConnectToRelay(exchange, relay, fresh, end)
+                             : ConnectToTarget(exchange, target, fresh, end);
+  if (!connected)
     return true;
   // On an overloaded CPU, a request may have waited for so long that its caller
   // has disconnected; sending it would waste the target's capacity.
@@ -126,12 +147,17 @@
   }
   end.may_have_run = true;
   end.body_consumed = request_.body_rest != nullptr;
-  if (const auto sent =
-          exchange.Send(HeadFor(target), request_.body, request_.body_rest);
+  auto head = HeadFor(target);
+  if (relayed)
+    AddRelayHeaders(context_.signer, request_, target, relay, head);
+  if (const auto sent = exchange.Send(head, request_.body, request_.body_rest);
       !sent)
     Fail(sent.error().code, end);
   else
-    ReceiveResponse(exchange, end);
+    ReceiveResponse(exchange, relayed, end);
+  if (relayed && end.attempt.result == attempt_result::kLost &&
+      end.reason == result_code::kTargetFailed)
+    context_.links.OnRelayFailed(relay);
   return !exchange.failed_on_stale_connection() || fresh;
 }
 
@@ -155,17 +181,34 @@
   return false;
 }
 
+bool target_exchange::ConnectToRelay(http_exchange& exchange,
+                                     const std::string& relay,
+                                     bool fresh,
+                                     target_exchange_end& end) {
+  if (exchange.Connect(fresh))
+    return true;
+  context_.links.OnRelayFailed(relay);
+  end.attempt.result = attempt_result::kNotSent;
+  end.reason = result_code::kNoPathToTarget;
+  return false;
+}
+
 void target_exchange::ReceiveResponse(http_exchange& exchange,
+                                      bool relayed,
                                       target_exchange_end& end) {
   const auto started = context_.clock.now();
   const auto got_head = exchange.ReadHead();
   if (!got_head) {
     Fail(got_head.error().code, end);
-    end.connection_lost = exchange.ended_without_response();
+    // The end of a connection to a relay says nothing about the target.
+    end.connection_lost = !relayed && exchange.ended_without_response();
     return;
   }
   const auto& head = *got_head.value();
-  ClassifyResponse(head, end);
+  if (!relayed || ApplyRelayStatus(head, end))
+    ClassifyResponse(head, end);
+  if (request_.from_peer)
+    end.head = head;
   end.attempt.took = context_.clock.now() - started;
   std::string body;
   std::array<char, kChunkBytes> chunk;
@@ -192,6 +235,29 @@
     end.response = buffered_response{head, std::move(body)};
 }
 
+bool target_exchange::ApplyRelayStatus(const Poco::Net::HTTPResponse& head,
+                                       target_exchange_end& end) const {
+  const auto status = ReadStatusHeaders(head);
+  if (!status) {
+    Fail(result_code::kPeerLost, end);
+    return false;
+  }
+  if (IsTargetResponse(*status))
+    return true;
+  end.may_have_run = status->run != run_state::kNotRun;
+  if (status->code == result_code::kTargetUnreachable) {
+    end.reason = status->code;
+    end.attempt.result = attempt_result::kConnectFailed;
+  } else if (!end.may_have_run) {
+    end.reason = result_code::kNoPathToTarget;
+    end.attempt.result = attempt_result::kNotSent;
+  } else {
+    Fail(status->code, end);
+    end.connection_lost = status->code == result_code::kTargetClosed;
+  }
+  return false;
+}
+
 // Only an explicit statement of the target that it did not run the request
 // counts as proof: any other failure, 503 included, may follow after the work
 // was done.
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequest.h>
 
 #include <optional>
+#include <string>
 
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
@@ -28,22 +29,42 @@
   // Makes one attempt at the target. Blocks until the response was received or
   // streamed, the attempt failed or the request's deadline passed.
   target_exchange_end Run(const live_target& target);
+  // The same through the entry at the peer address `relay`.
+  target_exchange_end RunThrough(const std::string& relay,
+                                 const live_target& target);
 
  private:
   Poco::Net::HTTPRequest HeadFor(const live_target& target) const;
   void SetTeamHeader(Poco::Net::HTTPRequest& head) const;
   void SetBodyFraming(Poco::Net::HTTPRequest& head) const;
+  // Makes the attempt at the target, or through `relay` if that is not empty.
+  target_exchange_end RunAt(const std::string& relay,
+                            const live_target& target);
   // Sends the request once, on a new connection if `fresh`. Returns false if it
   // was sent on a pooled connection that the target had already closed, so that
   // the target can't have received it.
-  bool TryOnce(const live_target& target, bool fresh, target_exchange_end& end);
+  bool TryOnce(const std::string& relay,
+               const live_target& target,
+               bool fresh,
+               target_exchange_end& end);
   // Opens a connection to the target and reports that to the links. Returns
   // false if it failed.
   bool ConnectToTarget(http_exchange& exchange,
                        const live_target& target,
                        bool fresh,
                        target_exchange_end& end);
-  void ReceiveResponse(http_exchange& exchange, target_exchange_end& end);
+  // Returns false if it failed, which is no evidence about the target.
+  bool ConnectToRelay(http_exchange& exchange,
+                      const std::string& relay,
+                      bool fresh,
+                      target_exchange_end& end);
+  void ReceiveResponse(http_exchange& exchange,
+                       bool relayed,
+                       target_exchange_end& end);
+  // Applies what the relay reports of its attempt. Returns whether `head` is
+  // that of the target's response.
+  bool ApplyRelayStatus(const Poco::Net::HTTPResponse& head,
+                        target_exchange_end& end) const;
   // Derives from the response's head whether the target has run the request.
   void ClassifyResponse(const Poco::Net::HTTPResponse& head,
                         target_exchange_end& end) const;
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -1,11 +1,14 @@
 #ifndef TRAFFIC_TARGET_EXCHANGE_END_H_
 #define TRAFFIC_TARGET_EXCHANGE_END_H_
 
+#include <Poco/Net/HTTPResponse.h>
+
 #include <optional>
 
 #include "base/result_code.h"
 #include "gateway/buffered_response.h"
 #include "routing/attempt_end.h"
+#include "routing/target_path.h"
 
 namespace samphire {
 
@@ -27,6 +30,10 @@
   bool streamed = false;
   // HTTP status of the streamed response.
   int streamed_status = 0;
+  // How the attempt reached the target, or tried to.
+  target_path path = target_path::kDirect;
+  // The response's head, if the request came from a peer.
+  std::optional<Poco::Net::HTTPResponse> head;
   // A complete response that has not been forwarded to the caller yet.
   std::optional<buffered_response> response;
 };
--- a/src/libsamphire/traffic/target_links.cc
+++ b/src/libsamphire/traffic/target_links.cc
@@ -26,9 +26,9 @@
   return monitor_.IsLinkSuspect(target, clock_.now());
 }
 
-bool target_links::IsUnreachable(const live_target& target) {
+bool target_links::IsDown(const live_target& target) {
   std::lock_guard guard(lock_);
-  return monitor_.IsUnreachable(target, clock_.now());
+  return monitor_.IsDown(target, clock_.now());
 }
 
 void target_links::OnConnected(const live_target& target) {
--- a/src/libsamphire/traffic/target_links.h
+++ b/src/libsamphire/traffic/target_links.h
@@ -24,7 +24,7 @@
   // As the functions of link_monitor.
   target_path PathTo(const live_target& target);
   bool IsLinkSuspect(const live_target& target);
-  bool IsUnreachable(const live_target& target);
+  bool IsDown(const live_target& target);
   void OnConnected(const live_target& target);
   void OnConnectFailed(const live_target& target, time_point started);
   std::optional<live_target> NextProbe();
--- /dev/null
+++ b/src/libsamphire/traffic/target_sender.cc
@@ -0,0 +1,116 @@
+#include "traffic/target_sender.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "traffic/relay_choice.h"
+
+namespace samphire {
+
+namespace {
+
+// Entries that are asked for one attempt.
+constexpr std::size_t kMaxRelays = 3;
+// One entry that can't reach a target may be cut off from it as well.
+constexpr int kFailuresToBlameTarget = 2;
+// A connection that takes longer to fail was not refused: a second entry would
+// keep the caller waiting as long.
+constexpr milliseconds kQuickFailure{50};
+
+target_exchange_end NotSent() {
+  target_exchange_end end;
+  end.attempt.result = attempt_result::kNotSent;
+  end.reason = result_code::kNoPathToTarget;
+  return end;
+}
+
+}  // namespace
+
+target_sender::target_sender(const traffic_context& context,
+                             const traffic_request& request,
+                             const caller_watch& caller,
+                             response_sink& sink)
+    : context_(context),
+      request_(request),
+      caller_(caller),
+      exchange_(context, request, caller, sink) {}
+
+target_exchange_end target_sender::Send(const live_target& target) {
+  if (context_.links.PathTo(target) == target_path::kRelayed)
+    return SendRelayed(target);
+  auto end = exchange_.Run(target);
+  if (end.attempt.result != attempt_result::kConnectFailed ||
+      context_.links.IsDown(target))
+    return end;
+  const auto relays = Relays();
+  if (relays.empty())
+    return end;
+  return MayGoOn() ? SendThroughPeers(relays, target) : NotSent();
+}
+
+// When all entries suspect their links, as after the loss of a region, none
+// passes anything on. A direct attempt then decides.
+target_exchange_end target_sender::SendRelayed(const live_target& target) {
+  const auto relays = Relays();
+  if (!relays.empty()) {
+    auto end = SendThroughPeers(relays, target);
+    if (end.attempt.result != attempt_result::kNotSent || !MayGoOn())
+      return end;
+  }
+  auto end = exchange_.Run(target);
+  const bool is_evidence =
+      end.attempt.result != attempt_result::kConnectFailed || relays.empty() ||
+      context_.links.IsDown(target);
+  return is_evidence ? std::move(end) : NotSent();
+}
+
+target_exchange_end target_sender::SendThroughPeers(
+    const std::vector<std::string>& relays,
+    const live_target& target) {
+  auto end = NotSent();
+  int failures = 0;
+  for (const auto& relay : relays) {
+    const auto started = context_.clock.now();
+    auto attempt = exchange_.RunThrough(relay, target);
+    context_.counters.Count(
+        "relayed_total",
+        fmt::format("result=\"{}\"",
+                    NameOf(kAttemptResultNames, attempt.attempt.result)));
+    const auto result = attempt.attempt.result;
+    const bool unreachable = result == attempt_result::kConnectFailed;
+    if (!unreachable && result != attempt_result::kNotSent) {
+      attempt.path = target_path::kRelayed;
+      return attempt;
+    }
+    if (unreachable) {
+      end = std::move(attempt);
+      end.path = target_path::kRelayed;
+      const bool quick = context_.clock.now() - started < kQuickFailure;
+      if (++failures >= kFailuresToBlameTarget || !quick)
+        return end;
+    }
+    if (!MayGoOn())
+      break;
+  }
+  return end;
+}
+
+std::vector<std::string> target_sender::Relays() const {
+  const auto entries = context_.state.entries().Get();
+  auto relays =
+      RelaysFor(*entries, context_.settings.place, request_.home_regions,
+                static_cast<std::uint64_t>(
+                    context_.clock.now().time_since_epoch().count()));
+  context_.links.PassOver(relays);
+  relays.resize(std::min(relays.size(), kMaxRelays));
+  return relays;
+}
+
+bool target_sender::MayGoOn() const {
+  return context_.clock.now() < request_.deadline && !caller_.IsDisconnected();
+}
+
+}  // namespace samphire
--- a/src/libsamphire/traffic/traffic_context.h
+++ b/src/libsamphire/traffic/traffic_context.h
@@ -3,6 +3,7 @@
 
 #include "base/clock_source.h"
 #include "gateway/fleet_quarantine.h"
+#include "gateway/peer_signer.h"
 #include "metrics/metrics.h"
 #include "proxy/connection_pool.h"
 #include "traffic/placement_client.h"
@@ -31,6 +32,7 @@
   target_notices& notices;
   fleet_quarantine& quarantine;
   target_links& links;
+  peer_signer& signer;
   // Connections to targets and peers.
   connection_pool& pool;
   const clock_source& clock;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -8,7 +8,7 @@
 
 #include "base/log.h"
 #include "gateway/response_relay.h"
-#include "traffic/target_exchange.h"
+#include "traffic/target_sender.h"
 
 namespace samphire {
 
@@ -52,6 +52,7 @@
     case attempt_result::kTimedOut:
       return attempt_outcome::kTimedOut;
     case attempt_result::kCallerGone:
+    case attempt_result::kNotSent:
       break;
   }
   return attempt_outcome::kCancelled;
@@ -114,6 +115,8 @@
   last_target_ = target.id;
   auto end = Exchange(target);
   ReportAttemptEnd(placed, end);
+  if (end.attempt.result == attempt_result::kNotSent)
+    placer_.LeaveAlone(target);
   if (end.may_have_run) {
     may_have_run_ = true;
     ++runs_;
@@ -153,7 +156,7 @@
   const auto sent_at = context_.clock.now();
   auto& quarantine = context_.quarantine;
   quarantine.AttemptStarted(request_.fingerprint, process);
-  auto end = target_exchange(context_, request_, caller_, sink_).Run(target);
+  auto end = target_sender(context_, request_, caller_, sink_).Send(target);
   quarantine.AttemptFinished(request_.fingerprint, process, OutcomeOf(end),
                              context_.clock.now() - sent_at);
   if (end.attempt.notice) {
@@ -193,7 +196,7 @@
 
 void traffic_dispatcher::ReportAttemptEnd(const placed_request& placed,
                                           const target_exchange_end& end) {
-  const auto pause = placer_.OnAttemptEnd(placed, end.attempt);
+  const auto pause = placer_.OnAttemptEnd(placed, EvidenceOf(placed, end));
   context_.counters.Count(
       "attempts_total",
       fmt::format("result=\"{}\"",
@@ -208,6 +211,23 @@
   }
 }
 
+// What hangs or breaks on this entry's own links says nothing about the target.
+// The key's owner would leave sound targets alone for the whole region, or take
+// them for slow.
+attempt_end traffic_dispatcher::EvidenceOf(
+    const placed_request& placed,
+    const target_exchange_end& end) const {
+  auto evidence = end.attempt;
+  const auto& target = std::get<placed_attempt>(placed.decision).target;
+  const bool has_response = evidence.report || evidence.notice || end.response;
+  const bool failed = evidence.result == attempt_result::kTimedOut ||
+                      evidence.result == attempt_result::kLost;
+  if (failed && !has_response && end.path == target_path::kDirect &&
+      context_.links.IsLinkSuspect(target))
+    evidence.result = attempt_result::kNotSent;
+  return evidence;
+}
+
 // A request that must not be repeated is retried only if a statement of the
 // target or a failure to connect proves that it did not run. Retries are
 // limited by a budget that all entries share, except those after a failure to
@@ -225,7 +245,8 @@
   if (attempts_ >= kMaxAttempts || runs_ >= request_.route->max_attempts ||
       request_.deadline - now < kMinAttemptTime || caller_.IsDisconnected())
     return false;
-  if (end.attempt.result == attempt_result::kConnectFailed)
+  if (end.attempt.result == attempt_result::kConnectFailed ||
+      end.attempt.result == attempt_result::kNotSent)
     return true;
   const auto entries = context_.state.entries().Get();
   const auto bounds = context_.state.bounds();
@@ -297,6 +318,7 @@
        {"load_age_ms", attempt.load_age.value_or(kNoReport).count()},
        {"knows_key", attempt.knows_key},
        {"result", NameOf(kAttemptResultNames, end.attempt.result)},
+       {"path", NameOf(kTargetPathNames, end.path)},
        {"fingerprint", std::to_string(request_.fingerprint)},
        {"ms",
         std::chrono::duration<double, std::milli>(end.attempt.took).count()}});
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -48,6 +48,9 @@
   // Reports the end of an attempt to the entry that placed it and logs it.
   void ReportAttemptEnd(const placed_request& placed,
                         const target_exchange_end& end);
+  // Returns what the end of the attempt tells about its target.
+  attempt_end EvidenceOf(const placed_request& placed,
+                         const target_exchange_end& end) const;
   // Returns whether another target may be tried after `end`, and takes a retry
   // from the shared budget if needed.
   bool MayRetry(const target_exchange_end& end);
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -11,6 +11,7 @@
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
 #include "traffic/news_peers_of.h"
+#include "traffic/relay_handler.h"
 #include "traffic/shared_store.h"
 #include "traffic/source_plan.h"
 #include "traffic/traffic_handler.h"
@@ -29,8 +30,8 @@
 // last responses.
 constexpr milliseconds kStopMargin{500};
 // Upper bound on connections of peers: three watches for each entry of a region
-// of eighty.
-constexpr std::uint32_t kPeerConnections = 256;
+// of eighty, and as many for requests that this entry passes on to targets.
+constexpr std::uint32_t kPeerConnections = 512;
 // Upper bound on connections of metrics collectors, of which there are few.
 constexpr std::uint32_t kMetricsConnections = 16;
 // Added to the declared idle timeout before an idle connection is closed.
@@ -113,11 +114,13 @@
           clock_,
           metrics_),
       links_(clock_, metrics_),
-      context_{settings_,         headers_, state_,          shards_,
-               placement_client_, limiter_, target_limiter_, target_notices_,
-               quarantine_,       links_,   pool_,           clock_,
-               metrics_},
+      context_{settings_,       headers_,          state_,
+               shards_,         placement_client_, limiter_,
+               target_limiter_, target_notices_,   quarantine_,
+               links_,          signer_,           pool_,
+               clock_,          metrics_},
       placement_server_(transport_, context_),
+      link_prober_(links_, pool_),
       caller_front_(
           settings_.caller_address,
           new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
@@ -135,9 +138,8 @@
           metrics_),
       peer_front_(
           settings_.peer_address,
-          new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
-            return new mirror_handler(relay_, signer_, settings_.peer_address,
-                                      metrics_);
+          new handler_factory([this](const Poco::Net::HTTPServerRequest& call) {
+            return MakePeerHandler(call);
           }),
           {.max_connections = kPeerConnections},
           metrics_) {
@@ -164,6 +166,7 @@
   peer_front_.Start();
   caller_front_.Start();
   metrics_front_.Start();
+  link_prober_.Start();
   Log(log_level::kInfo, "started",
       {{"region", settings_.place.region},
        {"failure_domain", settings_.place.failure_domain},
@@ -268,6 +271,13 @@
   return NewsPeersOf(*state_.entries().Get(), settings_.place.instance);
 }
 
+Poco::Net::HTTPRequestHandler* traffic_node::MakePeerHandler(
+    const Poco::Net::HTTPServerRequest& request) {
+  if (relay_handler::Accepts(request))
+    return new relay_handler(context_);
+  return new mirror_handler(relay_, signer_, settings_.peer_address, metrics_);
+}
+
 std::string traffic_node::MetricsText() {
   metrics_.Set("quarantined", "",
                static_cast<double>(quarantine_.quarantined()));
@@ -294,9 +304,12 @@
       requested_at + bounds->lookup_ttl + kLeavingPropagationTime, deadline);
   std::this_thread::sleep_until(serve_until);
   caller_front_.SetPhase(front_phase::kRefusing);
-  while (caller_front_.active_requests() > 0 && clock_.now() < deadline)
+  const auto running = [this] {
+    return caller_front_.active_requests() + state_.relayed_requests;
+  };
+  while (running() > 0 && clock_.now() < deadline)
     std::this_thread::sleep_for(kDrainPollInterval);
-  const int cut = caller_front_.active_requests();
+  const int cut = running();
   Log(cut > 0 ? log_level::kWarning : log_level::kInfo, "drained",
       {{"requests_cut", cut},
        {"seconds",
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -20,6 +20,7 @@
 #include "store/object_relay.h"
 #include "store/object_watcher.h"
 #include "traffic/entry_list_builder.h"
+#include "traffic/link_prober.h"
 #include "traffic/placement_client.h"
 #include "traffic/placement_server.h"
 #include "traffic/service_shards.h"
@@ -93,6 +94,9 @@
   std::vector<std::string> BootstrapAddresses() const;
   source_plan CurrentSourcePlan() const;
   news_peers NewsPeers() const;
+  // Returns the handler of a peer's call.
+  Poco::Net::HTTPRequestHandler* MakePeerHandler(
+      const Poco::Net::HTTPServerRequest& request);
   std::string MetricsText();
 
   const traffic_settings settings_;
@@ -120,6 +124,7 @@
   target_links links_;
   traffic_context context_;
   placement_server placement_server_;
+  link_prober link_prober_;
   front_server caller_front_;
   front_server metrics_front_;
   front_server peer_front_;
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -45,6 +45,10 @@
   // is not declared.
   std::uint64_t body_bytes() const { return body_length.value_or(body.size()); }
 
+  // Whether another entry sent the request, which makes the attempt through
+  // this one. Its headers are then those for the target already.
+  bool from_peer = false;
+
   // Equal for requests of the same caller that ask for the same.
   request_fingerprint fingerprint = 0;
   // Hash of the route and the affinity key, by which targets and owners of keys
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -42,6 +42,8 @@
 
   // Whether this entry is being stopped.
   std::atomic<bool> leaving = false;
+  // Number of requests that this entry is passing on to targets for peers.
+  std::atomic<int> relayed_requests = 0;
 
   // Whether this entry can serve requests: it has a manifest and targets and is
   // not leaving.
--- a/tests/routing/link_monitor_test.cc
+++ b/tests/routing/link_monitor_test.cc
@@ -98,3 +98,15 @@
     CHECK(links.NextProbe(at));
   CHECK_FALSE(links.NextProbe(kNow + 12s));
 }
+
+// Guards against blaming a target for what may be the fault of the link.
+TEST_CASE("a target is down only if another one was reached meanwhile") {
+  link_monitor links;
+  Fail(links, kA1, kNow);
+  CHECK_FALSE(links.IsDown(kA1, kNow));
+  links.OnConnected(kB1, kNow);
+  CHECK(links.IsDown(kA1, kNow));
+  CHECK_FALSE(links.IsDown(kB1, kNow));
+  Fail(links, kA2, kNow + 10s);
+  CHECK_FALSE(links.IsDown(kA2, kNow + 10s));
+}
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr const char* kOwner = "owner:1";
+constexpr const char* kPeerKey = "0123456789abcdef0123456789abcdef";
 
 live_target Target(const std::string& id) {
   live_target target;
@@ -58,9 +59,10 @@
   fleet_quarantine quarantine{owner, [] { return news_peers{}; }, clock,
                               counters};
   target_links links{clock, counters};
+  peer_signer signer{peer_keys::Parse(kPeerKey).value(), {}, clock};
   traffic_context context{
       settings, headers,    state, shards, owner_client, limiter, target_limits,
-      notices,  quarantine, links, pool,   clock,        counters};
+      notices,  quarantine, links, signer, pool,         clock,   counters};
   placement_server server{owner, context};
   placement_client client{requester, clock, counters, 100};
 
@@ -176,8 +178,8 @@
       fixture.settings,      fixture.headers,      empty,
       fixture.shards,        fixture.owner_client, fixture.limiter,
       fixture.target_limits, fixture.notices,      fixture.quarantine,
-      fixture.links,         fixture.pool,         fixture.clock,
-      fixture.counters};
+      fixture.links,         fixture.signer,       fixture.pool,
+      fixture.clock,         fixture.counters};
   const placement_server server(fixture.owner, context);
   CHECK(fixture.RequireResponse().verdict ==
         remote_placement_verdict::kPlaceLocally);
