Void a target's loss at all entries when it responds to any of them

Cause: a connection that is reset looks like a target that crashed with the request. Each entry voided such a loss only by a response that it got itself, within two seconds, and on the users' platform never: there the start of a target is not told, although its id names the process. Class: what one entry concludes from its own link holds for all.

What callers would have seen: a request that ran at two cuts of its entry is refused everywhere for an hour.

--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -187,12 +187,17 @@
 
 // When the connections of many entries break at once, or a domain goes down,
 // each request in progress looks as if it had crashed its target.
-void crash_quarantine::OnTargetResponded(const std::string& target,
+bool crash_quarantine::OnTargetResponded(const std::string& target,
                                          time_point sent_at,
                                          time_point now) {
   const auto* lost_at = lost_at_.Find(target, now);
   if (lost_at == nullptr || sent_at <= *lost_at)
-    return;
+    return false;
+  OnTargetAlive(target);
+  return true;
+}
+
+void crash_quarantine::OnTargetAlive(const std::string& target) {
   lost_at_.Erase(target);
   losses_.Erase(target);
   ForgetLossesOf(target);
--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -55,10 +55,12 @@
   // Reports that a target responded to a request that was sent at `sent_at`.
   // May be called only if each process of a target has a name of its own: a
   // target that responds after it was lost with a request has not crashed, and
-  // its loss counts no more.
-  void OnTargetResponded(const std::string& target,
+  // its loss counts no more. Returns whether that is so.
+  bool OnTargetResponded(const std::string& target,
                          time_point sent_at,
                          time_point now);
+  // Applies that a target has responded to another entry after its loss.
+  void OnTargetAlive(const std::string& target);
 
   // Returns the requests in quarantine.
   std::vector<quarantined_request> QuarantinedRequests(time_point now);
--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -99,12 +99,18 @@
 
 void fleet_quarantine::TargetResponded(const std::string& target,
                                        time_point sent_at) {
+  bool alive = false;
   std::vector<request_fingerprint> released;
   {
     std::lock_guard guard(lock_);
-    quarantine_.OnTargetResponded(target, sent_at, clock_.now());
+    alive = quarantine_.OnTargetResponded(target, sent_at, clock_.now());
     released = quarantine_.TakeReleased();
   }
+  if (alive) {
+    Log(log_level::kInfo, "target-not-lost", {{"target", target}});
+    if (target.size() <= kMaxCrashedTargetBytes)
+      news_.Publish({.alive = target});
+  }
   PublishReleased(std::move(released));
 }
 
@@ -182,6 +188,8 @@
       apply(each.fingerprint, quarantine_source::kPeer,
             [&] { quarantine_.OnQuarantined(each, now); });
     }
+    if (!news.alive.empty())
+      quarantine_.OnTargetAlive(news.alive);
     for (const auto fingerprint : news.released)
       quarantine_.OnReleased(fingerprint, now);
   }
@@ -196,8 +204,8 @@
 }
 
 // An entry that restarts so quickly that nobody misses it, or whose start is
-// not known yet, would otherwise learn of what crashes targets by doing so.
-// Only an entry that knows what others do can end the asking: after the kill of
+// not known yet, would otherwise learn of what crashes targets by doing so. Only
+// an entry that knows what others do can end the asking: after the kill of
 // most, the others may all have restarted.
 void fleet_quarantine::Answer(const std::string& asker) {
   std::vector<quarantined_request> requests;
--- a/src/libsamphire/gateway/quarantine_news.h
+++ b/src/libsamphire/gateway/quarantine_news.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "base/bounded_codec.h"
@@ -36,6 +37,9 @@
   std::vector<paused_request> paused;
   // Requests that turned out to be harmless.
   std::vector<request_fingerprint> released;
+  // A target that has responded after its loss, and so did not crash; empty if
+  // there is none.
+  std::string alive;
   quarantine_news_purpose purpose = quarantine_news_purpose::kTell;
   // 1 if the receiver is to pass the news on to the other entries of its
   // region, else 0.
@@ -45,7 +49,8 @@
   void serialize(Archive& archive) {
     archive(
         Bounded<kMaxNewsLosses>(losses), Bounded<kMaxNewsRequests>(quarantined),
-        Bounded<kMaxNewsRequests>(paused), Bounded<kMaxNewsRequests>(released));
+        Bounded<kMaxNewsRequests>(paused), Bounded<kMaxNewsRequests>(released),
+        Bounded<kMaxCrashedTargetBytes>(alive));
     SerializeEnum<quarantine_news_purpose::kAnswer>(archive, purpose);
     archive(relay);
   }
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -160,7 +160,7 @@
   quarantine.AttemptFinished(request_.fingerprint, process, OutcomeOf(end),
                              context_.clock.now() - sent_at);
   if (end.attempt.notice) {
-    if (target.started_ms != 0)
+    if (target.started_ms != 0 || context_.settings.has_process_ids)
       quarantine.TargetResponded(process, sent_at);
     context_.notices.OnResponse(target, *end.attempt.notice, sent_at);
   }
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -50,6 +50,9 @@
   // For this time after its start, an entry may not know the others of its
   // region and limits teams based on its own requests only.
   milliseconds startup_time{2500};
+  // Whether each process of a target has an id of its own, so that a response
+  // under an id proves that the process has not restarted.
+  bool has_process_ids = false;
   // Mechanisms that placement leaves out, to measure their benefit.
   mechanism_set disabled_mechanisms;
   traffic_bounds bounds;
