--- a/tests/decision/crash_quarantine_test.cc
+++ b/tests/decision/crash_quarantine_test.cc
@@ -300,8 +300,7 @@
   crash_quarantine out_of_order;
   for (const std::size_t i : {1, 2})
     out_of_order.OnNotice(losses[i], lost_at[i]);
-  auto late = losses[0];
-  out_of_order.OnNotice(late, kNow);
+  out_of_order.OnNotice(losses[0], kNow);
   CHECK(out_of_order.Decide(kCrasher, kNow + 1s) ==
         quarantine_decision::kQuarantined);
 }
