Let the soak cut single entries off from their targets

A library that is loaded into each entry process of the soak, and into no other, follows orders from a file: new connections to targets hang or are refused, open ones hang, are reset or live on.

--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -46,6 +46,7 @@
     : seed_(seed),
       random_(seed),
       restore_random_(seed),
+      cut_random_(seed),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
   std::filesystem::create_directories(folder_);
@@ -66,6 +67,10 @@
   peers.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i)
     peers.push_back(FreeAddress());
+  std::vector<std::string> target_addresses;
+  target_addresses.reserve(targets_.size());
+  for (const auto& each : targets_)
+    target_addresses.push_back(each.link->address());
   for (int i = 0; i < kEntries; ++i) {
     auto one = std::make_unique<entry>();
     one->store_link = std::make_unique<relay>("127.0.0.1", store_.address());
@@ -82,6 +87,8 @@
         i, one->caller_address, FreeAddress(), FreeAddress(), peers[i],
         FreeAddress(), peers[0], peers[1], peers[2],
         one->store_link->address());
+    one->target_links = std::make_unique<process_cut>(
+        (folder_ / fmt::format("cut-{}", i)).string(), target_addresses);
     StartEntry(*one);
     entries_.push_back(std::move(one));
   }
@@ -99,7 +106,8 @@
   one.process = std::make_unique<child_process>(
       "samphire-platform-entry",
       std::vector<std::string>{"--settings=" + one.settings_path},
-      one.settings_path + ".log", child_output::kLog);
+      one.settings_path + ".log", child_output::kLog,
+      one.target_links->environment());
 }
 
 void soak_world::Register(target& one, const std::string& state) {
@@ -170,6 +178,8 @@
 void soak_world::InjectFault() {
   if (restore_random_() % 8 == 0)
     InjectRestore();
+  if (cut_random_() % 6 == 0)
+    InjectCut();
   auto& one = *entries_[random_() % entries_.size()];
   auto& hit = targets_[random_() % targets_.size()];
   switch (random_() % 10) {
@@ -203,6 +213,19 @@
   }
 }
 
+void soak_world::InjectCut() {
+  constexpr int kCuts = 4;
+  const auto cut = static_cast<link_cut>(cut_random_() % kCuts);
+  for (std::size_t i = 0; i < 2; ++i) {
+    const auto& one = *entries_[cut_random_() % entries_.size()];
+    one.target_links->Apply(cut);
+  }
+  if (cut == link_cut::kNone) {
+    for (const auto& each : entries_)
+      each->target_links->Apply(cut);
+  }
+}
+
 void soak_world::InjectEntryFault(entry& one) {
   if (!one.process->running()) {
     StartEntry(one);
@@ -269,6 +292,7 @@
   }
   for (auto& each : entries_) {
     reset_link(*each->store_link);
+    each->target_links->Apply(link_cut::kNone);
     if (each->leaving)
       WaitUntil([&] { return !each->process->running(); }, 6s);
     if (!each->process->running())
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -14,6 +14,7 @@
 
 #include "platform_adapter/stand_in_platform.h"
 #include "platform_adapter/wire_target.h"
+#include "soak/process_cut.h"
 #include "soak/soak_finding.h"
 #include "support/child_process.h"
 #include "support/relay.h"
@@ -49,6 +50,8 @@
     std::string caller_address;
     std::string settings_path;
     std::unique_ptr<relay> store_link;
+    // Its links to targets.
+    std::unique_ptr<process_cut> target_links;
     std::unique_ptr<child_process> process;
     // Incremented before and after each kill, which may cut requests in
     // progress; odd meanwhile.
@@ -92,6 +95,8 @@
   void InjectFault();
   void InjectEntryFault(entry& one);
   void InjectLinkFault(relay& link);
+  // Cuts the links of one or two entries to targets, or ends all such cuts.
+  void InjectCut();
   // Ends all faults and starts the processes that have ended.
   void RemoveFaults();
   // Sends requests until `sending_` is false; runs in a thread per caller.
@@ -110,6 +115,8 @@
   std::mt19937_64 random_;
   // Decides on restores of the store, apart from the other faults.
   std::mt19937_64 restore_random_;
+  // The same for cuts of entries from targets.
+  std::mt19937_64 cut_random_;
   const std::filesystem::path folder_;
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -13,12 +13,19 @@
 child_process::child_process(const std::string& program,
                              const std::vector<std::string>& arguments,
                              const std::string& log_path,
-                             child_output output) {
+                             child_output output,
+                             const std::vector<std::string>& environment) {
   const auto path = std::string(SAMPHIRE_BIN_DIR) + "/" + program;
   std::vector<char*> argv{const_cast<char*>(path.c_str())};
   for (const auto& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
+  std::vector<char*> variables;
+  for (char** each = environ; *each != nullptr; ++each)
+    variables.push_back(*each);
+  for (const auto& each : environment)
+    variables.push_back(const_cast<char*>(each.c_str()));
+  variables.push_back(nullptr);
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0)
     throw std::runtime_error("pipe2 failed for a child's output");
@@ -34,7 +41,7 @@
       _exit(127);
     dup2(output == child_output::kLog ? log : ends[1], STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
-    execv(path.c_str(), argv.data());
+    execve(path.c_str(), argv.data(), variables.data());
     _exit(127);
   }
   close(ends[1]);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -20,11 +20,13 @@
   // standard error to the file `log_path`, and with kLog also its standard
   // output, which is otherwise read by ReadLine. Throws std::runtime_error if
   // no process can be created; if the program can't be executed, its exit code
-  // is 127.
+  // is 127. `environment` lists variables, as NAME=VALUE, that the program gets
+  // in addition.
   child_process(const std::string& program,
                 const std::vector<std::string>& arguments,
                 const std::string& log_path,
-                child_output output = child_output::kReadLine);
+                child_output output = child_output::kReadLine,
+                const std::vector<std::string>& environment = {});
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
