--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -204,8 +204,8 @@
 }
 
 // An entry that restarts so quickly that nobody misses it, or whose start is
-// not known yet, would otherwise learn of what crashes targets by doing so. Only
-// an entry that knows what others do can end the asking: after the kill of
+// not known yet, would otherwise learn of what crashes targets by doing so.
+// Only an entry that knows what others do can end the asking: after the kill of
 // most, the others may all have restarted.
 void fleet_quarantine::Answer(const std::string& asker) {
   std::vector<quarantined_request> requests;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -36,9 +36,10 @@
 // killed and restarted, and lose their links to targets, alone or two at a
 // time; links are delayed, cut in one or both directions and reset; targets
 // fail and drain; the store refuses calls, loses its history and comes back
-// from copies. Guards against a claim that runs twice, a response to another
-// request, a request that ran although its caller was told that it did not, and
-// an entry that does not recover.
+// from copies.
+// Guards against a claim that runs twice, a response to another request, a
+// request that ran although its caller was told that it did not, and an entry
+// that does not recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
   const auto first = ReadEnvironment("SAMPHIRE_SOAK_SEED", 1);
   const auto count = ReadEnvironment("SAMPHIRE_SOAK_COUNT", 3);
