Ask first the entries that passed a request on lately

Cause: a cut entry asked three others at random each time. Where 100 of 117 entries of a region are cut, that finds none of the others for six requests in ten (worked out, not played). Now one that could pass a request on is asked first for three seconds, and one that could not is left alone, unless that is all of them.

--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -135,7 +135,7 @@
   http_exchange exchange(context_.pool, relayed ? relay : target.address,
                          caller_, request_.deadline, options);
   const bool connected = relayed
-                             ? ConnectToRelay(exchange, relay, fresh, end)
+                             ? ConnectToRelay(exchange, fresh, end)
                              : ConnectToTarget(exchange, target, fresh, end);
   if (!connected)
     return true;
@@ -155,9 +155,6 @@
     Fail(sent.error().code, end);
   else
     ReceiveResponse(exchange, relayed, end);
-  if (relayed && end.attempt.result == attempt_result::kLost &&
-      end.reason == result_code::kTargetFailed)
-    context_.links.OnRelayFailed(relay);
   return !exchange.failed_on_stale_connection() || fresh;
 }
 
@@ -182,12 +179,10 @@
 }
 
 bool target_exchange::ConnectToRelay(http_exchange& exchange,
-                                     const std::string& relay,
                                      bool fresh,
                                      target_exchange_end& end) {
   if (exchange.Connect(fresh))
     return true;
-  context_.links.OnRelayFailed(relay);
   end.attempt.result = attempt_result::kNotSent;
   end.reason = result_code::kNoPathToTarget;
   return false;
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -54,10 +54,9 @@
                        bool fresh,
                        target_exchange_end& end);
   // Returns false if it failed, which is no evidence about the target.
-  bool ConnectToRelay(http_exchange& exchange,
-                      const std::string& relay,
-                      bool fresh,
-                      target_exchange_end& end);
+  static bool ConnectToRelay(http_exchange& exchange,
+                             bool fresh,
+                             target_exchange_end& end);
   void ReceiveResponse(http_exchange& exchange,
                        bool relayed,
                        target_exchange_end& end);
--- a/src/libsamphire/traffic/target_links.cc
+++ b/src/libsamphire/traffic/target_links.cc
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Time for which an entry that could not pass a request on is left alone.
-constexpr milliseconds kRelayPause{1000};
+// Time for which it counts whether another entry could pass a request on.
+constexpr milliseconds kRelayMemory{3000};
 
 }  // namespace
 
@@ -58,23 +58,38 @@
   return monitor_.unreachable(clock_.now());
 }
 
-void target_links::OnRelayFailed(const std::string& address) {
+void target_links::OnRelayed(const std::string& address, bool passed_on) {
   std::lock_guard guard(lock_);
   const auto now = clock_.now();
-  std::erase_if(failed_relays_,
-                [now](const auto& each) { return now >= each.second; });
-  failed_relays_[address] = now + kRelayPause;
+  std::erase_if(relays_, [now](const auto& each) {
+    return now - each.second.at >= kRelayMemory;
+  });
+  relays_[address] = {passed_on, now};
 }
 
-void target_links::PassOver(std::vector<std::string>& addresses) {
+// While most entries of a region are cut off, few of those asked at random
+// could pass a request on.
+void target_links::RankRelays(std::vector<std::string>& addresses) {
   std::lock_guard guard(lock_);
-  const auto now = clock_.now();
-  const auto failed = [&](const std::string& address) {
-    const auto found = failed_relays_.find(address);
-    return found != failed_relays_.end() && now < found->second;
+  const auto could_not = [this](const std::string& address) {
+    const auto* known = Experience(address);
+    return known != nullptr && !known->passed_on;
+  };
+  const auto could = [this](const std::string& address) {
+    const auto* known = Experience(address);
+    return known != nullptr && known->passed_on;
   };
-  if (!std::ranges::all_of(addresses, failed))
-    std::erase_if(addresses, failed);
+  if (!std::ranges::all_of(addresses, could_not))
+    std::erase_if(addresses, could_not);
+  std::ranges::stable_partition(addresses, could);
+}
+
+const target_links::relay_experience* target_links::Experience(
+    const std::string& address) const {
+  const auto found = relays_.find(address);
+  const bool is_recent =
+      found != relays_.end() && clock_.now() - found->second.at < kRelayMemory;
+  return is_recent ? &found->second : nullptr;
 }
 
 void target_links::LogChange(const live_target& target) {
--- a/src/libsamphire/traffic/target_links.h
+++ b/src/libsamphire/traffic/target_links.h
@@ -34,13 +34,20 @@
   // be set before the first request, and must not block.
   std::function<void()> on_unreachable;
 
-  // Leaves the entry out of PassOver() for a second: it could not pass a
-  // request on.
-  void OnRelayFailed(const std::string& address);
-  // Removes the entries that failed recently, unless all of them did.
-  void PassOver(std::vector<std::string>& addresses);
+  // Reports whether the entry at a peer address could pass a request on.
+  void OnRelayed(const std::string& address, bool passed_on);
+  // Removes the entries that could not lately, unless that are all, and puts
+  // first those that could.
+  void RankRelays(std::vector<std::string>& addresses);
 
  private:
+  struct relay_experience {
+    bool passed_on = false;
+    time_point at;
+  };
+  // Returns what is known of the entry; null if that is too long ago. The lock
+  // must be held.
+  const relay_experience* Experience(const std::string& address) const;
   // Logs when the links of this entry come under suspicion or out of it. The
   // lock must be held.
   void LogChange(const live_target& target);
@@ -50,7 +57,7 @@
   std::mutex lock_;
   link_monitor monitor_;
   bool suspect_ = false;
-  std::map<std::string, time_point> failed_relays_;
+  std::map<std::string, relay_experience> relays_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/target_sender.cc
+++ b/src/libsamphire/traffic/target_sender.cc
@@ -80,6 +80,8 @@
         fmt::format("result=\"{}\"",
                     NameOf(kAttemptResultNames, attempt.attempt.result)));
     const auto result = attempt.attempt.result;
+    context_.links.OnRelayed(relay, result != attempt_result::kNotSent &&
+                                        result != attempt_result::kLost);
     const bool unreachable = result == attempt_result::kConnectFailed;
     if (!unreachable && result != attempt_result::kNotSent) {
       attempt.path = target_path::kRelayed;
@@ -104,7 +106,7 @@
       RelaysFor(*entries, context_.settings.place, request_.home_regions,
                 static_cast<std::uint64_t>(
                     context_.clock.now().time_since_epoch().count()));
-  context_.links.PassOver(relays);
+  context_.links.RankRelays(relays);
   relays.resize(std::min(relays.size(), kMaxRelays));
   return relays;
 }
