--- a/src/libsamphire/traffic/target_links.cc
+++ b/src/libsamphire/traffic/target_links.cc
@@ -81,7 +81,7 @@
   };
   if (!std::ranges::all_of(addresses, could_not))
     std::erase_if(addresses, could_not);
-  std::ranges::stable_partition(addresses, could);
+  std::stable_partition(addresses.begin(), addresses.end(), could);
 }
 
 const target_links::relay_experience* target_links::Experience(
