Split what entries tell each other out of the crash quarantine

What it tells and applies of other entries' decisions moves to crash_quarantine_news.cc, and the two times that both need to a header; no code changes. test_decision: 65 of 65.

--- a/src/libsamphire/decision/crash_quarantine.cc
+++ b/src/libsamphire/decision/crash_quarantine.cc
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <utility>
 
+#include "decision/crash_quarantine_times.h"
+
 namespace samphire {
 
 namespace {
@@ -25,16 +27,9 @@
 // each time beside others, is refused before it is tried again.
 constexpr milliseconds kTrialPause{500};
 constexpr std::uint64_t kTrialSlots = 4;
-// Upper bound on a pause that another entry tells.
-constexpr milliseconds kMaxTrialPause{16'000};
 // Requests lost on one target within this time count as one loss of that
 // target.
 constexpr duration kLossWindow = std::chrono::seconds(1);
-// A suspect whose caller has not sent it again within this time is forgotten.
-constexpr duration kSuspicionTime = std::chrono::minutes(10);
-// Long enough for a program to be fixed or its operator to be called, and short
-// enough that a fixed target receives its work again.
-constexpr duration kQuarantineTime = std::chrono::hours(1);
 // A response counts in favour of a request for as long as suspicion lasts.
 constexpr duration kAnswerRetention = kSuspicionTime;
 // Bounds on memory, about 2 MB in all. Suspects and quarantined requests are
@@ -214,98 +209,6 @@
     Release(fingerprint);
 }
 
-std::vector<quarantined_request> crash_quarantine::QuarantinedRequests(
-    time_point now) {
-  std::vector<quarantined_request> requests;
-  quarantined_.ForEach([&](request_fingerprint fingerprint, const auto& term) {
-    const auto left = std::chrono::floor<std::chrono::seconds>(
-        std::max(duration{0}, term.ends_at - now));
-    if (left.count() > 0)
-      requests.push_back(
-          {fingerprint, static_cast<std::uint32_t>(left.count())});
-  });
-  return requests;
-}
-
-std::optional<quarantined_request> crash_quarantine::QuarantinedRequest(
-    request_fingerprint fingerprint,
-    time_point now) {
-  if (!IsQuarantined(fingerprint, now))
-    return std::nullopt;
-  const auto left = std::chrono::floor<std::chrono::seconds>(
-      quarantined_.Find(fingerprint, now)->ends_at - now);
-  return quarantined_request{fingerprint,
-                             static_cast<std::uint32_t>(left.count())};
-}
-
-// A request that this entry has seen answered is quarantined only for losses
-// that this entry hears of itself: the sender may not know of the response.
-void crash_quarantine::OnQuarantined(const quarantined_request& request,
-                                     time_point now) {
-  if (answered_.Find(request.fingerprint, now) != nullptr)
-    return;
-  const auto ends_at =
-      now + std::min<duration>(kQuarantineTime,
-                               std::chrono::seconds(request.remaining_s));
-  if (const auto* term = quarantined_.Find(request.fingerprint, now);
-      term != nullptr && term->ends_at >= ends_at)
-    return;
-  quarantined_.Touch(request.fingerprint, now).ends_at = ends_at;
-  suspects_.Erase(request.fingerprint);
-}
-
-std::optional<paused_request> crash_quarantine::PauseOf(
-    request_fingerprint fingerprint,
-    time_point now) {
-  const auto* known = suspects_.Find(fingerprint, now);
-  if (known == nullptr || now >= known->refused_until)
-    return std::nullopt;
-  const auto left =
-      std::chrono::floor<milliseconds>(known->refused_until - now);
-  return paused_request{fingerprint, static_cast<std::uint32_t>(left.count())};
-}
-
-void crash_quarantine::OnPaused(const paused_request& request, time_point now) {
-  if (answered_.Find(request.fingerprint, now) != nullptr ||
-      IsQuarantined(request.fingerprint, now))
-    return;
-  const auto ends_at =
-      now + std::min(milliseconds(request.remaining_ms), kMaxTrialPause);
-  auto& known = suspects_.Touch(request.fingerprint, now);
-  known.refused_until = std::max(known.refused_until, ends_at);
-}
-
-std::vector<crash_notice> crash_quarantine::SuspectedLosses(std::size_t limit,
-                                                            time_point now) {
-  std::vector<crash_notice> losses;
-  const auto in_ms = [](duration time) {
-    return static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(time).count());
-  };
-  suspects_.ForEach([&](request_fingerprint fingerprint, const suspect& each) {
-    for (const auto& crash : each.crashes) {
-      if (losses.size() < limit && now - crash.lost_at < kSuspicionTime)
-        losses.push_back({.fingerprint = fingerprint,
-                          .target = crash.target,
-                          .alone = crash.alone,
-                          .ran_ms = in_ms(crash.lost_at - crash.started_at),
-                          .age_ms = in_ms(now - crash.lost_at)});
-    }
-  });
-  return losses;
-}
-
-void crash_quarantine::OnReleased(request_fingerprint fingerprint,
-                                  time_point now) {
-  answered_.Touch(fingerprint, now);
-  suspects_.Erase(fingerprint);
-  quarantined_.Erase(fingerprint);
-}
-
-std::vector<request_fingerprint> crash_quarantine::TakeReleased() {
-  return std::exchange(released_, {});
-}
-
 // A target that is going down still accepts connections for a moment and then
 // drops them. A request sent to it in that moment is lost but did not cause the
 // crash, and it must not make the request that did look as if it had shared the
