--- a/src/libsamphire/routing/link_monitor.h
+++ b/src/libsamphire/routing/link_monitor.h
@@ -60,12 +60,13 @@
     std::optional<time_point> probed_at;
   };
 
-  // Returns the targets that could not be reached since `since`, of one failure
-  // domain if it is named, and their failure domains.
+  // Targets that could not be reached, and their failure domains.
   struct failures {
     std::size_t targets = 0;
     std::set<std::string> domains;
   };
+  // Returns those whose last attempt to connect began at `since` or later; only
+  // of one failure domain if `domain` is not null.
   failures FailuresSince(time_point since,
                          const std::string* domain,
                          time_point now);
