Simplify what a last read of the diff found twice

What is left of a quarantine was computed in two places, IsConvicted only called IsQuarantined, two routes were built by a lambda each, and an attempt through a relay or without one went through a third function. No behaviour changes.

--- a/src/libsamphire/decision/crash_quarantine.h
+++ b/src/libsamphire/decision/crash_quarantine.h
@@ -79,9 +79,7 @@
   // started.
   std::vector<crash_notice> SuspectedLosses(std::size_t limit, time_point now);
   // Whether the request is refused for good, and not until a trial.
-  bool IsConvicted(request_fingerprint fingerprint, time_point now) {
-    return IsQuarantined(fingerprint, now);
-  }
+  bool IsQuarantined(request_fingerprint fingerprint, time_point now);
   // Applies that another entry has released the request.
   void OnReleased(request_fingerprint fingerprint, time_point now);
   // Returns the suspects and the requests in quarantine that this entry has
@@ -142,7 +140,6 @@
                      time_point now);
   static void AddCrash(std::vector<crash_record>& crashes,
                        const crash_record& crash);
-  bool IsQuarantined(request_fingerprint fingerprint, time_point now);
   // Returns the losses that count against the request.
   std::vector<crash_record> CountedCrashes(
       request_fingerprint fingerprint,
--- a/src/libsamphire/decision/crash_quarantine_news.cc
+++ b/src/libsamphire/decision/crash_quarantine_news.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 #include "decision/crash_quarantine.h"
@@ -14,17 +15,22 @@
 // Upper bound on a pause that another entry tells.
 constexpr milliseconds kMaxTrialPause{16'000};
 
+// Returns 0 for a time that has passed.
+std::uint32_t WholeSecondsUntil(time_point end, time_point now) {
+  const auto left = std::chrono::floor<std::chrono::seconds>(
+      std::max(duration{0}, end - now));
+  return static_cast<std::uint32_t>(left.count());
+}
+
 }  // namespace
 
 std::vector<quarantined_request> crash_quarantine::QuarantinedRequests(
     time_point now) {
   std::vector<quarantined_request> requests;
   quarantined_.ForEach([&](request_fingerprint fingerprint, const auto& term) {
-    const auto left = std::chrono::floor<std::chrono::seconds>(
-        std::max(duration{0}, term.ends_at - now));
-    if (left.count() > 0)
-      requests.push_back(
-          {fingerprint, static_cast<std::uint32_t>(left.count())});
+    const auto left = WholeSecondsUntil(term.ends_at, now);
+    if (left > 0)
+      requests.push_back({fingerprint, left});
   });
   return requests;
 }
@@ -34,10 +40,9 @@
     time_point now) {
   if (!IsQuarantined(fingerprint, now))
     return std::nullopt;
-  const auto left = std::chrono::floor<std::chrono::seconds>(
-      quarantined_.Find(fingerprint, now)->ends_at - now);
+  const auto* term = quarantined_.Find(fingerprint, now);
   return quarantined_request{fingerprint,
-                             static_cast<std::uint32_t>(left.count())};
+                             WholeSecondsUntil(term->ends_at, now)};
 }
 
 // A request that this entry has seen answered is quarantined only for losses
--- a/src/libsamphire/gateway/fleet_quarantine.cc
+++ b/src/libsamphire/gateway/fleet_quarantine.cc
@@ -171,10 +171,10 @@
     const auto apply = [&](request_fingerprint fingerprint,
                            quarantine_source source, auto change) {
       const bool refused_before = IsRefused(fingerprint, now);
-      const bool convicted_before = quarantine_.IsConvicted(fingerprint, now);
+      const bool convicted_before = quarantine_.IsQuarantined(fingerprint, now);
       change();
       if (IsRefused(fingerprint, now) != refused_before ||
-          quarantine_.IsConvicted(fingerprint, now) != convicted_before)
+          quarantine_.IsQuarantined(fingerprint, now) != convicted_before)
         changed[fingerprint] = source;
     };
     for (const auto& each : news.losses)
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -41,16 +41,8 @@
 
 // Routes that differ only in whether a request may run more than once.
 const traffic_route& RouteFor(bool idempotent) {
-  static const traffic_route once = [] {
-    traffic_route route;
-    route.idempotent = false;
-    return route;
-  }();
-  static const traffic_route repeatable = [] {
-    traffic_route route;
-    route.idempotent = true;
-    return route;
-  }();
+  static const traffic_route once{.idempotent = false};
+  static const traffic_route repeatable{.idempotent = true};
   return idempotent ? repeatable : once;
 }
 
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -54,20 +54,15 @@
     : context_(context), request_(request), caller_(caller), sink_(sink) {}
 
 target_exchange_end target_exchange::Run(const live_target& target) {
-  return RunAt("", target);
-}
-
-target_exchange_end target_exchange::RunThrough(const std::string& relay,
-                                                const live_target& target) {
-  return RunAt(relay, target);
+  return RunThrough("", target);
 }
 
 // A request that must not be repeated, or can't be because its body is not
 // buffered whole, is sent on a new connection. On a pooled connection that the
 // target is closing at that moment, it would be unknown whether the request
 // ran.
-target_exchange_end target_exchange::RunAt(const std::string& relay,
-                                           const live_target& target) {
+target_exchange_end target_exchange::RunThrough(const std::string& relay,
+                                                const live_target& target) {
   const auto started = context_.clock.now();
   target_exchange_end end;
   const bool needs_fresh_connection =
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -29,7 +29,8 @@
   // Makes one attempt at the target. Blocks until the response was received or
   // streamed, the attempt failed or the request's deadline passed.
   target_exchange_end Run(const live_target& target);
-  // The same through the entry at the peer address `relay`.
+  // The same through the entry at the peer address `relay`; directly if that is
+  // empty.
   target_exchange_end RunThrough(const std::string& relay,
                                  const live_target& target);
 
@@ -37,9 +38,6 @@
   Poco::Net::HTTPRequest HeadFor(const live_target& target) const;
   void SetTeamHeader(Poco::Net::HTTPRequest& head) const;
   void SetBodyFraming(Poco::Net::HTTPRequest& head) const;
-  // Makes the attempt at the target, or through `relay` if that is not empty.
-  target_exchange_end RunAt(const std::string& relay,
-                            const live_target& target);
   // Sends the request once, on a new connection if `fresh`. Returns false if it
   // was sent on a pooled connection that the target had already closed, so that
   // the target can't have received it.
