Count each arrival at a target by its cause

The attempts in the log can't tell why, since one attempt may send a request twice: target_exchange sends once more, to the same target, when a pooled connection fails, and nothing counts that.

`target_arrivals_total` counts what is sent, by service and cause (first, retry, kept-connection-lost), and `repeated-arrival` logs each one beyond the first. No decision changes. It tells three hypotheses apart: hidden second sends show as kept-connection-lost; shares of the bound that add up to too much show as retries; attempts that other entries pass on show as path relayed.

--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -68,7 +68,8 @@
   const bool needs_fresh_connection =
       !request_.route->idempotent || request_.body_rest != nullptr;
   if (!TryOnce(relay, target, needs_fresh_connection, end)) {
-    end = {};
+    const auto sends = end.sends;
+    end = {.sends = sends};
     TryOnce(relay, target, true, end);
   }
   if (end.attempt.took == duration{0})
@@ -140,6 +141,7 @@
     Fail(result_code::kCallerGone, end);
     return true;
   }
+  ++end.sends;
   end.may_have_run = true;
   end.body_consumed = request_.body_rest != nullptr;
   auto head = HeadFor(target);
@@ -235,6 +237,8 @@
   if (IsTargetResponse(*status))
     return true;
   end.may_have_run = status->run != run_state::kNotRun;
+  if (!end.may_have_run)
+    --end.sends;
   if (status->code == result_code::kTargetUnreachable) {
     end.reason = status->code;
     end.attempt.result = attempt_result::kConnectFailed;
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -3,6 +3,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include <cstdint>
 #include <optional>
 
 #include "base/result_code.h"
@@ -18,6 +19,8 @@
   // Why there is no response for the caller: it is incomplete, or the target
   // did not produce it by running the request. kOk if there is one.
   result_code reason = result_code::kOk;
+  // How often the request was sent, whether or not the target received it.
+  std::uint32_t sends = 0;
   // Whether the request may be running or have run at the target.
   bool may_have_run = false;
   // Whether the target closed the connection without any response.
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "gateway/response_relay.h"
+#include "routing/arrival_cause.h"
 #include "traffic/target_sender.h"
 
 namespace samphire {
@@ -115,6 +116,7 @@
   last_target_ = target.id;
   auto end = Exchange(target);
   ReportAttemptEnd(placed, end);
+  CountArrivals(end);
   if (end.attempt.result == attempt_result::kNotSent)
     placer_.LeaveAlone(target);
   if (end.may_have_run) {
@@ -194,6 +196,27 @@
   return team != nullptr && team->name == request_.team->name;
 }
 
+void traffic_dispatcher::CountArrivals(const target_exchange_end& end) {
+  for (std::uint32_t send = 0; send < end.sends; ++send) {
+    auto cause = arrival_cause::kKeptConnectionLost;
+    if (send == 0)
+      cause = arrivals_ == 0 ? arrival_cause::kFirst : arrival_cause::kRetry;
+    ++arrivals_;
+    const auto name = NameOf(kArrivalCauseNames, cause);
+    context_.counters.Count(
+        "target_arrivals_total",
+        fmt::format("service=\"{}\",cause=\"{}\"", placer_.service(), name));
+    if (cause != arrival_cause::kFirst) {
+      Log(log_level::kInfo, "repeated-arrival",
+          {{"request", request_.id},
+           {"service", placer_.service()},
+           {"target", last_target_},
+           {"cause", name},
+           {"path", NameOf(kTargetPathNames, end.path)}});
+    }
+  }
+}
+
 void traffic_dispatcher::ReportAttemptEnd(const placed_request& placed,
                                           const target_exchange_end& end) {
   const auto pause = placer_.OnAttemptEnd(placed, EvidenceOf(placed, end));
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -45,6 +45,9 @@
   bool TakePermit();
   // Whether the API key still belongs to the same team in the current manifest.
   bool IsApiKeyValid() const;
+  // Counts how often the attempt sent the request, by cause, and logs each time
+  // beyond the first.
+  void CountArrivals(const target_exchange_end& end);
   // Reports the end of an attempt to the entry that placed it and logs it.
   void ReportAttemptEnd(const placed_request& placed,
                         const target_exchange_end& end);
@@ -75,6 +78,8 @@
   // A granted permit that no run has used yet.
   std::optional<team_permit> permit_;
   std::uint32_t attempts_ = 0;
+  // How often the request was sent to a target.
+  std::uint32_t arrivals_ = 0;
   // Id of the target of the last attempt.
   std::string last_target_;
   // Number of attempts whose targets may have run the request.
