--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -35,6 +35,15 @@
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
+    const auto rest = target_.RestOf(request.clientAddress().toString());
+    const auto behavior = target_.behavior.load();
+    if (behavior == target_behavior::kForgetRestedConnection && rest &&
+        rest->count() >= target_.forget_after_ms) {
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
+          .socket()
+          .shutdown();
+      return;
+    }
     ++target_.arrivals;
     std::string body;
     Poco::StreamCopier::copyToString(request.stream(), body);
@@ -43,7 +52,6 @@
       response.set("Server-Limit", fmt::format("{}", limit));
     if (target_.leaving)
       response.set("Server-Leaving", "1");
-    const auto behavior = target_.behavior.load();
     if (request.get("Target-Instance", "") != target_.id() ||
         behavior == target_behavior::kWrongInstance) {
       Send(response, 421, "");
@@ -61,12 +69,25 @@
       const bool alive = !crashes && Work();
       if (crashes)
         ++target_.crashes;
-      Run(alive ? behavior : target_behavior::kCloseWithoutResponse, request,
-          response, body);
+      Run(alive ? BehaviorOn(rest.has_value())
+                : target_behavior::kCloseWithoutResponse,
+          request, response, body);
     }
   }
 
  private:
+  // Returns how to treat a request on a connection that carried one before, or
+  // not.
+  target_behavior BehaviorOn(bool kept) const {
+    const auto behavior = target_.behavior.load();
+    const bool only_kept = behavior == target_behavior::kCloseKeptConnection ||
+                           behavior == target_behavior::kResetKeptConnection;
+    if (only_kept && !kept)
+      return target_behavior::kServe;
+    return behavior == target_behavior::kCloseKeptConnection
+               ? target_behavior::kCloseWithoutResponse
+               : behavior;
+  }
   // Takes the time of a run. Returns false if the target crashes meanwhile.
   bool Work() const {
     const int crashes_before = target_.crashes;
@@ -96,6 +117,11 @@
       socket.shutdown();
       return;
     }
+    if (behavior == target_behavior::kResetKeptConnection) {
+      socket.setLinger(true, 0);
+      socket.close();
+      return;
+    }
     const caller_watch entry_watch(socket);
     while (behavior == target_behavior::kHang &&
            !entry_watch.IsDisconnected() && !target_.stopping)
@@ -145,6 +171,17 @@
   ++runs_by_id_[id];
 }
 
+std::optional<std::chrono::milliseconds> wire_target::RestOf(
+    const std::string& client) {
+  const auto now = std::chrono::steady_clock::now();
+  std::lock_guard guard(lock_);
+  const auto [last, is_first] = last_requests_.try_emplace(client, now);
+  const auto rest = now - std::exchange(last->second, now);
+  if (is_first)
+    return std::nullopt;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(rest);
+}
+
 std::map<std::string, std::string> wire_target::last_headers() const {
   std::lock_guard guard(lock_);
   return last_headers_;
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -5,9 +5,11 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace samphire::platform {
@@ -26,6 +28,14 @@
   // Refuses the request as addressed to another target, like another process
   // that has taken over the address.
   kWrongInstance,
+  // Like kCloseWithoutResponse on connections that carried a request before;
+  // serves on new ones.
+  kCloseKeptConnection,
+  // The same, but resets the connection.
+  kResetKeptConnection,
+  // Closes a connection that rested for `forget_after_ms` when the next request
+  // arrives on it, without having received that.
+  kForgetRestedConnection,
 };
 
 // A target that serves the platform's HTTP protocol on a free local port, with
@@ -50,6 +60,9 @@
   // Duration of a run, in milliseconds.
   std::atomic<int> work_ms = 0;
 
+  // Time after which a connection is forgotten, in milliseconds.
+  std::atomic<int> forget_after_ms = 0;
+
   // The rate that the target names as its limit in all responses, in requests
   // per second; negative for none.
   std::atomic<double> rate_limit = -1;
@@ -70,6 +83,10 @@
   std::map<std::string, int> runs_by_id() const;
   void CountRun(const std::string& id);
 
+  // Returns how long the connection from this client address rested since its
+  // last request; nothing for the first one.
+  std::optional<std::chrono::milliseconds> RestOf(const std::string& client);
+
   // Headers of the most recently run request.
   std::map<std::string, std::string> last_headers() const;
   void SetLastHeaders(std::map<std::string, std::string> headers);
@@ -79,6 +96,8 @@
   mutable std::mutex lock_;
   std::map<std::string, int> runs_by_id_;
   std::map<std::string, std::string> last_headers_;
+  // Times of the last request, by client address.
+  std::map<std::string, std::chrono::steady_clock::time_point> last_requests_;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
