Pay for each arrival at a target in one place, before it is sent

Requests that crash targets ran once more for each kept connection, and that first loss was forgotten.

Cause: target_exchange repeated a send by itself when a pooled connection failed. A layer below the one that decides on retries can't know what they cost, so attempts, permits, the window of retries and the quarantine saw one send.

Now an exchange sends once. arrival_account counts what reaches a target and pays for each arrival beyond the first, whatever caused it; the dispatcher is the only one that makes attempts. Entries that pass attempts on use new connections only, since a second send of theirs was counted by nobody either.

Callers of connections that rested are still served: a loss within two round trips says nothing against the target and is retried on a new connection; the pool then reuses only connections that rested for less than half as long for 10 s; and where no retry is left, only connections that carried a request 100 ms ago are reused. A loss that comes later has carried the request to its target and counts like one on a new connection.

--- a/src/libsamphire/gateway/peer_post.cc
+++ b/src/libsamphire/gateway/peer_post.cc
@@ -56,7 +56,8 @@
   const caller_watch no_caller;
   http_exchange exchange(pool, peer, no_caller,
                          std::chrono::steady_clock::now() + post.timeout);
-  if (!exchange.Connect(false) || !exchange.Send(head, post.body))
+  if (!exchange.Connect(connection_use::kAny) ||
+      !exchange.Send(head, post.body))
     return MakeError(result_code::kPeerUnreachable, peer);
   BOOST_OUTCOME_TRY(response, exchange.ReadHead());
   if (response->getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
--- a/src/libsamphire/gateway/response_relay.cc
+++ b/src/libsamphire/gateway/response_relay.cc
@@ -75,14 +75,14 @@
                               bool fresh,
                               relay_result& end) {
   http_exchange exchange(pool_, request.address, caller_, request.deadline);
-  if (!exchange.Connect(fresh)) {
+  if (!exchange.Connect(fresh ? connection_use::kNew : connection_use::kAny)) {
     end.outcome = attempt_outcome::kConnectFailed;
   } else if (auto sent = exchange.Send(request.head, request.body); !sent) {
     end.outcome = OutcomeOf(sent.error().code);
   } else {
     ReadResponse(exchange, end);
   }
-  return !exchange.failed_on_stale_connection();
+  return !exchange.may_have_been_stale();
 }
 
 void response_relay::ReadResponse(http_exchange& exchange, relay_result& end) {
--- a/src/libsamphire/proxy/connection_pool.cc
+++ b/src/libsamphire/proxy/connection_pool.cc
@@ -3,6 +3,9 @@
 #include <Poco/Exception.h>
 #include <Poco/Timespan.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace samphire {
 
 namespace {
@@ -10,7 +13,11 @@
 // Time after which an idle connection is no longer reused. Targets close idle
 // connections after some seconds, and a request on a connection that is just
 // being closed would be a failed attempt.
-constexpr milliseconds kMaxIdle{2000};
+constexpr milliseconds kMaxRest{2000};
+// Time for which a connection that was just used can be taken for open.
+constexpr milliseconds kRecentRest{100};
+// Time for which the rest after which a connection was closed is remembered.
+constexpr std::chrono::seconds kStaleMemory{10};
 
 // Bounds the idle connections kept per address. More are never busy at once
 // towards one target, since its slots bound the work that is sent to it.
@@ -31,10 +38,11 @@
 
 result<connection_pool::pooled_connection> connection_pool::Acquire(
     const std::string& address,
-    milliseconds connect_timeout) {
-  while (auto socket = AcquireIdle(address)) {
-    if (HasNoPendingInput(*socket))
-      return pooled_connection{*socket, true};
+    milliseconds connect_timeout,
+    connection_use use) {
+  while (auto connection = AcquireIdle(address, use)) {
+    if (HasNoPendingInput(connection->socket))
+      return *std::move(connection);
   }
   return Open(address, connect_timeout);
 }
@@ -42,43 +50,73 @@
 result<connection_pool::pooled_connection> connection_pool::Open(
     const std::string& address,
     milliseconds connect_timeout) {
+  const auto started = std::chrono::steady_clock::now();
   BOOST_OUTCOME_TRY(socket, opener_.Open(address, connect_timeout));
-  return pooled_connection{socket, false};
+  return pooled_connection{
+      .socket = socket,
+      .opened_in = std::chrono::steady_clock::now() - started};
 }
 
 void connection_pool::Release(const std::string& address,
-                              const Poco::Net::StreamSocket& socket) {
-  idle_.With(address, [&](idle_map& idle) {
-    auto& connections = idle[address];
-    connections.push_back({socket, std::chrono::steady_clock::now()});
-    if (connections.size() > kMaxIdlePerAddress)
-      connections.pop_front();
+                              const pooled_connection& connection) {
+  addresses_.With(address, [&](address_map& addresses) {
+    auto& idle = addresses[address].idle;
+    idle.push_back({connection.socket, std::chrono::steady_clock::now(),
+                    connection.opened_in});
+    if (idle.size() > kMaxIdlePerAddress)
+      idle.pop_front();
+  });
+}
+
+void connection_pool::OnStale(const std::string& address, duration rested) {
+  const auto now = std::chrono::steady_clock::now();
+  addresses_.With(address, [&](address_map& addresses) {
+    auto& state = addresses[address];
+    state.max_rest = std::min(MaxRest(state, now), rested / 2);
+    state.max_rest_until = now + kStaleMemory;
   });
 }
 
 void connection_pool::CloseIdle(const std::string& address) {
-  idle_.With(address, [&](idle_map& idle) { idle.erase(address); });
+  addresses_.With(address, [&](address_map& addresses) {
+    const auto found = addresses.find(address);
+    if (found != addresses.end())
+      found->second.idle.clear();
+  });
+}
+
+duration connection_pool::MaxRest(const address_state& state, time_point now) {
+  return now < state.max_rest_until ? state.max_rest : kMaxRest;
 }
 
 // Returns the connection that was used last, which is the least likely to have
-// been closed by the other side. Drops connections idle for too long.
-std::optional<Poco::Net::StreamSocket> connection_pool::AcquireIdle(
-    const std::string& address) {
+// been closed by the other side. Drops connections that rested for too long.
+std::optional<connection_pool::pooled_connection> connection_pool::AcquireIdle(
+    const std::string& address,
+    connection_use use) {
+  if (use == connection_use::kNew)
+    return std::nullopt;
   const auto now = std::chrono::steady_clock::now();
-  return idle_.With(
-      address, [&](idle_map& idle) -> std::optional<Poco::Net::StreamSocket> {
-        const auto found = idle.find(address);
-        if (found == idle.end())
+  return addresses_.With(
+      address, [&](address_map& addresses) -> std::optional<pooled_connection> {
+        const auto found = addresses.find(address);
+        if (found == addresses.end())
+          return std::nullopt;
+        auto& idle = found->second.idle;
+        const auto max_rest = MaxRest(found->second, now);
+        while (!idle.empty() && now - idle.front().idle_since > max_rest)
+          idle.pop_front();
+        if (idle.empty())
           return std::nullopt;
-        auto& connections = found->second;
-        while (!connections.empty() &&
-               now - connections.front().idle_since > kMaxIdle)
-          connections.pop_front();
-        if (connections.empty())
+        const auto last = idle.back();
+        const auto rested = now - last.idle_since;
+        if (use == connection_use::kRecent && rested > kRecentRest)
           return std::nullopt;
-        auto socket = connections.back().socket;
-        connections.pop_back();
-        return socket;
+        idle.pop_back();
+        return pooled_connection{.socket = last.socket,
+                                 .reused = true,
+                                 .rested = rested,
+                                 .opened_in = last.opened_in};
       });
 }
 
--- a/src/libsamphire/proxy/connection_pool.h
+++ b/src/libsamphire/proxy/connection_pool.h
@@ -11,6 +11,7 @@
 #include "base/clock_source.h"
 #include "base/result.h"
 #include "base/sharded.h"
+#include "proxy/connection_use.h"
 #include "proxy/tcp_connection_opener.h"
 
 namespace samphire {
@@ -24,6 +25,10 @@
     Poco::Net::StreamSocket socket;
     // Whether the connection has carried an earlier request.
     bool reused = false;
+    // Time since the end of that request.
+    duration rested{0};
+    // Time that opening the connection took: a round trip or a little more.
+    duration opened_in{0};
   };
 
   // `opener` must outlive the pool.
@@ -31,17 +36,21 @@
       const connection_opener& opener = tcp_connection_opener::Default())
       : opener_(opener) {}
 
-  // Returns an idle connection that still appears open, or opens a new one.
-  // Fails with kTargetUnreachable if connecting fails or exceeds the timeout.
+  // Returns an idle connection that still appears open and that `use` allows,
+  // or opens a new one. Fails with kTargetUnreachable if connecting fails or
+  // exceeds the timeout.
   result<pooled_connection> Acquire(const std::string& address,
-                                    milliseconds connect_timeout);
+                                    milliseconds connect_timeout,
+                                    connection_use use = connection_use::kAny);
   // Opens a new connection in any case. Fails like Acquire().
   result<pooled_connection> Open(const std::string& address,
                                  milliseconds connect_timeout);
   // Makes a connection available for reuse. Over the bound per address, the
   // oldest idle connection is dropped.
-  void Release(const std::string& address,
-               const Poco::Net::StreamSocket& socket);
+  void Release(const std::string& address, const pooled_connection& connection);
+  // Reports that a connection which had rested for `rested` turned out to be
+  // closed. For a while, connections that rest for half as long are not reused.
+  void OnStale(const std::string& address, duration rested);
   // Drops all idle connections to `address`, for example after a failed
   // attempt.
   void CloseIdle(const std::string& address);
@@ -50,14 +59,23 @@
   struct idle_connection {
     Poco::Net::StreamSocket socket;
     time_point idle_since;
+    duration opened_in{0};
   };
-  using idle_map = std::map<std::string, std::deque<idle_connection>>;
+  struct address_state {
+    std::deque<idle_connection> idle;
+    // A bound on the time that connections rest, which holds until
+    // `max_rest_until`.
+    duration max_rest{0};
+    time_point max_rest_until;
+  };
+  using address_map = std::map<std::string, address_state>;
 
-  std::optional<Poco::Net::StreamSocket> AcquireIdle(
-      const std::string& address);
+  std::optional<pooled_connection> AcquireIdle(const std::string& address,
+                                               connection_use use);
+  static duration MaxRest(const address_state& state, time_point now);
 
   const connection_opener& opener_;
-  sharded<idle_map> idle_;
+  sharded<address_map> addresses_;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -20,6 +20,10 @@
 
 // Bytes of a request body forwarded at a time.
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10U;
+// The end of a stale connection shows one round trip after a request was sent
+// on it, and later on a busy processor.
+constexpr int kStaleRoundTrips = 2;
+constexpr milliseconds kMinStaleTime{10};
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 // Returns nothing for empty input: an empty chunk would mark the end of the
@@ -64,7 +68,7 @@
     return;
   try {
     if (response_complete_ && keep_alive_)
-      pool_.Release(address_, connection_->socket);
+      pool_.Release(address_, *connection_);
     else
       connection_->socket.close();
   } catch (const Poco::Exception&) {
@@ -72,13 +76,12 @@
   }
 }
 
-result<void> http_exchange::Connect(bool fresh) {
+result<void> http_exchange::Connect(connection_use use) {
   const auto time_left = TimeLeft(deadline_);
   if (time_left.count() <= 0)
     return MakeError(result_code::kDeadlineExceeded);
   const auto timeout = std::min(time_left, options_.connect_timeout);
-  auto acquired =
-      fresh ? pool_.Open(address_, timeout) : pool_.Acquire(address_, timeout);
+  auto acquired = pool_.Acquire(address_, timeout, use);
   if (!acquired)
     return acquired.error();
   connection_ = std::move(acquired.value());
@@ -96,6 +99,7 @@
   std::ostringstream text;
   head.write(text);
   stage_ = exchange_stage::kSending;
+  sent_at_ = std::chrono::steady_clock::now();
   BOOST_OUTCOME_TRYV(SendBytes(
       text.str() + (chunked ? EncodeChunk(body) : std::string(body))));
   if (body_remainder != nullptr) {
@@ -105,6 +109,19 @@
   return Success();
 }
 
+// A connection that ends later has carried the request to a process that then
+// ended or broke it off.
+void http_exchange::OnConnectionEnded() {
+  if (!connection_->reused || buffer_->has_received())
+    return;
+  const auto stale_time = std::max<duration>(
+      kStaleRoundTrips * connection_->opened_in, kMinStaleTime);
+  may_have_been_stale_ =
+      std::chrono::steady_clock::now() - sent_at_ <= stale_time;
+  if (may_have_been_stale_)
+    pool_.OnStale(address_, connection_->rested);
+}
+
 result<void> http_exchange::SendBytes(std::string_view bytes) {
   try {
     const auto time_left = std::max(milliseconds{1}, TimeLeft(deadline_));
@@ -112,7 +129,7 @@
         Poco::Timespan(microseconds(time_left).count()));
     SendAll(connection_->socket, bytes);
   } catch (const Poco::Exception& e) {
-    failed_on_stale_connection_ = connection_->reused;
+    OnConnectionEnded();
     return MakeError(result_code::kTargetFailed, e.displayText());
   }
   return Success();
@@ -155,10 +172,8 @@
       head_->read(*input_);
     } while (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
   } catch (const Poco::Exception&) {
-    const auto failure = buffer_->failure();
-    failed_on_stale_connection_ =
-        connection_->reused &&
-        (failure == result_code::kOk || failure == result_code::kTargetFailed);
+    if (ended_without_response())
+      OnConnectionEnded();
     return MakeReadError(result_code::kTargetFailed);
   }
   auto framing = ParseResponseFraming(*head_, is_head_request_);
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -42,11 +42,10 @@
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
 
-  // Acquires a connection from the pool, or opens a new one if `fresh`: a
-  // request that must not be repeated should not be lost on a connection that
-  // the other side is just closing. Fails with kDeadlineExceeded or
-  // kTargetUnreachable.
-  result<void> Connect(bool fresh);
+  // Acquires a connection. A request that must not be repeated should not be
+  // lost on a connection that the other side is just closing. Fails with
+  // kDeadlineExceeded or kTargetUnreachable.
+  result<void> Connect(connection_use use);
   // Sends the request. `body_remainder` supplies what follows `body`, if that
   // is not all. If reading it fails, Send() fails with the same error, and the
   // other side never receives a complete request. Fails with kTargetFailed if a
@@ -70,18 +69,18 @@
   exchange_stage stage() const { return stage_; }
   // Whether Connect() opened a new connection.
   bool is_new_connection() const { return connection_ && !connection_->reused; }
-  // Whether the request failed on a reused connection, while it was sent or
-  // before a complete response head was read: the likely cause is that the
-  // target had closed the idle connection.
-  bool failed_on_stale_connection() const {
-    return failed_on_stale_connection_;
-  }
+  // Whether the connection was reused and ended so soon after the request was
+  // sent, without any byte of a response, that the other side may have closed
+  // it before. It may have received the request all the same.
+  bool may_have_been_stale() const { return may_have_been_stale_; }
   // Whether the other side ended the connection before it sent any byte of a
   // response.
   bool ended_without_response() const;
   const body_framing& framing() const { return framing_; }
 
  private:
+  // Concludes from the end of the connection whether it may have been stale.
+  void OnConnectionEnded();
   result<void> SendBytes(std::string_view bytes);
   result<void> SendBodyRemainder(body_source& body_remainder, bool chunked);
   // Returns why the connection ended, or `fallback` if it ended in order.
@@ -97,6 +96,7 @@
   time_point deadline_;
   exchange_stage stage_ = exchange_stage::kConnecting;
   std::optional<connection_pool::pooled_connection> connection_;
+  time_point sent_at_;
   std::unique_ptr<socket_input_buf> buffer_;
   std::unique_ptr<std::istream> input_;
   std::optional<Poco::Net::HTTPResponse> head_;
@@ -105,7 +105,7 @@
   bool is_head_request_ = false;
   bool keep_alive_ = false;
   bool response_complete_ = false;
-  bool failed_on_stale_connection_ = false;
+  bool may_have_been_stale_ = false;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/routing/retry_window.cc
+++ b/src/libsamphire/routing/retry_window.cc
@@ -24,7 +24,7 @@
 // working targets would be overloaded by retries. While the number of entries
 // is not known, an entry uses only the retries that its own requests allow:
 // after a crash of all entries, each would otherwise use the whole slack.
-bool retry_window::TryTake(const retry_bound& bound,
+bool retry_window::HasRoom(const retry_bound& bound,
                            std::size_t entries,
                            time_point now) {
   RemoveBefore(requests_, now - bound.window);
@@ -33,7 +33,13 @@
       entries == 0 ? 0 : bound.slack / static_cast<double>(entries);
   const double limit =
       kBoundUse * (bound.ratio * static_cast<double>(requests_.size()) + slack);
-  if (static_cast<double>(retries_.size()) + 1 > limit)
+  return static_cast<double>(retries_.size()) + 1 <= limit;
+}
+
+bool retry_window::TryTake(const retry_bound& bound,
+                           std::size_t entries,
+                           time_point now) {
+  if (!HasRoom(bound, entries, now))
     return false;
   retries_.push_back(now);
   return true;
--- a/src/libsamphire/routing/retry_window.h
+++ b/src/libsamphire/routing/retry_window.h
@@ -19,6 +19,8 @@
   // `entries` is the number of entries that share the bound; 0 if not known
   // yet.
   bool TryTake(const retry_bound& bound, std::size_t entries, time_point now);
+  // Whether TryTake() would succeed.
+  bool HasRoom(const retry_bound& bound, std::size_t entries, time_point now);
 
  private:
   std::deque<time_point> requests_;
--- a/src/libsamphire/traffic/link_prober.cc
+++ b/src/libsamphire/traffic/link_prober.cc
@@ -40,7 +40,7 @@
   if (!opened)
     return false;
   links_.OnConnected(target);
-  pool_.Release(target.address, opened.value().socket);
+  pool_.Release(target.address, opened.value());
   return true;
 }
 
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -76,6 +76,8 @@
   return request.has(kHeaderRelayTarget);
 }
 
+// Uses a new connection: the peer that counts the attempt could not tell the
+// loss of a stale one from that of its target.
 void relay_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
                                   Poco::Net::HTTPServerResponse& response) {
   const relayed_request counted(context_.state.relayed_requests);
@@ -98,8 +100,8 @@
   if (read.value().body_rest != nullptr)
     response.setKeepAlive(false);
   const caller_watch peer(sink.socket());
-  const auto end =
-      target_exchange(context_, read.value(), peer, sink).Run(target.value());
+  const auto end = target_exchange(context_, read.value(), peer, sink)
+                       .Run(target.value(), connection_use::kNew);
   Respond(end, target.value(), sink);
 }
 
@@ -183,9 +185,9 @@
              !context_.links.IsDown(target)) {
     sink.Refuse({.code = result_code::kNoPathToTarget});
   } else {
-    sink.Refuse(
-        {.code = CodeOf(end),
-         .run = end.may_have_run ? run_state::kUnknown : run_state::kNotRun});
+    sink.Refuse({.code = CodeOf(end),
+                 .run = end.sent.may_have_run ? run_state::kUnknown
+                                              : run_state::kNotRun});
   }
 }
 
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -53,27 +53,25 @@
                                  response_sink& sink)
     : context_(context), request_(request), caller_(caller), sink_(sink) {}
 
-target_exchange_end target_exchange::Run(const live_target& target) {
-  return RunThrough("", target);
-}
-
 // A request that must not be repeated, or can't be because its body is not
 // buffered whole, is sent on a new connection. On a pooled connection that the
 // target is closing at that moment, it would be unknown whether the request
 // ran.
+target_exchange_end target_exchange::Run(const live_target& target,
+                                         connection_use use) {
+  target_exchange_end end;
+  const bool may_repeat =
+      request_.route->idempotent && request_.body_rest == nullptr;
+  Exchange("", target, may_repeat ? use : connection_use::kNew, end);
+  return end;
+}
+
+// A relay whose kept connection ends may have passed the request on, so that
+// the target would get it twice.
 target_exchange_end target_exchange::RunThrough(const std::string& relay,
                                                 const live_target& target) {
-  const auto started = context_.clock.now();
   target_exchange_end end;
-  const bool needs_fresh_connection =
-      !request_.route->idempotent || request_.body_rest != nullptr;
-  if (!TryOnce(relay, target, needs_fresh_connection, end)) {
-    const auto sends = end.sends;
-    end = {.sends = sends};
-    TryOnce(relay, target, true, end);
-  }
-  if (end.attempt.took == duration{0})
-    end.attempt.took = context_.clock.now() - started;
+  Exchange(relay, target, connection_use::kNew, end);
   return end;
 }
 
@@ -116,10 +114,11 @@
     head.setChunkedTransferEncoding(true);
 }
 
-bool target_exchange::TryOnce(const std::string& relay,
-                              const live_target& target,
-                              bool fresh,
-                              target_exchange_end& end) {
+void target_exchange::Exchange(const std::string& relay,
+                               const live_target& target,
+                               connection_use use,
+                               target_exchange_end& end) {
+  const auto started = context_.clock.now();
   const bool relayed = !relay.empty();
   exchange_options options{.connect_timeout = kConnectTimeout,
                            .accept_unframed = true};
@@ -130,37 +129,42 @@
   }
   http_exchange exchange(context_.pool, relayed ? relay : target.address,
                          caller_, request_.deadline, options);
-  const bool connected = relayed
-                             ? ConnectToRelay(exchange, fresh, end)
-                             : ConnectToTarget(exchange, target, fresh, end);
-  if (!connected)
-    return true;
-  // On an overloaded CPU, a request may have waited for so long that its caller
-  // has disconnected; sending it would waste the target's capacity.
-  if (caller_.IsDisconnected()) {
+  const bool connected = relayed ? ConnectToRelay(exchange, end)
+                                 : ConnectToTarget(exchange, target, use, end);
+  if (connected && caller_.IsDisconnected()) {
+    // On an overloaded CPU, a request may have waited for so long that its
+    // caller has disconnected; sending it would waste the target's capacity.
     Fail(result_code::kCallerGone, end);
-    return true;
+  } else if (connected) {
+    SendTo(exchange, relay, target, end);
   }
-  ++end.sends;
-  end.may_have_run = true;
+  if (end.attempt.took == duration{0})
+    end.attempt.took = context_.clock.now() - started;
+}
+
+void target_exchange::SendTo(http_exchange& exchange,
+                             const std::string& relay,
+                             const live_target& target,
+                             target_exchange_end& end) {
+  end.sent = {.arrived = true, .may_have_run = true};
   end.body_consumed = request_.body_rest != nullptr;
   auto head = HeadFor(target);
-  if (relayed)
+  if (!relay.empty())
     AddRelayHeaders(context_.signer, request_, target, relay, head);
   if (const auto sent = exchange.Send(head, request_.body, request_.body_rest);
       !sent)
     Fail(sent.error().code, end);
   else
-    ReceiveResponse(exchange, relayed, end);
-  return !exchange.failed_on_stale_connection() || fresh;
+    ReceiveResponse(exchange, !relay.empty(), end);
+  end.sent.may_have_been_stale = exchange.may_have_been_stale();
 }
 
 bool target_exchange::ConnectToTarget(http_exchange& exchange,
                                       const live_target& target,
-                                      bool fresh,
+                                      connection_use use,
                                       target_exchange_end& end) {
   const auto started = context_.clock.now();
-  const auto connected = exchange.Connect(fresh);
+  const auto connected = exchange.Connect(use);
   if (connected) {
     if (exchange.is_new_connection())
       context_.links.OnConnected(target);
@@ -176,9 +180,8 @@
 }
 
 bool target_exchange::ConnectToRelay(http_exchange& exchange,
-                                     bool fresh,
                                      target_exchange_end& end) {
-  if (exchange.Connect(fresh))
+  if (exchange.Connect(connection_use::kNew))
     return true;
   end.attempt.result = attempt_result::kNotSent;
   end.reason = result_code::kNoPathToTarget;
@@ -209,7 +212,7 @@
     if (!got) {
       // A response that states that the request did not run is valid even if
       // its body is truncated.
-      if (end.may_have_run)
+      if (end.sent.may_have_run)
         Fail(got.error().code, end);
       return;
     }
@@ -223,7 +226,7 @@
     }
   }
   end.attempt.body_bytes = request_.body_bytes() + body.size();
-  if (end.may_have_run && end.reason == result_code::kOk)
+  if (end.sent.may_have_run && end.reason == result_code::kOk)
     end.response = buffered_response{head, std::move(body)};
 }
 
@@ -236,13 +239,12 @@
   }
   if (IsTargetResponse(*status))
     return true;
-  end.may_have_run = status->run != run_state::kNotRun;
-  if (!end.may_have_run)
-    --end.sends;
+  end.sent.may_have_run = status->run != run_state::kNotRun;
+  end.sent.arrived = end.sent.may_have_run;
   if (status->code == result_code::kTargetUnreachable) {
     end.reason = status->code;
     end.attempt.result = attempt_result::kConnectFailed;
-  } else if (!end.may_have_run) {
+  } else if (!end.sent.may_have_run) {
     end.reason = result_code::kNoPathToTarget;
     end.attempt.result = attempt_result::kNotSent;
   } else {
@@ -263,11 +265,11 @@
   if (status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST) {
     end.attempt.result = attempt_result::kMisdirected;
     end.reason = result_code::kTargetUnreachable;
-    end.may_have_run = false;
+    end.sent.may_have_run = false;
   } else if (head.has(context_.headers.not_run)) {
     end.attempt.result = attempt_result::kTargetRefused;
     end.reason = result_code::kTargetShedding;
-    end.may_have_run = false;
+    end.sent.may_have_run = false;
   } else if (!head.has(context_.headers.target_stamp)) {
     // The response lacks the stamp that targets set when they run a request, so
     // it does not result from running the request, whatever its status.
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -8,6 +8,7 @@
 
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
+#include "proxy/connection_use.h"
 #include "proxy/http_exchange.h"
 #include "traffic/target_exchange_end.h"
 #include "traffic/traffic_context.h"
@@ -26,11 +27,11 @@
                   const caller_watch& caller,
                   response_sink& sink);
 
-  // Makes one attempt at the target. Blocks until the response was received or
-  // streamed, the attempt failed or the request's deadline passed.
-  target_exchange_end Run(const live_target& target);
-  // The same through the entry at the peer address `relay`; directly if that is
-  // empty.
+  // Sends the request to the target, once, on a connection that `use` allows.
+  // Blocks until the response was received or streamed, the attempt failed or
+  // the request's deadline passed.
+  target_exchange_end Run(const live_target& target, connection_use use);
+  // The same through the entry at the peer address `relay`.
   target_exchange_end RunThrough(const std::string& relay,
                                  const live_target& target);
 
@@ -38,23 +39,24 @@
   Poco::Net::HTTPRequest HeadFor(const live_target& target) const;
   void SetTeamHeader(Poco::Net::HTTPRequest& head) const;
   void SetBodyFraming(Poco::Net::HTTPRequest& head) const;
-  // Sends the request once, on a new connection if `fresh`. Returns false if it
-  // was sent on a pooled connection that the target had already closed, so that
-  // the target can't have received it.
-  bool TryOnce(const std::string& relay,
-               const live_target& target,
-               bool fresh,
-               target_exchange_end& end);
+  // Sends the request through `relay`, or directly if that is empty.
+  void Exchange(const std::string& relay,
+                const live_target& target,
+                connection_use use,
+                target_exchange_end& end);
+  // Sends the request on an open connection.
+  void SendTo(http_exchange& exchange,
+              const std::string& relay,
+              const live_target& target,
+              target_exchange_end& end);
   // Opens a connection to the target and reports that to the links. Returns
   // false if it failed.
   bool ConnectToTarget(http_exchange& exchange,
                        const live_target& target,
-                       bool fresh,
+                       connection_use use,
                        target_exchange_end& end);
   // Returns false if it failed, which is no evidence about the target.
-  static bool ConnectToRelay(http_exchange& exchange,
-                             bool fresh,
-                             target_exchange_end& end);
+  static bool ConnectToRelay(http_exchange& exchange, target_exchange_end& end);
   void ReceiveResponse(http_exchange& exchange,
                        bool relayed,
                        target_exchange_end& end);
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -3,12 +3,12 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
-#include <cstdint>
 #include <optional>
 
 #include "base/result_code.h"
 #include "gateway/buffered_response.h"
 #include "routing/attempt_end.h"
+#include "routing/sent_request.h"
 #include "routing/target_path.h"
 
 namespace samphire {
@@ -19,10 +19,7 @@
   // Why there is no response for the caller: it is incomplete, or the target
   // did not produce it by running the request. kOk if there is one.
   result_code reason = result_code::kOk;
-  // How often the request was sent, whether or not the target received it.
-  std::uint32_t sends = 0;
-  // Whether the request may be running or have run at the target.
-  bool may_have_run = false;
+  sent_request sent;
   // Whether the target closed the connection without any response.
   bool connection_lost = false;
   // Whether part of a long body was read from the caller without being
--- a/src/libsamphire/traffic/target_sender.cc
+++ b/src/libsamphire/traffic/target_sender.cc
@@ -38,10 +38,11 @@
       caller_(caller),
       exchange_(context, request, caller, sink) {}
 
-target_exchange_end target_sender::Send(const live_target& target) {
+target_exchange_end target_sender::Send(const live_target& target,
+                                        connection_use use) {
   if (context_.links.PathTo(target) == target_path::kRelayed)
-    return SendRelayed(target);
-  auto end = exchange_.Run(target);
+    return SendRelayed(target, use);
+  auto end = exchange_.Run(target, use);
   if (end.attempt.result != attempt_result::kConnectFailed ||
       context_.links.IsDown(target))
     return end;
@@ -53,14 +54,15 @@
 
 // When all entries suspect their links, as after the loss of a region, none
 // passes anything on. A direct attempt then decides.
-target_exchange_end target_sender::SendRelayed(const live_target& target) {
+target_exchange_end target_sender::SendRelayed(const live_target& target,
+                                               connection_use use) {
   const auto relays = Relays();
   if (!relays.empty()) {
     auto end = SendThroughPeers(relays, target);
     if (end.attempt.result != attempt_result::kNotSent || !MayGoOn())
       return end;
   }
-  auto end = exchange_.Run(target);
+  auto end = exchange_.Run(target, use);
   const bool is_evidence =
       end.attempt.result != attempt_result::kConnectFailed || relays.empty() ||
       context_.links.IsDown(target);
--- a/src/libsamphire/traffic/target_sender.h
+++ b/src/libsamphire/traffic/target_sender.h
@@ -23,15 +23,16 @@
                 const caller_watch& caller,
                 response_sink& sink);
 
-  // Blocks as target_exchange::Run(). The result is kConnectFailed only if
-  // other entries can't reach the target either, or if nothing speaks against
-  // this entry's links; else kNotSent.
-  target_exchange_end Send(const live_target& target);
+  // Blocks as target_exchange::Run(), which makes a direct attempt. The result
+  // is kConnectFailed only if other entries can't reach the target either, or
+  // if nothing speaks against this entry's links; else kNotSent.
+  target_exchange_end Send(const live_target& target, connection_use use);
 
  private:
   // Makes the attempt through other entries, or directly if none has a
   // connection to the target.
-  target_exchange_end SendRelayed(const live_target& target);
+  target_exchange_end SendRelayed(const live_target& target,
+                                  connection_use use);
   // Asks other entries, one after the other, until one has a connection to the
   // target.
   target_exchange_end SendThroughPeers(const std::vector<std::string>& relays,
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -116,21 +116,20 @@
   last_target_ = target.id;
   auto end = Exchange(target);
   ReportAttemptEnd(placed, end);
-  CountArrivals(end);
+  CountArrival(end);
   if (end.attempt.result == attempt_result::kNotSent)
     placer_.LeaveAlone(target);
-  if (end.may_have_run) {
-    may_have_run_ = true;
-    ++runs_;
-    permit_.reset();
-  }
   if (!MayRetry(end)) {
     Finish(std::move(end));
     return false;
   }
   if (end.response)
     failure_ = std::move(end.response);
-  placer_.Exclude(target.id);
+  // The only target of a service may have closed a connection that rested.
+  const bool has_others =
+      context_.state.targets()->OfService(placer_.service()).size() > 1;
+  if (has_others || !end.sent.may_have_been_stale)
+    placer_.Exclude(target.id);
   context_.counters.CountRetry(end.reason);
   return true;
 }
@@ -158,7 +157,8 @@
   const auto sent_at = context_.clock.now();
   auto& quarantine = context_.quarantine;
   quarantine.AttemptStarted(request_.fingerprint, process);
-  auto end = target_sender(context_, request_, caller_, sink_).Send(target);
+  auto end = target_sender(context_, request_, caller_, sink_)
+                 .Send(target, ChooseConnection());
   quarantine.AttemptFinished(request_.fingerprint, process, OutcomeOf(end),
                              context_.clock.now() - sent_at);
   if (end.attempt.notice) {
@@ -196,25 +196,24 @@
   return team != nullptr && team->name == request_.team->name;
 }
 
-void traffic_dispatcher::CountArrivals(const target_exchange_end& end) {
-  for (std::uint32_t send = 0; send < end.sends; ++send) {
-    auto cause = arrival_cause::kKeptConnectionLost;
-    if (send == 0)
-      cause = arrivals_ == 0 ? arrival_cause::kFirst : arrival_cause::kRetry;
-    ++arrivals_;
-    const auto name = NameOf(kArrivalCauseNames, cause);
-    context_.counters.Count(
-        "target_arrivals_total",
-        fmt::format("service=\"{}\",cause=\"{}\"", placer_.service(), name));
-    if (cause != arrival_cause::kFirst) {
-      Log(log_level::kInfo, "repeated-arrival",
-          {{"request", request_.id},
-           {"service", placer_.service()},
-           {"target", last_target_},
-           {"cause", name},
-           {"path", NameOf(kTargetPathNames, end.path)}});
-    }
-  }
+void traffic_dispatcher::CountArrival(const target_exchange_end& end) {
+  const auto cause = arrivals_.OnSent(end.sent);
+  if (end.sent.may_have_run)
+    permit_.reset();
+  if (!end.sent.arrived)
+    return;
+  const auto name = NameOf(kArrivalCauseNames, cause);
+  context_.counters.Count(
+      "target_arrivals_total",
+      fmt::format("service=\"{}\",cause=\"{}\"", placer_.service(), name));
+  if (cause == arrival_cause::kFirst)
+    return;
+  Log(log_level::kInfo, "repeated-arrival",
+      {{"request", request_.id},
+       {"service", placer_.service()},
+       {"target", last_target_},
+       {"cause", name},
+       {"path", NameOf(kTargetPathNames, end.path)}});
 }
 
 void traffic_dispatcher::ReportAttemptEnd(const placed_request& placed,
@@ -242,6 +241,9 @@
     const target_exchange_end& end) const {
   auto evidence = end.attempt;
   const auto& target = std::get<placed_attempt>(placed.decision).target;
+  // Nor does the end of a connection that the target may have closed long ago.
+  if (end.sent.may_have_been_stale)
+    evidence.result = attempt_result::kNotSent;
   const bool has_response = evidence.report || evidence.notice || end.response;
   const bool failed = evidence.result == attempt_result::kTimedOut ||
                       evidence.result == attempt_result::kLost;
@@ -252,9 +254,8 @@
 }
 
 // A request that must not be repeated is retried only if a statement of the
-// target or a failure to connect proves that it did not run. Retries are
-// limited by a budget that all entries share, except those after a failure to
-// connect.
+// target or a failure to connect proves that it did not run. Whatever may reach
+// a target once more is paid for from a budget that all entries share.
 bool traffic_dispatcher::MayRetry(const target_exchange_end& end) {
   if (end.streamed || end.body_consumed ||
       end.reason == result_code::kCallerGone ||
@@ -262,23 +263,32 @@
     return false;
   if (end.response && end.attempt.result != attempt_result::kTargetError)
     return false;
-  if (may_have_run_ && !request_.route->idempotent)
+  if (arrivals_.may_have_run() && !request_.route->idempotent)
     return false;
   const auto now = context_.clock.now();
-  if (attempts_ >= kMaxAttempts || runs_ >= request_.route->max_attempts ||
+  if (attempts_ >= kMaxAttempts ||
+      arrivals_.runs() >= request_.route->max_attempts ||
       request_.deadline - now < kMinAttemptTime || caller_.IsDisconnected())
     return false;
-  if (end.attempt.result == attempt_result::kConnectFailed ||
-      end.attempt.result == attempt_result::kNotSent)
-    return true;
   const auto entries = context_.state.entries().Get();
   const auto bounds = context_.state.bounds();
   return context_.shards.WithService(placer_.service(), [&](auto& shard) {
-    return shard.retries.TryTake(bounds->retries, entries->settled_fleet_size,
-                                 now);
+    return arrivals_.PayForNext(shard.retries, bounds->retries,
+                                entries->settled_fleet_size, now);
   });
 }
 
+connection_use traffic_dispatcher::ChooseConnection() {
+  const auto entries = context_.state.entries().Get();
+  const auto bounds = context_.state.bounds();
+  const bool may_retry =
+      context_.shards.WithService(placer_.service(), [&](auto& shard) {
+        return shard.retries.HasRoom(
+            bounds->retries, entries->settled_fleet_size, context_.clock.now());
+      });
+  return arrivals_.NextConnection(request_.route->max_attempts, may_retry);
+}
+
 // Ends the request without a further attempt: forwards the error response of an
 // earlier attempt if there is one, and refuses the request otherwise.
 void traffic_dispatcher::FinishWithoutAttempt(result_code code,
@@ -309,16 +319,17 @@
 // A status that states that the request did not run is sent only if no attempt
 // can have run it.
 void traffic_dispatcher::Refuse(result_code code, milliseconds retry_after) {
-  if (may_have_run_ && code == result_code::kRequestTooSlow)
+  if (arrivals_.may_have_run() && code == result_code::kRequestTooSlow)
     code = result_code::kDeadlineExceeded;
-  else if (may_have_run_ && ImpliesNotRun(code))
+  else if (arrivals_.may_have_run() && ImpliesNotRun(code))
     code = result_code::kTargetFailed;
-  else if (!may_have_run_ && code == result_code::kDeadlineExceeded)
+  else if (!arrivals_.may_have_run() && code == result_code::kDeadlineExceeded)
     code = result_code::kQueueExpired;
   context_.counters.CountRefusal(code);
   LogOutcome(code, InfoOf(code).http_status);
   sink_.Refuse({.code = code,
-                .run = may_have_run_ ? run_state::kUnknown : run_state::kNotRun,
+                .run = arrivals_.may_have_run() ? run_state::kUnknown
+                                                : run_state::kNotRun,
                 .config_version = request_.manifest->version(),
                 .retry_after = retry_after,
                 .fractional_retry_after = true});
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -6,6 +6,8 @@
 
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
+#include "proxy/connection_use.h"
+#include "routing/arrival_account.h"
 #include "routing/placement_result.h"
 #include "traffic/placed_request.h"
 #include "traffic/request_placer.h"
@@ -45,17 +47,18 @@
   bool TakePermit();
   // Whether the API key still belongs to the same team in the current manifest.
   bool IsApiKeyValid() const;
-  // Counts how often the attempt sent the request, by cause, and logs each time
-  // beyond the first.
-  void CountArrivals(const target_exchange_end& end);
+  // Counts the attempt if it reached its target, and logs that unless it was
+  // the first to do so.
+  void CountArrival(const target_exchange_end& end);
+  // Returns on which connections the next attempt may be made.
+  connection_use ChooseConnection();
   // Reports the end of an attempt to the entry that placed it and logs it.
   void ReportAttemptEnd(const placed_request& placed,
                         const target_exchange_end& end);
   // Returns what the end of the attempt tells about its target.
   attempt_end EvidenceOf(const placed_request& placed,
                          const target_exchange_end& end) const;
-  // Returns whether another target may be tried after `end`, and takes a retry
-  // from the shared budget if needed.
+  // Returns whether another target may be tried after `end`, and pays for that.
   bool MayRetry(const target_exchange_end& end);
   void FinishWithoutAttempt(result_code code, milliseconds retry_after);
   // Sends the final response: that of `end`, that of an earlier attempt or a
@@ -78,13 +81,9 @@
   // A granted permit that no run has used yet.
   std::optional<team_permit> permit_;
   std::uint32_t attempts_ = 0;
-  // How often the request was sent to a target.
-  std::uint32_t arrivals_ = 0;
+  arrival_account arrivals_;
   // Id of the target of the last attempt.
   std::string last_target_;
-  // Number of attempts whose targets may have run the request.
-  std::uint32_t runs_ = 0;
-  bool may_have_run_ = false;
   // The last error response of a target, which is forwarded if no other attempt
   // succeeds.
   std::optional<buffered_response> failure_;
--- a/tests/proxy/http_exchange_test.cc
+++ b/tests/proxy/http_exchange_test.cc
@@ -127,7 +127,7 @@
   const caller_watch no_caller;
   http_exchange exchange(pool, target.address(), no_caller,
                          std::chrono::steady_clock::now() + 2s);
-  REQUIRE(exchange.Connect(true));
+  REQUIRE(exchange.Connect(connection_use::kNew));
   REQUIRE(exchange.Send(Get(), {}));
   CHECK(exchange.ReadHead().error().code == result_code::kAnswerTruncated);
 }
@@ -142,7 +142,7 @@
   http_exchange exchange(pool, target.address(), no_caller,
                          std::chrono::steady_clock::now() + 2s,
                          {.accept_unframed = true});
-  REQUIRE(exchange.Connect(true));
+  REQUIRE(exchange.Connect(connection_use::kNew));
   REQUIRE(exchange.Send(Get(), {}));
   REQUIRE(exchange.ReadHead());
   CHECK(ReadBody(exchange) == "the level");
@@ -164,7 +164,7 @@
   http_exchange exchange(pool, target.address(), no_caller,
                          std::chrono::steady_clock::now() + 2s,
                          {.accept_unframed = true});
-  REQUIRE(exchange.Connect(true));
+  REQUIRE(exchange.Connect(connection_use::kNew));
   REQUIRE(exchange.Send(Get(), {}));
   REQUIRE(exchange.ReadHead());
   CHECK(ReadBody(exchange) == NameOf(result_code::kTargetFailed));
@@ -189,7 +189,7 @@
     http_exchange exchange(pool, target.address(), no_caller,
                            std::chrono::steady_clock::now() + 2s,
                            {.echo_header = "Id", .echo_value = id});
-    REQUIRE(exchange.Connect(false));
+    REQUIRE(exchange.Connect(connection_use::kAny));
     REQUIRE(exchange.Send(Get(), {}));
     REQUIRE(exchange.ReadHead());
     CHECK(ReadBody(exchange) == (id == "1" ? "first" : "second"));
@@ -211,7 +211,7 @@
   for (const auto* expected : {"0", "1"}) {
     http_exchange exchange(pool, target.address(), no_caller,
                            std::chrono::steady_clock::now() + 10s);
-    REQUIRE(exchange.Connect(false));
+    REQUIRE(exchange.Connect(connection_use::kAny));
     REQUIRE(exchange.Send(Get(), ""));
     REQUIRE(exchange.ReadHead());
     CHECK(ReadBody(exchange) == expected);
@@ -239,14 +239,14 @@
   {
     http_exchange first(pool, target.address(), no_caller,
                         std::chrono::steady_clock::now() + 30ms);
-    REQUIRE(first.Connect(false));
+    REQUIRE(first.Connect(connection_use::kAny));
     REQUIRE(first.Send(Get(), ""));
     CHECK(first.ReadHead().error().code == result_code::kDeadlineExceeded);
   }
   {
     http_exchange second(pool, target.address(), no_caller,
                          std::chrono::steady_clock::now() + 10s);
-    REQUIRE(second.Connect(false));
+    REQUIRE(second.Connect(connection_use::kAny));
     REQUIRE(second.Send(Get(), ""));
     REQUIRE(second.ReadHead());
     CHECK(ReadBody(second) == "second");
@@ -267,7 +267,7 @@
   const caller_watch no_caller;
   http_exchange exchange(pool, target.address(), no_caller,
                          std::chrono::steady_clock::now() + 10s);
-  REQUIRE(exchange.Connect(false));
+  REQUIRE(exchange.Connect(connection_use::kAny));
   REQUIRE(exchange.Send(Get(), ""));
   REQUIRE(exchange.ReadHead());
   CHECK(ReadBody(exchange) == "1");
@@ -288,7 +288,7 @@
   connection_pool pool;
   http_exchange exchange(pool, target.address(), watch,
                          std::chrono::steady_clock::now() + 10s);
-  REQUIRE(exchange.Connect(false));
+  REQUIRE(exchange.Connect(connection_use::kAny));
   REQUIRE(exchange.Send(Get(), ""));
   CHECK_FALSE(watch.IsDisconnected());
   caller.close();
@@ -313,7 +313,7 @@
   {
     http_exchange exchange(pool, target.address(), no_caller,
                            std::chrono::steady_clock::now() + 5s);
-    REQUIRE(exchange.Connect(true));
+    REQUIRE(exchange.Connect(connection_use::kNew));
     REQUIRE(exchange.Send(head, "1.", &remainder));
     REQUIRE(exchange.ReadHead());
   }
@@ -336,7 +336,7 @@
   {
     http_exchange exchange(pool, target.address(), no_caller,
                            std::chrono::steady_clock::now() + 5s);
-    REQUIRE(exchange.Connect(true));
+    REQUIRE(exchange.Connect(connection_use::kNew));
     const auto sent = exchange.Send(head, "1.", &remainder);
     REQUIRE_FALSE(sent);
     CHECK(sent.error().code == result_code::kMalformedRequest);
