Show that a relay does not heed the pause it is asked for, in a failing test

A target that answers 503 with a time answers whoever sent the request. Where an entry passes on a request of another one that is it; only the entry in charge left the target alone, and the other sent its next request there.

--- a/tests/platform_adapter/target_pause_test.cc
+++ b/tests/platform_adapter/target_pause_test.cc
@@ -1,4 +1,7 @@
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <string>
+#include <vector>
 
 #include "platform_adapter/fleet_fixture.h"
 
@@ -59,3 +62,30 @@
     CHECK(fleet.Request(i % kEntries).status == 200);
   CHECK(busy.arrivals == before);
 }
+
+// Guards against an entry that goes on sending requests to a target which has
+// asked it for a pause when it passed on a request of another entry.
+TEST_CASE("an entry heeds a pause that it is asked for on behalf of a peer") {
+  fleet_setup fleet;
+  fleet.links[0]->CutAll(link_cut::kReset);
+  for (int i = 0; i < 10; ++i)
+    fleet.Request(0);
+  auto& busy = fleet.targets.TargetWithStamp(fleet.Request(0).stamp);
+  busy.pause_s = 30;
+  busy.behavior = target_behavior::kShed;
+  CHECK(fleet.Request(0).status == 200);
+  std::vector<std::size_t> relays;
+  for (std::size_t entry = 1; entry < fleet.entries.size(); ++entry) {
+    const auto metrics = SendCall(fleet.settings[entry].traffic.metrics_address,
+                                  {.path = "/metrics"})
+                             .body;
+    if (metrics.find(R"(passed_on_total{result="target-refused"})") !=
+        std::string::npos)
+      relays.push_back(entry);
+  }
+  REQUIRE(relays.size() == 1);
+  const int before = busy.arrivals;
+  for (int i = 0; i < 10; ++i)
+    CHECK(fleet.Request(relays.front()).status == 200);
+  CHECK(busy.arrivals == before);
+}
