Heed a pause that a target asks a relay for

A target in need answers 503 with the time for which the sender shall leave it alone. When an entry passed on a request of another one, it handed that answer on without heeding it, and sent its own next request to the target: 13 arrivals where 12 may be. Class: who is answered is not who decides.

A relay now applies what the target says to itself, as it does with answers to its own requests, and passes nothing on to a target that it has been asked to leave alone; the entry in charge asks another one. The test that was red passes.

--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -100,8 +100,11 @@
   if (read.value().body_rest != nullptr)
     response.setKeepAlive(false);
   const caller_watch peer(sink.socket());
+  const auto sent_at = context_.clock.now();
   const auto end = target_exchange(context_, read.value(), peer, sink)
                        .Run(target.value(), connection_use::kNew);
+  if (end.attempt.notice)
+    context_.notices.OnResponse(target.value(), *end.attempt.notice, sent_at);
   Respond(end, target.value(), sink);
 }
 
@@ -146,7 +149,8 @@
 }
 
 // What this entry knows may be newer than what the sender knew when it chose:
-// that the target leaves, or that its domain gets no more requests.
+// that the target leaves, or that its domain gets no more requests. A target
+// asks whoever it answers for a pause, which is this entry.
 result<live_target> relay_handler::FindTarget(
     const Poco::Net::HTTPServerRequest& request) const {
   const auto targets = context_.state.targets();
@@ -158,6 +162,12 @@
   if (found == known.end() || !targets->IsOpen(*found) ||
       context_.links.IsLinkSuspect(*found))
     return MakeError(result_code::kNoPathToTarget);
+  const bool paused =
+      context_.shards.WithService(found->service, [&](auto& shard) {
+        return shard.tracker.IsPaused(*found, context_.clock.now());
+      });
+  if (paused)
+    return MakeError(result_code::kNoPathToTarget);
   if (context_.links.IsDown(*found))
     return MakeError(result_code::kTargetUnreachable);
   return *found;
