--- a/src/libsamphire/gateway/local_server.cc
+++ b/src/libsamphire/gateway/local_server.cc
@@ -188,6 +188,19 @@
   }
 }
 
+// A crash can be attributed to a request only if it was alone on its
+// connection. A request that is lost on a kept connection needs another
+// attempt: where none is allowed, its caller would lose it.
+connection_use local_server::ChooseConnection(const progress& state) {
+  if (state.was_stale || state.admission.isolate)
+    return connection_use::kNew;
+  const auto& limits = state.request.deployment->declared().limits;
+  const bool may_retry =
+      state.attempts < limits.max_attempts &&
+      budgets_.Allows(state.request.service->name, clock_.now());
+  return may_retry ? connection_use::kAny : connection_use::kRecent;
+}
+
 // A caller that disconnects cancels its work, unless that work may not be
 // repeated: if it were cut off, nobody could tell whether it had run, and an
 // operator would have to resolve it. It runs to completion instead and is
@@ -202,13 +215,18 @@
                        state.sink,
                        MakeStatus(state, result_code::kOk, run_state::kRan));
   auto out = MakeTargetRequest(request, grant.address, clock_.now());
-  out.fresh_connection |= state.fresh_connection || state.admission.isolate;
+  if (out.connection != connection_use::kNew)
+    out.connection = ChooseConnection(state);
   auto end = relay.Run(out);
-  state.fresh_connection |= end.was_stale;
-  state.may_have_run |= end.was_stale;
+  state.was_stale |= end.may_have_been_stale;
   quarantine_.AttemptFinished(request.fingerprint, grant.target, end.outcome,
                               clock_.now() - started);
-  state.gate->Finish(grant, end.outcome, end.target_time);
+  // The end of a connection that the target may have closed long ago says
+  // nothing about the target.
+  state.gate->Finish(
+      grant,
+      end.may_have_been_stale ? attempt_outcome::kCancelled : end.outcome,
+      end.target_time);
   metrics_.Count("attempts_total",
                  "outcome=\"" +
                      std::string(NameOf(kAttemptOutcomeNames, end.outcome)) +
--- a/src/libsamphire/gateway/local_server.h
+++ b/src/libsamphire/gateway/local_server.h
@@ -52,10 +52,9 @@
     std::uint32_t attempts = 0;
     // Whether an attempt has ended without proof that it did not run.
     bool may_have_run = false;
-    // A crash can be attributed to a request only if it was alone on its
-    // connection, so after a stale connection each further attempt uses a new
-    // one.
-    bool fresh_connection = false;
+    // Whether an attempt was lost on a connection that may have been stale.
+    // Each further one then uses a new connection.
+    bool was_stale = false;
   };
 
   // Reserves the idempotency key. Returns a result if the request ends here: it
@@ -69,6 +68,8 @@
   void AvoidLostTargets(progress& state);
   // Runs attempts until the request has ended.
   serve_result RunAttempts(progress& state);
+  // Returns on which connections the next attempt may be made.
+  connection_use ChooseConnection(const progress& state);
   // Runs one attempt on the granted slot, and releases the slot.
   relay_result RunAttempt(progress& state, const slot_grant& grant);
   // Returns the result if the attempt was the last; otherwise prepares the next
--- a/src/libsamphire/gateway/outgoing_request.h
+++ b/src/libsamphire/gateway/outgoing_request.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/clock_source.h"
+#include "proxy/connection_use.h"
 
 namespace samphire {
 
@@ -19,8 +20,8 @@
   std::string_view body;
   // Latest time at which the response may arrive.
   time_point deadline;
-  // Whether a connection that was used before must not be used.
-  bool fresh_connection = false;
+  // Which connections the request may be sent on.
+  connection_use connection = connection_use::kAny;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/gateway/relay_result.h
+++ b/src/libsamphire/gateway/relay_result.h
@@ -20,9 +20,9 @@
   // Whether the head was sent to the caller, so that no other response is
   // possible.
   bool relayed = false;
-  // Whether a reused connection broke before a complete response head, and the
-  // request was sent again on a new one.
-  bool was_stale = false;
+  // Whether the request was lost on a reused connection that the other side may
+  // have closed before. It may have run all the same.
+  bool may_have_been_stale = false;
   // HTTP status; 0 if no head was received.
   int status = 0;
   // Time that the target took, without the time that the caller took to read.
--- a/src/libsamphire/gateway/remote_server.cc
+++ b/src/libsamphire/gateway/remote_server.cc
@@ -1,5 +1,6 @@
 #include "gateway/remote_server.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "front/header_names.h"
@@ -66,10 +67,18 @@
   response_status last =
       FailureStatus(request, result_code::kNoPeerInRegion, run_state::kNotRun);
   const auto peers = peers_.EntriesIn(region);
-  for (std::size_t i = 0; i < peers.size() && i < kMaxPeers; ++i) {
+  auto connection = budgets_.Allows(request.service->name, clock_.now())
+                        ? connection_use::kAny
+                        : connection_use::kRecent;
+  for (std::size_t i = 0; !peers.empty() && i < kMaxPeers; ++i) {
+    // The only entry of a region is tried again if a connection to it ended.
+    if (i >= peers.size() && last.code != result_code::kPeerLost)
+      break;
     if (i > 0 && !MayTryNext(request, last))
       break;
-    auto end = ForwardTo(request, peers[i], caller, sink);
+    const auto& peer = peers[std::min(i, peers.size() - 1)];
+    auto end = ForwardTo(request, peer, connection, caller, sink);
+    connection = connection_use::kNew;
     const auto* failed = std::get_if<serve_failure>(&end);
     if (failed == nullptr)
       return end;
@@ -98,6 +107,7 @@
 
 serve_result remote_server::ForwardTo(const caller_request& request,
                                       const peer_entry& peer,
+                                      connection_use connection,
                                       const caller_watch& caller,
                                       response_sink& sink) {
   metrics_.Count("passed_total");
@@ -105,7 +115,7 @@
       pool_, caller, sink,
       response_status{.run = run_state::kRan,
                       .config_version = request.deployment->version()});
-  const auto end = relay.Run(MakeForwardedRequest(request, peer));
+  const auto end = relay.Run(MakeForwardedRequest(request, peer, connection));
   if (end.relayed)
     return response_sent{};
   if (!end.response) {
@@ -124,8 +134,11 @@
 
 outgoing_request remote_server::MakeForwardedRequest(
     const caller_request& request,
-    const peer_entry& peer) {
+    const peer_entry& peer,
+    connection_use connection) {
   auto out = MakeTargetRequest(request, peer.peer_address, clock_.now());
+  if (out.connection != connection_use::kNew)
+    out.connection = connection;
   out.head.setURI("/v1/services/" + request.service->name + request.path);
   out.head.set(kHeaderHomeRegion, request.home_region);
   out.head.set(kPeerTokenHeader,
--- a/src/libsamphire/gateway/remote_server.h
+++ b/src/libsamphire/gateway/remote_server.h
@@ -34,12 +34,14 @@
   // Forwards the request to one entry and relays the response.
   serve_result ForwardTo(const caller_request& request,
                          const peer_entry& peer,
+                         connection_use connection,
                          const caller_watch& caller,
                          response_sink& sink);
   // Returns the request as it is sent to the peer, signed, with the caller's
   // home region.
   outgoing_request MakeForwardedRequest(const caller_request& request,
-                                        const peer_entry& peer);
+                                        const peer_entry& peer,
+                                        connection_use connection);
   // Whether another entry may be tried after one ended with `status`. If so,
   // counts the retry against the retry budget of the service.
   bool MayTryNext(const caller_request& request, const response_status& status);
--- a/src/libsamphire/gateway/response_relay.cc
+++ b/src/libsamphire/gateway/response_relay.cc
@@ -52,37 +52,23 @@
                                response_status status)
     : pool_(pool), caller_(caller), sink_(sink), status_(std::move(status)) {}
 
-// Retries once, on a new connection, after the loss of a stale connection. A
-// target that crashes or restarts leaves broken idle connections behind, and
-// the next request on each of them is lost although it did nothing wrong. If
-// that counted as the loss of a target, the innocent request would become a
-// suspect, and a second such loss would quarantine it: a technician's request
-// for a level was refused for an hour because of another caller's request. Such
-// a loss is therefore no evidence against the request.
+// Sends the request once, whatever happens to the connection: only the owner of
+// the relay knows whether it may be sent again, and what that costs.
 relay_result response_relay::Run(const outgoing_request& request) {
   relay_result end;
   const auto started = std::chrono::steady_clock::now();
-  if (!Exchange(request, request.fresh_connection, end)) {
-    end = relay_result{.was_stale = true};
-    Exchange(request, true, end);
-  }
-  if (!end.relayed)
-    end.target_time = std::chrono::steady_clock::now() - started;
-  return end;
-}
-
-bool response_relay::Exchange(const outgoing_request& request,
-                              bool fresh,
-                              relay_result& end) {
   http_exchange exchange(pool_, request.address, caller_, request.deadline);
-  if (!exchange.Connect(fresh ? connection_use::kNew : connection_use::kAny)) {
+  if (!exchange.Connect(request.connection)) {
     end.outcome = attempt_outcome::kConnectFailed;
   } else if (auto sent = exchange.Send(request.head, request.body); !sent) {
     end.outcome = OutcomeOf(sent.error().code);
   } else {
     ReadResponse(exchange, end);
   }
-  return !exchange.may_have_been_stale();
+  end.may_have_been_stale = exchange.may_have_been_stale();
+  if (!end.relayed)
+    end.target_time = std::chrono::steady_clock::now() - started;
+  return end;
 }
 
 void response_relay::ReadResponse(http_exchange& exchange, relay_result& end) {
--- a/src/libsamphire/gateway/response_relay.h
+++ b/src/libsamphire/gateway/response_relay.h
@@ -25,16 +25,13 @@
                  response_sink& sink,
                  response_status status);
 
-  // Blocks until a short response is complete, a long one has been streamed, or
-  // the exchange has failed; waits for the target until the request's deadline
-  // at most. Errors are reported as the outcome of the result. May send the
-  // request a second time; see relay_result::was_stale.
+  // Sends the request once. Blocks until a short response is complete, a long
+  // one has been streamed, or the exchange has failed; waits for the target
+  // until the request's deadline at most. Errors are reported as the outcome of
+  // the result.
   relay_result Run(const outgoing_request& request);
 
  private:
-  // Performs one exchange, on a new connection if `fresh`. Returns false if it
-  // failed because a reused connection was stale.
-  bool Exchange(const outgoing_request& request, bool fresh, relay_result& end);
   // Reads the response into `end`, or streams it if it is too long to buffer.
   void ReadResponse(http_exchange& exchange, relay_result& end);
   // Streams the response; `first` is the part of its body that has been read.
--- a/src/libsamphire/gateway/target_request.cc
+++ b/src/libsamphire/gateway/target_request.cc
@@ -30,7 +30,8 @@
   out.head.setKeepAlive(true);
   out.body = request.body;
   out.deadline = request.deadline;
-  out.fresh_connection = !request.request_class->repeatable;
+  if (!request.request_class->repeatable)
+    out.connection = connection_use::kNew;
   return out;
 }
 
