Hold the bound on repeats over restarts and cuts

Callers of a service whose targets fail saw its working targets overloaded by repeats when entries restarted meanwhile: a new process knew nothing of what the one before it had sent, and got its part of the bound again, slack after 5 s and its requests' part at once. One that started while it was cut off divided the slack by the part of the fleet that it saw.

An entry now uses a tenth of its requests' part for one window after its start, since the process before it may have used the rest, and no slack for the minute over which the size of the fleet is remembered. Only where the settings say that the fleet starts for the first time (`first_start`) was there no such process. What callers lose: in these ten seconds a restarted entry repeats less.

--- a/bench/routing/sim_fleet.cc
+++ b/bench/routing/sim_fleet.cc
@@ -299,9 +299,10 @@
     Fail(request);
     return;
   }
-  const bool may_repeat = result == attempt_result::kConnectFailed ||
-                          request->receiver->retries.TryTake(
-                              kRetries, entries_.size(), events_.now());
+  const bool may_repeat =
+      result == attempt_result::kConnectFailed ||
+      request->receiver->retries.TryTake(kRetries, {.entries = entries_.size()},
+                                         events_.now());
   if (may_repeat && request->attempts < kMaxAttempts)
     Attempt(request);
   else if (result == attempt_result::kTargetRefused)
--- a/src/libsamphire/routing/arrival_account.cc
+++ b/src/libsamphire/routing/arrival_account.cc
@@ -4,10 +4,10 @@
 
 bool arrival_account::PayForNext(retry_window& retries,
                                  const retry_bound& bound,
-                                 std::size_t entries,
+                                 const retry_share& share,
                                  time_point now) {
   if (arrivals_ > 0 && !is_next_paid_)
-    is_next_paid_ = retries.TryTake(bound, entries, now);
+    is_next_paid_ = retries.TryTake(bound, share, now);
   return arrivals_ == 0 || is_next_paid_;
 }
 
--- a/src/libsamphire/routing/arrival_account.h
+++ b/src/libsamphire/routing/arrival_account.h
@@ -8,6 +8,7 @@
 #include "proxy/connection_use.h"
 #include "routing/arrival_cause.h"
 #include "routing/retry_bound.h"
+#include "routing/retry_share.h"
 #include "routing/retry_window.h"
 #include "routing/sent_request.h"
 
@@ -23,7 +24,7 @@
   // Returns false if the service's retries are used up.
   bool PayForNext(retry_window& retries,
                   const retry_bound& bound,
-                  std::size_t entries,
+                  const retry_share& share,
                   time_point now);
   // Reports a send, and returns its cause.
   arrival_cause OnSent(const sent_request& sent);
--- a/src/libsamphire/routing/retry_window.h
+++ b/src/libsamphire/routing/retry_window.h
@@ -6,6 +6,7 @@
 
 #include "base/clock_source.h"
 #include "routing/retry_bound.h"
+#include "routing/retry_share.h"
 
 namespace samphire {
 
@@ -16,11 +17,13 @@
   // Counts a request, which raises the bound on retries.
   void OnRequest(time_point now) { requests_.push_back(now); }
   // Returns whether one more attempt is within the bound, and counts it if so.
-  // `entries` is the number of entries that share the bound; 0 if not known
-  // yet.
-  bool TryTake(const retry_bound& bound, std::size_t entries, time_point now);
+  bool TryTake(const retry_bound& bound,
+               const retry_share& share,
+               time_point now);
   // Whether TryTake() would succeed.
-  bool HasRoom(const retry_bound& bound, std::size_t entries, time_point now);
+  bool HasRoom(const retry_bound& bound,
+               const retry_share& share,
+               time_point now);
 
  private:
   std::deque<time_point> requests_;
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock_source.h"
+#include "routing/retry_share.h"
 
 namespace samphire {
 
@@ -36,6 +37,8 @@
   // would otherwise each assume to be alone and use the whole limit.
   std::vector<std::string> settled_region_members;
   std::size_t settled_fleet_size = 0;
+  // This entry's part of the bounds on retries.
+  retry_share retries;
   // The maximum number of entries over the last minute, in this region and in
   // all regions. The latter is at least `traffic_settings::min_fleet_size`.
   std::size_t region_peak = 0;
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -23,11 +23,21 @@
                                        time_point started)
     : self_(std::move(self)),
       settled_at_(started + settle_time),
+      started_(started),
+      fleet_size_known_at_(settled_at_),
+      retries_alone_at_(started),
       min_fleet_size_(min_fleet_size),
       fleet_sizes_(kPeakWindow),
       region_sizes_(kPeakWindow),
       unchanged_since_(started) {}
 
+// An entry that restarts while it is cut off sees only part of the fleet until
+// the cut ends.
+void entry_list_builder::FollowEarlierProcess(milliseconds retry_window) {
+  fleet_size_known_at_ = std::max(settled_at_, started_ + kPeakWindow);
+  retries_alone_at_ = started_ + retry_window;
+}
+
 boost::intrusive_ptr<const entry_list> entry_list_builder::Build(
     const std::vector<member>& members,
     const std::vector<region_view>& regions,
@@ -78,6 +88,9 @@
     list->settled_region_members = list->names;
     list->settled_fleet_size = peak;
   }
+  if (now >= fleet_size_known_at_)
+    list->retries.entries = peak;
+  list->retries.may_overlap = now < retries_alone_at_;
   return list;
 }
 
--- a/src/libsamphire/traffic/entry_list_builder.h
+++ b/src/libsamphire/traffic/entry_list_builder.h
@@ -28,6 +28,10 @@
                      std::size_t min_fleet_size,
                      time_point started);
 
+  // Tells that a process of this instance may have run before this one, and
+  // used its part of bounds on retries over windows of `retry_window`.
+  void FollowEarlierProcess(milliseconds retry_window);
+
   // Builds the list for `now`, which must not decrease between calls.
   // `self_ready` tells whether this entry serves callers. `leaving` tells
   // whether it is being stopped; it is then left out of the list.
@@ -41,6 +45,11 @@
  private:
   const std::string self_;
   const time_point settled_at_;
+  const time_point started_;
+  // When the size of the fleet over the last minute is known, and when this
+  // process shares no window of retries with an earlier one.
+  time_point fleet_size_known_at_;
+  time_point retries_alone_at_;
   const std::size_t min_fleet_size_;
   recent_peak fleet_sizes_;
   recent_peak region_sizes_;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -274,7 +274,7 @@
   const auto bounds = context_.state.bounds();
   return context_.shards.WithService(placer_.service(), [&](auto& shard) {
     return arrivals_.PayForNext(shard.retries, bounds->retries,
-                                entries->settled_fleet_size, now);
+                                entries->retries, now);
   });
 }
 
@@ -283,8 +283,8 @@
   const auto bounds = context_.state.bounds();
   const bool may_retry =
       context_.shards.WithService(placer_.service(), [&](auto& shard) {
-        return shard.retries.HasRoom(
-            bounds->retries, entries->settled_fleet_size, context_.clock.now());
+        return shard.retries.HasRoom(bounds->retries, entries->retries,
+                                     context_.clock.now());
       });
   return arrivals_.NextConnection(request_.route->max_attempts, may_retry);
 }
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -144,6 +144,8 @@
           {.max_connections = kPeerConnections},
           metrics_) {
   state_.SetBounds(settings_.bounds);
+  if (!settings_.is_first_start)
+    entry_list_builder_.FollowEarlierProcess(settings_.bounds.retries.window);
   target_news_.on_news = [this](const target_news& news,
                                 const std::string& /*from*/) {
     target_notices_.OnNews(news);
--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -42,6 +42,9 @@
   // even after a crash of all entries and with every fifth message lost. In
   // simulations of 240 fleets, 3 s let one of them exceed a limit.
   milliseconds settle_time{5000};
+  // Whether the whole fleet starts for the first time, so that no process ran
+  // before this one.
+  bool is_first_start = false;
   // Time after its start in which an entry discovers its region. An entry that
   // knows few members yet would act as a watcher, and all entries that start at
   // the same time would watch the platform. Until then an entry relies on one
--- a/tests/platform_adapter/entry_fixture.cc
+++ b/tests/platform_adapter/entry_fixture.cc
@@ -25,6 +25,7 @@
     *address = FreeAddress();
   traffic.peer_key = "0123456789abcdef0123456789abcdef";
   traffic.settle_time = 0ms;
+  traffic.is_first_start = true;
   traffic.discovery_time = 0ms;
   traffic.bounds.limit_slack = 20;
   settings.store_addresses = {store};
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -192,6 +192,14 @@
   CHECK(misspelt.error().pointer == "/placing_without");
 }
 
+// Guards against an entry that uses its share of retries again after a restart.
+TEST_CASE("only settings that say so are of a first start") {
+  CHECK_FALSE(ReadSettings(kSettings).value().traffic.is_first_start);
+  const auto first =
+      Replaced(kSettings, R"("bounds")", R"("first_start": true, "bounds")");
+  CHECK(ReadSettings(first).value().traffic.is_first_start);
+}
+
 TEST_CASE("a settings file reports that it was replaced") {
   const auto path = std::filesystem::temp_directory_path() /
                     ("samphire-settings-" + std::to_string(getpid()));
--- a/tests/routing/arrival_account_test.cc
+++ b/tests/routing/arrival_account_test.cc
@@ -20,7 +20,9 @@
   retry_window retries;
   arrival_account account;
 
-  bool Pay() { return account.PayForNext(retries, kOneRetry, 1, kNow); }
+  bool Pay() {
+    return account.PayForNext(retries, kOneRetry, {.entries = 1}, kNow);
+  }
 };
 
 }  // namespace
--- a/tests/routing/retry_bound_model_test.cc
+++ b/tests/routing/retry_bound_model_test.cc
@@ -59,7 +59,7 @@
       // Every fifth entry is small, so that it gets few requests.
       one.rate = i % 5 == 0 ? 0.05 : 0.35;
       entries_.push_back(std::move(one));
-      Start(entries_.back());
+      Start(entries_.back(), false);
     }
   }
 
@@ -85,9 +85,11 @@
   bool has_repeated() const { return has_repeated_; }
 
  private:
-  void Start(modelled_entry& one) {
+  void Start(modelled_entry& one, bool is_restart = true) {
     one.builder = std::make_unique<entry_list_builder>(one.name, kSettleTime,
                                                        kMaxSides, now_);
+    if (is_restart)
+      one.builder->FollowEarlierProcess(bound_.window);
     one.list.reset();
     one.retries = {};
     one.started = now_;
@@ -139,8 +141,7 @@
       one.retries.OnRequest(now_);
       arrival_account arrivals;
       for (int send = 0; send < kSendsPerRequest; ++send) {
-        if (!arrivals.PayForNext(one.retries, bound_,
-                                 one.list->settled_fleet_size, now_))
+        if (!arrivals.PayForNext(one.retries, bound_, one.list->retries, now_))
           break;
         Send(arrivals);
       }
--- a/tests/routing/retry_window_test.cc
+++ b/tests/routing/retry_window_test.cc
@@ -21,7 +21,7 @@
     auto& entry = entries[static_cast<std::size_t>(i) % kEntries];
     entry.OnRequest(now);
     requests.push_back(now);
-    if (i % 2 == 0 && entry.TryTake(bound, kEntries, now))
+    if (i % 2 == 0 && entry.TryTake(bound, {.entries = kEntries}, now))
       retries.push_back(now);
   }
   REQUIRE(retries.size() > 100);
--- a/tests/routing/shared_bounds_model_test.cc
+++ b/tests/routing/shared_bounds_model_test.cc
@@ -131,6 +131,8 @@
     world_.Core(name).AddSeeds({"b-0", "c-0"});
     one.builder =
         std::make_unique<entry_list_builder>(name, kSettleTime, kRegions, now);
+    if (one.incarnation > 1)
+      one.builder->FollowEarlierProcess(kRetries.window);
     one.tracker = service_tracker();
     one.retries = {};
     one.started = now;
@@ -187,7 +189,7 @@
     for (int i = 0; i < kRequests; ++i) {
       requests_.Add(now);
       one.retries.OnRequest(now);
-      if (one.retries.TryTake(kRetries, list->settled_fleet_size, now)) {
+      if (one.retries.TryTake(kRetries, list->retries, now)) {
         retries_.Add(now);
         took_retries_ = true;
       }
