Let the soak break kept connections and check arrivals against the bound

The soak had targets that close without a response, on any connection, but none that break connections kept from an earlier request, and it counted no arrivals: the hidden second sends showed nowhere. All targets of a service now close or reset kept connections with requests on them at times, and what arrives again is held against the bound that the entries' settings name.

--- a/tests/platform_adapter/wire_target.cc
+++ b/tests/platform_adapter/wire_target.cc
@@ -45,6 +45,7 @@
       return;
     }
     ++target_.arrivals;
+    target_.CountArrival(request.get("Request-Id", ""));
     std::string body;
     Poco::StreamCopier::copyToString(request.stream(), body);
     response.set("Request-Id", request.get("Request-Id", ""));
@@ -171,6 +172,17 @@
   ++runs_by_id_[id];
 }
 
+std::multimap<std::string, std::chrono::steady_clock::time_point>
+wire_target::arrivals_by_id() const {
+  std::lock_guard guard(lock_);
+  return arrivals_by_id_;
+}
+
+void wire_target::CountArrival(const std::string& id) {
+  std::lock_guard guard(lock_);
+  arrivals_by_id_.emplace(id, std::chrono::steady_clock::now());
+}
+
 std::optional<std::chrono::milliseconds> wire_target::RestOf(
     const std::string& client) {
   const auto now = std::chrono::steady_clock::now();
--- a/tests/platform_adapter/wire_target.h
+++ b/tests/platform_adapter/wire_target.h
@@ -83,6 +83,11 @@
   std::map<std::string, int> runs_by_id() const;
   void CountRun(const std::string& id);
 
+  // Times at which requests arrived, by request ID.
+  std::multimap<std::string, std::chrono::steady_clock::time_point>
+  arrivals_by_id() const;
+  void CountArrival(const std::string& id);
+
   // Returns how long the connection from this client address rested since its
   // last request; nothing for the first one.
   std::optional<std::chrono::milliseconds> RestOf(const std::string& client);
@@ -96,6 +101,8 @@
   mutable std::mutex lock_;
   std::map<std::string, int> runs_by_id_;
   std::map<std::string, std::string> last_headers_;
+  std::multimap<std::string, std::chrono::steady_clock::time_point>
+      arrivals_by_id_;
   // Times of the last request, by client address.
   std::map<std::string, std::chrono::steady_clock::time_point> last_requests_;
   Poco::ThreadPool threads_;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -8,6 +8,7 @@
 #include <map>
 
 #include "platform_adapter/wire_text.h"
+#include "soak/arrival_check.h"
 #include "soak/raw_call.h"
 #include "support/free_address.h"
 #include "support/log_schema.h"
@@ -35,6 +36,10 @@
 constexpr std::chrono::milliseconds kRouteTimeout{800};
 constexpr std::chrono::milliseconds kTimeoutTolerance{700};
 
+// The bound that the settings of entries name: small, so that few repeats
+// beyond it show.
+constexpr retry_bound kRetryBound{.ratio = 0.05, .slack = 10};
+
 // Whether the status states that the request did not run and never will.
 bool GuaranteesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -47,6 +52,7 @@
       random_(seed),
       restore_random_(seed),
       cut_random_(seed),
+      connection_random_(seed),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
   std::filesystem::create_directories(folder_);
@@ -83,10 +89,11 @@
         R"("peer_address":"{}","metrics_address":"{}",)"
         R"("seeds":["{}","{}","{}"],"store_addresses":["{}"],)"
         R"("peer_key":"0123456789abcdef0123456789abcdef",)"
-        R"("bounds":["grace=4s","ttl_max=1s"]}})",
+        R"("bounds":["grace=4s","ttl_max=1s","retryBudgetRatio={}",)"
+        R"("retryBudgetSlack={}"]}})",
         i, one->caller_address, FreeAddress(), FreeAddress(), peers[i],
-        FreeAddress(), peers[0], peers[1], peers[2],
-        one->store_link->address());
+        FreeAddress(), peers[0], peers[1], peers[2], one->store_link->address(),
+        kRetryBound.ratio, kRetryBound.slack);
     one->target_links = std::make_unique<process_cut>(
         (folder_ / fmt::format("cut-{}", i)).string(), target_addresses);
     StartEntry(*one);
@@ -170,6 +177,7 @@
   CheckConfiguration();
   CheckClaims();
   CheckBrokenRequests();
+  CheckArrivals();
   CheckLogs();
   return findings_;
 }
@@ -180,6 +188,8 @@
     InjectRestore();
   if (cut_random_() % 6 == 0)
     InjectCut();
+  if (connection_random_() % 5 == 0)
+    InjectBrokenConnections();
   auto& one = *entries_[random_() % entries_.size()];
   auto& hit = targets_[random_() % targets_.size()];
   switch (random_() % 10) {
@@ -213,6 +223,18 @@
   }
 }
 
+void soak_world::InjectBrokenConnections() {
+  const auto behavior = connection_random_() % 2 == 0
+                            ? target_behavior::kCloseKeptConnection
+                            : target_behavior::kResetKeptConnection;
+  const auto& service =
+      targets_[connection_random_() % targets_.size()].service;
+  for (auto& each : targets_) {
+    if (each.service == service)
+      each.process->behavior = behavior;
+  }
+}
+
 void soak_world::InjectCut() {
   constexpr int kCuts = 4;
   const auto cut = static_cast<link_cut>(cut_random_() % kCuts);
@@ -315,6 +337,10 @@
   const int kills = one.kills;
   const bool leaving = one.leaving;
   const auto started = std::chrono::steady_clock::now();
+  {
+    std::lock_guard guard(lock_);
+    requests_[is_claim ? "writes" : "reads"].emplace(id, started);
+  }
   const auto method = is_claim ? "POST" : "GET";
   const auto path = (is_claim ? "/write/" : "/read/") + id;
   const auto response =
@@ -380,6 +406,18 @@
 
 // On-call engineers depend on the log, so each line must conform to the schema
 // in the manual.
+void soak_world::CheckArrivals() {
+  for (const auto& [service, requests] : requests_) {
+    service_arrivals seen{.requests = requests, .arrivals = {}};
+    for (const auto& each : targets_) {
+      if (each.service == service)
+        seen.arrivals.merge(each.process->arrivals_by_id());
+    }
+    if (const auto excess = FindExcessOfRepeats(seen, kRetryBound))
+      AddFinding("repeats within the bound", service + ": " + *excess);
+  }
+}
+
 void soak_world::CheckLogs() {
   const log_schema schema(SAMPHIRE_SOURCE_DIR "/docs/LOGS.md");
   for (const auto& line : LogLines()) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -88,6 +89,9 @@
   void Register(target& one, const std::string& state);
   // Writes the configuration of the current version to the store.
   void WriteConfiguration();
+  // Lets the targets of a service break kept connections that have a request on
+  // them.
+  void InjectBrokenConnections();
   // Takes a copy of the store, or brings it back from the last one; its owners
   // then write again what was lost.
   void InjectRestore();
@@ -105,6 +109,7 @@
   // Check one kind of guarantee each and add what violates it to the findings.
   void CheckClaims();
   void CheckBrokenRequests();
+  void CheckArrivals();
   void CheckLogs();
   std::vector<std::string> LogLines() const;
   void CheckRecovery();
@@ -117,6 +122,8 @@
   std::mt19937_64 restore_random_;
   // The same for cuts of entries from targets.
   std::mt19937_64 cut_random_;
+  // The same for targets that break connections.
+  std::mt19937_64 connection_random_;
   const std::filesystem::path folder_;
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
@@ -127,8 +134,10 @@
   std::atomic<bool> sending_{false};
   std::atomic<int> sent_{0};
   std::atomic<int> served_{0};
-  // Guards claims_, broken_ and findings_.
+  // Guards all below.
   std::mutex lock_;
+  // Times at which requests were sent, by service and request ID.
+  std::map<std::string, std::map<std::string, time_point>> requests_;
   std::vector<claim> claims_;
   std::vector<broken_request> broken_;
   std::vector<soak_finding> findings_;
