--- a/tests/platform_adapter/repeated_arrival_test.cc
+++ b/tests/platform_adapter/repeated_arrival_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "platform_adapter/fleet_fixture.h"
+#include "platform_adapter/wire_text.h"
 
 using namespace samphire;
 using namespace samphire::platform;
@@ -61,6 +62,30 @@
   CHECK(r.read_1.crashes + r.read_2.crashes <= kMaxAttempts);
 }
 
+// Guards against a team whose requests reach targets twice on one permit.
+TEST_CASE("each run of a team's request takes a permit of its own") {
+  constexpr double kRate = 50;
+  constexpr double kBurst = 20.5;
+  test_setup r;
+  r.stand_in.Write("config/main", TeamManifestObject("00000004", false));
+  r.settings.traffic.bounds.retries = {.ratio = 10, .slack = 1000};
+  r.StartReady();
+  for (auto* target : {&r.read_1, &r.read_2})
+    target->behavior = target_behavior::kCloseKeptConnection;
+  const auto started = std::chrono::steady_clock::now();
+  for (int i = 0; i < kRequests; ++i) {
+    r.Request({.path = PathOf(i),
+               .id = std::to_string(i),
+               .headers = {{"Credential", "key-1"}}});
+  }
+  const std::chrono::duration<double> took =
+      std::chrono::steady_clock::now() - started;
+  const double permits =
+      kBurst + kRate * took.count() + r.settings.traffic.bounds.limit_slack;
+  CHECK(r.read_1.runs + r.read_2.runs > 0);
+  CHECK(r.read_1.runs + r.read_2.runs <= permits);
+}
+
 // Guards against callers who lose their requests as the price of the bound: a
 // target that has forgotten a connection never received the request.
 TEST_CASE("requests on forgotten connections are served without retries") {
--- a/tests/platform_adapter/target_limit_test.cc
+++ b/tests/platform_adapter/target_limit_test.cc
@@ -38,6 +38,29 @@
   CHECK(arrivals >= kRate * 4 / 2);
 }
 
+// Guards against requests that reach a limited target twice on one permit, when
+// it closes connections kept from earlier requests.
+TEST_CASE("a target that closes kept connections gets one request a permit") {
+  constexpr double kRate = 5;
+  constexpr auto kWindow = 3s;
+  constexpr int kMaxArrivals = 1.5 * kRate * 3 + 5;
+  test_setup r;
+  r.settings.traffic.bounds.retries = {.ratio = 10, .slack = 1000};
+  r.StartReady();
+  auto& limited = r.TargetWithStamp(r.Request().stamp);
+  limited.rate_limit = kRate;
+  limited.behavior = target_behavior::kCloseKeptConnection;
+  for (int i = 0; i < 10; ++i)
+    r.Request();
+  const int before = limited.arrivals;
+  const auto end = std::chrono::steady_clock::now() + kWindow;
+  while (std::chrono::steady_clock::now() < end) {
+    r.Request();
+    std::this_thread::sleep_for(10ms);
+  }
+  CHECK(limited.arrivals - before <= kMaxArrivals);
+}
+
 // Guards against refusing what another target would serve, because many targets
 // have used up their limits.
 TEST_CASE("a request finds the one target of a service that has no limit") {
