--- a/tests/platform_adapter/repeated_arrival_test.cc
+++ b/tests/platform_adapter/repeated_arrival_test.cc
@@ -2,7 +2,6 @@
 #include <chrono>
 #include <string>
 #include <thread>
-#include <vector>
 
 #include "platform_adapter/fleet_fixture.h"
 #include "platform_adapter/wire_text.h"
