Look up a service's retries in one place of the dispatcher

MayRetry and ChooseConnection each fetched the list of entries, the bounds and the service's shard in the same lines. WithRetries does so for both; what is decided is the same. An include that nothing used goes.

--- a/src/libsamphire/routing/arrival_account.h
+++ b/src/libsamphire/routing/arrival_account.h
@@ -1,7 +1,6 @@
 #ifndef ROUTING_ARRIVAL_ACCOUNT_H_
 #define ROUTING_ARRIVAL_ACCOUNT_H_
 
-#include <cstddef>
 #include <cstdint>
 
 #include "base/clock_source.h"
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -270,25 +270,28 @@
       arrivals_.runs() >= request_.route->max_attempts ||
       request_.deadline - now < kMinAttemptTime || caller_.IsDisconnected())
     return false;
-  const auto entries = context_.state.entries().Get();
-  const auto bounds = context_.state.bounds();
-  return context_.shards.WithService(placer_.service(), [&](auto& shard) {
-    return arrivals_.PayForNext(shard.retries, bounds->retries,
-                                entries->retries, now);
+  return WithRetries([&](auto& retries, const auto& bound, const auto& share) {
+    return arrivals_.PayForNext(retries, bound, share, now);
   });
 }
 
 connection_use traffic_dispatcher::ChooseConnection() {
-  const auto entries = context_.state.entries().Get();
-  const auto bounds = context_.state.bounds();
   const bool may_retry =
-      context_.shards.WithService(placer_.service(), [&](auto& shard) {
-        return shard.retries.HasRoom(bounds->retries, entries->retries,
-                                     context_.clock.now());
+      WithRetries([&](auto& retries, const auto& bound, const auto& share) {
+        return retries.HasRoom(bound, share, context_.clock.now());
       });
   return arrivals_.NextConnection(request_.route->max_attempts, may_retry);
 }
 
+template <typename F>
+bool traffic_dispatcher::WithRetries(F use) {
+  const auto entries = context_.state.entries().Get();
+  const auto bounds = context_.state.bounds();
+  return context_.shards.WithService(placer_.service(), [&](auto& shard) {
+    return use(shard.retries, bounds->retries, entries->retries);
+  });
+}
+
 // Ends the request without a further attempt: forwards the error response of an
 // earlier attempt if there is one, and refuses the request otherwise.
 void traffic_dispatcher::FinishWithoutAttempt(result_code code,
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -60,6 +60,10 @@
                          const target_exchange_end& end) const;
   // Returns whether another target may be tried after `end`, and pays for that.
   bool MayRetry(const target_exchange_end& end);
+  // Calls `use` with the service's retries, their bound and this entry's share
+  // of it, while holding the service's lock.
+  template <typename F>
+  bool WithRetries(F use);
   void FinishWithoutAttempt(result_code code, milliseconds retry_after);
   // Sends the final response: that of `end`, that of an earlier attempt or a
   // refusal.
