--- /dev/null
+++ b/review/stand_ins/worker.h
@@ -0,0 +1,85 @@
+#ifndef REVIEW_STAND_INS_WORKER_H_
+#define REVIEW_STAND_INS_WORKER_H_
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "stand_ins/http_connection.h"
+#include "stand_ins/record.h"
+
+namespace review {
+
+// A run of a request at a worker.
+struct run {
+  std::string request_id;
+  std::string worker;
+  std::size_t body_bytes = 0;
+  std::uint64_t body_digest = 0;
+};
+
+// Digest of a body, by which it is compared with what was sent.
+std::uint64_t DigestOf(const std::string& body);
+
+// A sound worker: answers 421 to requests for another instance, runs all others
+// for a time that its owner sets, and drops a request when its connection
+// closes. Thread-safe.
+class worker {
+ public:
+  // Returns how long a request runs.
+  using work_time =
+      std::function<std::chrono::milliseconds(const http_message& request)>;
+
+  worker(std::string id,
+         std::string service,
+         std::string zone,
+         record& events,
+         work_time work);
+  ~worker();
+  worker(const worker&) = delete;
+  worker& operator=(const worker&) = delete;
+
+  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+  // The object with which the worker registers itself in the store.
+  std::string Object() const;
+  // Ends as a process that is killed does: its listener is gone and all its
+  // connections are closed.
+  void Crash();
+  std::vector<run> runs();
+
+ private:
+  struct session {
+    std::unique_ptr<http_connection> connection;
+    std::thread thread;
+  };
+
+  void Accept();
+  void Serve(http_connection& connection);
+  // Runs the request. Returns false if the connection closed meanwhile.
+  bool Run(const http_message& request, const http_connection& connection);
+  std::string Respond(const http_message& request) const;
+
+  const std::string id_;
+  const std::string service_;
+  const std::string zone_;
+  const std::string address_;
+  record& events_;
+  const work_time work_;
+  int listener_;
+  std::atomic<bool> ended_{false};
+  std::mutex lock_;
+  std::list<session> sessions_;
+  std::vector<run> runs_;
+  std::thread acceptor_;
+};
+
+}  // namespace review
+
+#endif  // REVIEW_STAND_INS_WORKER_H_
