--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -4,25 +4,22 @@
 #include <fmt/format.h>
 
 #include <cstdio>
-#include <cstdlib>
 #include <exception>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "stand_ins/client.h"
-#include "stand_ins/fleet.h"
+#include "../stand_ins/case_status.h"
+#include "../stand_ins/client.h"
+#include "../stand_ins/fleet.h"
 
 namespace {
 
 using namespace std::chrono_literals;
 using review::body_encoding;
 
-constexpr int kHeld = 0;
-constexpr int kBroken = 1;
-constexpr int kCannotRun = 2;
-
 // Workers of the upload service, as in the sheet of the deployment; one of them
 // crashes, a twelfth.
 constexpr int kWorkers = 12;
@@ -48,7 +45,7 @@
     R"("maxRegionShift":0.15})";
 
 constexpr const char* kManifest =
-    R"({"spec":{"version":"00000007","limits":{"maxHeaderBytes":16384,)"
+    R"({"version":"00000007","limits":{"maxHeaderBytes":16384,)"
     R"("maxBodyBytes":67108864,"headerTimeout":"3000ms",)"
     R"("idleTimeout":"15000ms"},"listeners":[{"host":"bales.example",)"
     R"("rules":[{"name":"r-upload","kind":"upload","targetLatency":"600ms",)"
@@ -56,7 +53,7 @@
     R"("action":{"service":"field-intake","timeout":"4000ms",)"
     R"("maxAttempts":2,"homeRegions":[]}}]}],"clusters":[)"
     R"({"name":"field-intake","healthPath":"/health","maxConns":390,)"
-    R"("protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]}})";
+    R"("protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]})";
 
 std::string MakeBody(const std::string& id) {
   std::string body;
@@ -74,20 +71,21 @@
                 {"front-kgl-b-1", "kgl-b"},
                 {"front-hye-a-1", "hye-a"}},
                {{"kgl-a", "kigali"}, {"kgl-b", "kigali"}, {"hye-a", "huye"}},
-               kBounds) {}
+               kBounds,
+               events_) {}
 
   int Run(bool trouble) {
-    fleet_.Write("config/main", kManifest);
+    fleet_.store().Write("config/main", kManifest);
     StartWorkers();
     if (!fleet_.Start(20s)) {
       events_.Write("the entries were not ready");
-      return kCannotRun;
+      return review::kCannotRun;
     }
     std::this_thread::sleep_for(kSettleTime);
     const auto before = Upload(0, "before");
     if (before.status != 200) {
       events_.Write("the upload before the crash was not served");
-      return kCannotRun;
+      return review::kCannotRun;
     }
     auto* const hit = FindWorker(before.worker);
     std::this_thread::sleep_for(kPause);
@@ -156,7 +154,7 @@
       }
     }
     events_.Write(fmt::format("UNASKED: {} runs with a changed body", changed));
-    return changed > 0 ? kBroken : kHeld;
+    return changed > 0 ? review::kBroken : review::kHeld;
   }
 
   review::record events_;
@@ -169,13 +167,11 @@
 
 int main(int argc, char** argv) {
   if (argc != 2)
-    return kCannotRun;
-  const char* trouble = std::getenv("TROUBLE");
+    return review::kCannotRun;
   try {
-    return upload_case(argv[1]).Run(trouble == nullptr ||
-                                    std::string(trouble) != "0");
+    return upload_case(argv[1]).Run(review::HasTrouble());
   } catch (const std::exception& e) {
     std::fprintf(stderr, "%s\n", e.what());
-    return kCannotRun;
+    return review::kCannotRun;
   }
 }
--- a/review/stand_ins/client.cc
+++ b/review/stand_ins/client.cc
@@ -1,10 +1,10 @@
-#include "stand_ins/client.h"
+#include "client.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
-#include "stand_ins/worker.h"
+#include "worker.h"
 
 namespace review {
 
--- a/review/stand_ins/client.h
+++ b/review/stand_ins/client.h
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <string>
 
-#include "stand_ins/http_connection.h"
-#include "stand_ins/record.h"
+#include "http_connection.h"
+#include "record.h"
 
 namespace review {
 
--- a/review/stand_ins/entry_process.cc
+++ b/review/stand_ins/entry_process.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/entry_process.h"
+#include "entry_process.h"
 
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -13,7 +13,7 @@
 #include <sstream>
 #include <stdexcept>
 
-#include "stand_ins/loopback.h"
+#include "loopback.h"
 
 namespace review {
 
@@ -52,7 +52,7 @@
       {"{{listen.control|json}}", Quoted(machine.control)},
       {"{{ip}}", machine.ip},
       {"{{seeds|json}}", where.seeds},
-      {"{{bootstrap|json}}", "true"},
+      {"{{bootstrap|json}}", where.bootstrap ? "true" : "false"},
       {"{{platform.address|json}}", Quoted(where.store_address)},
       {"{{bounds|json}}", where.bounds},
   };
--- a/review/stand_ins/entry_process.h
+++ b/review/stand_ins/entry_process.h
@@ -30,6 +30,8 @@
   // JSON array: `control` addresses.
   std::string seeds;
   std::string store_address;
+  // Whether the whole system starts for the first time.
+  bool bootstrap = true;
 };
 
 // The program of the deploy file, run as a process of its own with a settings
--- a/review/stand_ins/fleet.cc
+++ b/review/stand_ins/fleet.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/fleet.h"
+#include "fleet.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -6,8 +6,9 @@
 
 #include <filesystem>
 #include <thread>
+#include <utility>
 
-#include "stand_ins/http_connection.h"
+#include "http_connection.h"
 
 namespace review {
 
@@ -38,8 +39,13 @@
 
 fleet::fleet(const std::vector<placed_entry>& entries,
              const std::map<std::string, std::string>& zones,
-             const std::string& bounds)
-    : zones_(zones), folder_(MakeFolder()) {
+             const std::string& bounds,
+             record& events,
+             std::size_t page_size,
+             copy_lags lags)
+    : zones_(zones),
+      folder_(MakeFolder()),
+      store_(events, page_size, std::move(lags)) {
   std::vector<std::string> seeds;
   for (const auto& each : entries) {
     machines_.push_back(MakeMachine(each.name, each.zone));
@@ -58,10 +64,6 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-void fleet::Write(const std::string& key, const std::string& value) {
-  store_.Write(key, value);
-}
-
 void fleet::Register(const worker& one) {
   store_.Write("servers/" + one.id(), one.Object());
 }
@@ -71,10 +73,8 @@
 }
 
 bool fleet::Start(std::chrono::seconds timeout) {
-  for (const auto& each : machines_) {
-    processes_.push_back(std::make_unique<entry_process>(
-        each, installation_, zones_.at(each.zone), folder_));
-  }
+  for (const auto& each : machines_)
+    StartProcess(each);
   const auto until = std::chrono::steady_clock::now() + timeout;
   for (std::size_t i = 0; i < machines_.size(); ++i) {
     while (AskReady(i) != 200) {
@@ -86,6 +86,18 @@
   return true;
 }
 
+std::size_t fleet::Add(const placed_entry& added) {
+  installation_.bootstrap = false;
+  machines_.push_back(MakeMachine(added.name, added.zone));
+  StartProcess(machines_.back());
+  return machines_.size() - 1;
+}
+
+void fleet::StartProcess(const entry_machine& machine) {
+  processes_.push_back(std::make_unique<entry_process>(
+      machine, installation_, zones_.at(machine.zone), folder_));
+}
+
 int fleet::AskReady(std::size_t entry) const {
   const auto& address = machines_[entry].ready;
   http_connection connection(http_connection::Open(address));
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -7,9 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "platform_adapter/stand_in_platform.h"
-#include "stand_ins/entry_process.h"
-#include "stand_ins/worker.h"
+#include "entry_process.h"
+#include "object_store.h"
+#include "record.h"
+#include "worker.h"
 
 namespace review {
 
@@ -23,20 +24,27 @@
 // and workers as stand-ins in this process. Used by one thread.
 class fleet {
  public:
+  // Most objects in one page of a listing.
+  static constexpr std::size_t kPageSize = 500;
+
   // `zones` maps each zone to its region; `bounds` is a JSON object.
   fleet(const std::vector<placed_entry>& entries,
         const std::map<std::string, std::string>& zones,
-        const std::string& bounds);
+        const std::string& bounds,
+        record& events,
+        std::size_t page_size = kPageSize,
+        copy_lags lags = {});
   ~fleet();
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
 
-  // Writes an object to the store, as the operator or a worker does.
-  void Write(const std::string& key, const std::string& value);
+  // Adds a machine, which starts at once. Returns its index.
+  std::size_t Add(const placed_entry& added);
   // Registers a worker.
   void Register(const worker& one);
   // Removes the object of a worker that fell silent.
   void Expire(const worker& one);
+  object_store& store() { return store_; }
   // Starts the entries. Returns whether all were ready within `timeout`.
   bool Start(std::chrono::seconds timeout);
 
@@ -49,9 +57,11 @@
   int AskReady(std::size_t entry) const;
 
  private:
+  void StartProcess(const entry_machine& machine);
+
   const std::map<std::string, std::string> zones_;
   const std::string folder_;
-  samphire::platform::stand_in_platform store_;
+  object_store store_;
   std::vector<entry_machine> machines_;
   installation installation_;
   std::vector<std::unique_ptr<entry_process>> processes_;
--- a/review/stand_ins/http_connection.cc
+++ b/review/stand_ins/http_connection.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/http_connection.h"
+#include "http_connection.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -11,7 +11,7 @@
 #include <cctype>
 #include <cstdlib>
 
-#include "stand_ins/loopback.h"
+#include "loopback.h"
 
 namespace review {
 
--- a/review/stand_ins/loopback.cc
+++ b/review/stand_ins/loopback.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/loopback.h"
+#include "loopback.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
--- a/review/stand_ins/record.cc
+++ b/review/stand_ins/record.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/record.h"
+#include "record.h"
 
 #include <stdexcept>
 
--- a/review/stand_ins/worker.cc
+++ b/review/stand_ins/worker.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/worker.h"
+#include "worker.h"
 
 #include <fmt/format.h>
 #include <poll.h>
@@ -7,7 +7,7 @@
 
 #include <utility>
 
-#include "stand_ins/loopback.h"
+#include "loopback.h"
 
 namespace review {
 
@@ -52,12 +52,12 @@
     each.thread.join();
 }
 
-std::string worker::Object() const {
+std::string worker::Object(const std::string& state) const {
   return fmt::format(
-      R"({{"spec":{{"address":"{}","info":{{"service":"{}","version":"v1",)"
-      R"("zone":"{}","slots":4}},"status":{{"state":"ready","seq":1,)"
-      R"("coldLeft":"0ms"}}}},"status":null}})",
-      address_, service_, zone_);
+      R"({{"address":"{}","info":{{"service":"{}","version":"v1",)"
+      R"("zone":"{}","slots":4}},"status":{{"state":"{}","seq":{},)"
+      R"("coldLeft":"0ms"}}}})",
+      address_, service_, zone_, state, state == "ready" ? 1 : 2);
 }
 
 void worker::Crash() {
--- a/review/stand_ins/worker.h
+++ b/review/stand_ins/worker.h
@@ -11,8 +11,8 @@
 #include <thread>
 #include <vector>
 
-#include "stand_ins/http_connection.h"
-#include "stand_ins/record.h"
+#include "http_connection.h"
+#include "record.h"
 
 namespace review {
 
@@ -47,8 +47,9 @@
 
   const std::string& id() const { return id_; }
   const std::string& address() const { return address_; }
-  // The object with which the worker registers itself in the store.
-  std::string Object() const;
+  // The `spec` that the worker writes to the store; `state` is ready or
+  // draining.
+  std::string Object(const std::string& state = "ready") const;
   // Ends as a process that is killed does: its listener is gone and all its
   // connections are closed.
   void Crash();
