Review case 2: an answer that is cut in its head passes for a complete one

The library's parser takes the end of the stream within the headers for their end. An answer whose connection closes after its stamp and before Content-Length reaches the client as a 200 with an empty body.

--- a/review/stand_ins/client.cc
+++ b/review/stand_ins/client.cc
@@ -55,6 +55,7 @@
       std::chrono::steady_clock::now() - started);
   if (received && received->complete) {
     answer.status = received->status();
+    answer.body = received->body;
     const auto stamp = received->Get("server-stamp");
     answer.worker = stamp.substr(0, stamp.find('.'));
   } else {
@@ -62,7 +63,8 @@
   }
   events.Write(fmt::format(
       "answered  {} after {} ms: {}", request.id, answer.took.count(),
-      answer.status != 0 ? fmt::format("{} {}", answer.status, answer.worker)
+      answer.status != 0 ? fmt::format("{} {}, body of {} bytes", answer.status,
+                                       answer.worker, answer.body.size())
       : answer.closed    ? "the connection was closed without an answer"
                          : "nothing within the time limit"));
   return answer;
@@ -74,7 +76,7 @@
   http_connection connection(http_connection::Open(front));
   if (!connection.is_open()) {
     events.Write(fmt::format("refused   {}: no connection", request.id));
-    return {.closed = true};
+    return {.closed = true, .sent = false};
   }
   return SendOn(connection, request, events);
 }
--- a/review/stand_ins/client.h
+++ b/review/stand_ins/client.h
@@ -30,9 +30,12 @@
   int status = 0;
   // Id of the worker that ran the request; empty if none answered.
   std::string worker;
+  std::string body;
   std::chrono::milliseconds took{0};
   // Whether the connection was closed, or refused, instead of an answer.
   bool closed = false;
+  // Whether there was a connection to send the request on.
+  bool sent = true;
 };
 
 // Sends one request on a connection and waits for its answer.
--- a/review/stand_ins/entry_process.cc
+++ b/review/stand_ins/entry_process.cc
@@ -4,14 +4,18 @@
 #include <fmt/format.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <sstream>
 #include <stdexcept>
+#include <system_error>
 
 #include "loopback.h"
 
@@ -23,6 +27,8 @@
 constexpr const char* kProgram = "target/bin/samphire-platform-entry";
 constexpr const char* kTemplate = "deploy/settings.json.tmpl";
 constexpr int kNotStarted = 127;
+// `maxFds` of the machines.
+constexpr rlim_t kMaxDescriptors = 4100;
 
 std::string Quoted(const std::string& text) {
   return "\"" + text + "\"";
@@ -99,6 +105,8 @@
       _exit(kNotStarted);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    const rlimit descriptors{kMaxDescriptors, kMaxDescriptors};
+    setrlimit(RLIMIT_NOFILE, &descriptors);
     setenv("SAMPHIREWINCH_CONFIG", settings.c_str(), 1);
     execl(kProgram, kProgram, nullptr);
     _exit(kNotStarted);
@@ -120,6 +128,15 @@
     kill(pid_, signal);
 }
 
+std::size_t entry_process::descriptors() const {
+  std::error_code failure;
+  const std::filesystem::directory_iterator files(
+      fmt::format("/proc/{}/fd", pid_), failure);
+  return failure ? 0
+                 : static_cast<std::size_t>(
+                       std::distance(begin(files), end(files)));
+}
+
 bool entry_process::running() {
   if (!ended_)
     ended_ = waitpid(pid_, nullptr, WNOHANG) == pid_;
--- a/review/stand_ins/entry_process.h
+++ b/review/stand_ins/entry_process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 
 namespace review {
@@ -51,6 +52,8 @@
 
   void Signal(int signal) const;
   bool running();
+  // Number of descriptors that the process has open.
+  std::size_t descriptors() const;
 
  private:
   pid_t pid_ = -1;
--- a/review/stand_ins/http_connection.h
+++ b/review/stand_ins/http_connection.h
@@ -32,7 +32,8 @@
   http_connection(const http_connection&) = delete;
   http_connection& operator=(const http_connection&) = delete;
 
-  // Opens a connection to IP:PORT. Check is_open().
+  // Opens a connection to IP:PORT, for a second at most, as clients do. Returns
+  // the socket, or -1.
   static int Open(const std::string& address);
 
   bool is_open() const { return descriptor_ >= 0; }
--- a/review/stand_ins/loopback.h
+++ b/review/stand_ins/loopback.h
@@ -13,8 +13,13 @@
 std::string NextMachineIp();
 // Returns a free port of an IP address, below the system's ephemeral ports.
 int FreePort(const std::string& ip);
-// Listens at IP:PORT. Throws std::runtime_error if the address is in use.
-int Listen(const std::string& address);
+// A socket that listens, and its IP:PORT.
+struct listening_socket {
+  int descriptor = -1;
+  std::string address;
+};
+// Listens at a free port of 127.0.0.1.
+listening_socket ListenAnywhere();
 
 }  // namespace review
 
