Tell whom look-ups name, in which state and why, and when each was last heard of

The log told the state of each member, but not whom look-ups name, so which of the suspected ways an answer took had to be inferred. No change of whom they name.

The lines `lookup-names` and `lookup-omits` tell each change of the list with the entry's state, the reason (this entry itself, ready, or that none is known to be ready) and the time since the entry was last heard of: a message of its process, or news that only it can have originated. Bounded: one line for each change of one entry. Metrics count the changes and the look-ups, and tell the entries on the list by state and reason, and the longest time without a sign of life of any of them.

The options of membership have a function of their own, for tests.

--- a/src/libsamphire/membership/member.h
+++ b/src/libsamphire/membership/member.h
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "base/bounded_codec.h"
+#include "base/clock_source.h"
 #include "membership/member_digest.h"
 #include "membership/member_state.h"
 
@@ -36,6 +37,9 @@
   std::uint32_t refutation = 0;
   member_state state = member_state::kAlive;
   member_digest digest;
+  // When this entry last received a message of the process, or news that only
+  // the process itself can have originated. Local, not sent.
+  time_point heard_at;
 
   // Of two reports on a member, the one of higher rank supersedes the other.
   auto rank() const { return std::tuple(incarnation, refutation, state); }
--- a/src/libsamphire/membership/membership_core_merge.cc
+++ b/src/libsamphire/membership/membership_core_merge.cc
@@ -45,9 +45,9 @@
     unknown_member = unknown_member || merged == merge_result::kUnknownMember;
     ApplyMergeResult(update.name, merged, false);
   }
-  table_.MergeDigest(block.self);
+  table_.MergeDigest(block.self, now);
   for (const auto& digest : block.digests)
-    table_.MergeDigest(digest);
+    table_.MergeDigest(digest, now);
   MergeRegions(block.regions, now);
   RequestRegions(from, block, now);
   if (unknown_member)
--- a/src/libsamphire/membership/membership_core_receive.cc
+++ b/src/libsamphire/membership/membership_core_receive.cc
@@ -23,6 +23,7 @@
       events_.emplace_back(process_replaced{});
     return;
   }
+  table_.Heard(message.sender, message.incarnation, now);
   switch (kind) {
     case message_kind::kProbe:
       return HandleProbe(message, now);
--- a/src/libsamphire/membership/membership_service.cc
+++ b/src/libsamphire/membership/membership_service.cc
@@ -131,6 +131,7 @@
 std::vector<member> membership_service::members() const {
   std::lock_guard guard(lock_);
   std::vector<member> all{core_.table().self()};
+  all.front().heard_at = clock_.now();
   for (const auto& [name, known] : core_.table().other_members())
     all.push_back(known);
   return all;
--- a/src/libsamphire/membership/membership_table.cc
+++ b/src/libsamphire/membership/membership_table.cc
@@ -50,10 +50,11 @@
     name_by_process_id_[ProcessId(seen.name, seen.incarnation)] = seen.name;
     auto& known = other_members_[seen.name] = seen;
     known.digest.process_id = ProcessId(seen.name, seen.incarnation);
+    known.heard_at = now;
     UpdateTimer(seen, now);
     return merge_result::kChanged;
   }
-  MergeDigest(seen.digest);
+  MergeDigest(seen.digest, now);
   return ApplyIfNewer(found->second, UpdateOf(seen), now);
 }
 
@@ -77,6 +78,11 @@
     time_point now) {
   if (seen.rank() <= known.rank())
     return merge_result::kNone;
+  // Only the process itself refutes suspicions and announces that it leaves.
+  if (seen.refutation > known.refutation ||
+      seen.state == member_state::kLeaving) {
+    known.heard_at = now;
+  }
   known.refutation = seen.refutation;
   known.state = seen.state;
   UpdateTimer(known, now);
@@ -98,13 +104,25 @@
   return merge_result::kSuspicionRefuted;
 }
 
-void membership_table::MergeDigest(const member_digest& seen) {
+void membership_table::MergeDigest(const member_digest& seen, time_point now) {
   const auto process = name_by_process_id_.find(seen.process_id);
   if (process == name_by_process_id_.end())
     return;
-  auto& known = other_members_.find(process->second)->second.digest;
-  if (seen.sequence > known.sequence)
-    known = seen;
+  auto& known = other_members_.find(process->second)->second;
+  if (seen.sequence <= known.digest.sequence)
+    return;
+  known.digest = seen;
+  known.heard_at = now;
+}
+
+void membership_table::Heard(std::string_view name,
+                             std::uint64_t incarnation,
+                             time_point now) {
+  const auto found = other_members_.find(name);
+  if (found != other_members_.end() &&
+      found->second.incarnation == incarnation) {
+    found->second.heard_at = now;
+  }
 }
 
 membership_table::merge_result membership_table::MarkSuspected(
--- a/src/libsamphire/membership/membership_table.h
+++ b/src/libsamphire/membership/membership_table.h
@@ -39,7 +39,9 @@
   // Each takes in a report from a peer, unless what is known is newer.
   merge_result MergeRecord(const member& seen, time_point now);
   merge_result MergeUpdate(const member_update& seen, time_point now);
-  void MergeDigest(const member_digest& seen);
+  void MergeDigest(const member_digest& seen, time_point now);
+  // Records that a message of the process `incarnation` of a member arrived.
+  void Heard(std::string_view name, std::uint64_t incarnation, time_point now);
   // Marks a member that did not answer probes as suspected.
   merge_result MarkSuspected(const std::string& name, time_point now);
 
--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -8,6 +8,7 @@
 
 #include "base/clock_source.h"
 #include "routing/retry_share.h"
+#include "traffic/listed_entry.h"
 
 namespace samphire {
 
@@ -23,9 +24,8 @@
   // Parallel to `names`.
   std::vector<std::string> failure_domains;
   std::vector<std::string> peer_addresses;
-  // Caller addresses of the entries that are ready to serve callers. Lists all
-  // known entries if none is known to be ready.
-  std::vector<std::string> caller_addresses;
+  // The entries that look-ups name.
+  std::vector<listed_entry> listed;
   // Peer addresses from which this entry may fetch the last known objects when
   // it starts while the platform is unreachable. Includes entries that are
   // leaving and some entries of other regions; excludes this entry.
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -15,6 +15,15 @@
 // so far lasted a minute; entries that are unreachable for longer have stopped.
 constexpr milliseconds kPeakWindow{60'000};
 
+listed_entry Listed(const member& each, listing_reason reason) {
+  return {.name = each.name,
+          .incarnation = each.incarnation,
+          .caller_address = each.caller_address,
+          .state = each.state,
+          .reason = reason,
+          .heard_at = each.heard_at};
+}
+
 }  // namespace
 
 entry_list_builder::entry_list_builder(std::string self,
@@ -58,15 +67,17 @@
     list->failure_domains.push_back(each.failure_domain);
     // An entry that has just started refuses callers until it has loaded a
     // configuration.
-    if (self ? self_ready : each.digest.config_version > 0)
-      list->caller_addresses.push_back(each.caller_address);
+    if (self && self_ready)
+      list->listed.push_back(Listed(each, listing_reason::kSelf));
+    else if (!self && each.digest.config_version > 0)
+      list->listed.push_back(Listed(each, listing_reason::kReady));
     list->peer_addresses.push_back(each.peer_address);
   }
   // If no entry has announced a configuration yet, list all of them: any may
   // have loaded one since its last update.
-  if (list->caller_addresses.empty()) {
+  if (list->listed.empty()) {
     for (const auto& each : members)
-      list->caller_addresses.push_back(each.caller_address);
+      list->listed.push_back(Listed(each, listing_reason::kNoneReady));
   }
   std::size_t size = list->names.size();
   for (const auto& region : regions) {
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -9,12 +9,14 @@
 #include "gateway/text_handler.h"
 #include "membership/new_incarnation.h"
 #include "traffic/handler_factory.h"
+#include "traffic/listing_report.h"
 #include "traffic/mirror_handler.h"
 #include "traffic/news_peers_of.h"
 #include "traffic/relay_handler.h"
 #include "traffic/shared_store.h"
 #include "traffic/source_plan.h"
 #include "traffic/traffic_handler.h"
+#include "traffic/traffic_membership.h"
 
 namespace samphire {
 
@@ -39,11 +41,6 @@
 // avoids closing it while a request is on its way.
 constexpr milliseconds kIdleMargin{2000};
 
-// Time for which a suspected entry may refute the suspicion before it is
-// declared failed. A failed entry must be removed from look-ups within about
-// six seconds, which include the probe interval of one second.
-constexpr milliseconds kSuspicionTimeout{2500};
-
 member SelfMember(const traffic_settings& settings, std::uint64_t incarnation) {
   member self;
   self.name = settings.place.instance;
@@ -55,12 +52,6 @@
   return self;
 }
 
-membership_options MembershipOptions() {
-  membership_options options;
-  options.suspicion_timeout = kSuspicionTimeout;
-  return options;
-}
-
 }  // namespace
 
 traffic_node::traffic_node(traffic_settings settings,
@@ -79,7 +70,7 @@
                  clock_,
                  metrics_),
       membership_(SelfMember(settings_, incarnation_),
-                  MembershipOptions(),
+                  TrafficMembershipOptions(settings_.unlisting_time),
                   transport_,
                   clock_,
                   metrics_,
@@ -236,17 +227,24 @@
        {"evacuated_domains", targets->evacuated_domains().size()}});
 }
 
-std::vector<std::string> traffic_node::CallerAddresses() const {
-  return state_.entries().Get()->caller_addresses;
+std::vector<std::string> traffic_node::CallerAddresses() {
+  metrics_.Count("lookups_total");
+  std::vector<std::string> addresses;
+  for (const auto& each : state_.entries().Get()->listed)
+    addresses.push_back(each.caller_address);
+  return addresses;
 }
 
 void traffic_node::RefreshEntryList() {
   std::lock_guard guard(entry_list_lock_);
   const auto before = state_.entries().Get();
-  state_.entries().Replace(
-      entry_list_builder_.Build(membership_.members(), membership_.regions(),
-                                IsReady(), state_.leaving, clock_.now()));
-  if (state_.entries().Get()->names != before->names) {
+  const auto members = membership_.members();
+  const auto now = clock_.now();
+  const auto after = entry_list_builder_.Build(members, membership_.regions(),
+                                               IsReady(), state_.leaving, now);
+  state_.entries().Replace(after);
+  LogListingChanges(before->listed, after->listed, members, now, metrics_);
+  if (after->names != before->names) {
     quarantine_.OnEntriesChanged();
     limiter_.OnEntriesChanged();
     target_limiter_.OnEntriesChanged();
@@ -287,6 +285,7 @@
                static_cast<double>(quarantine_.targets_lost()));
   metrics_.Set("targets_unreachable", "",
                static_cast<double>(links_.unreachable()));
+  SetListingMetrics(state_.entries().Get()->listed, clock_.now(), metrics_);
   return metrics_.Render();
 }
 
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -77,8 +77,8 @@
   // Whether this entry can serve callers.
   bool IsReady() const { return state_.IsReady(); }
   // Returns the addresses of the live entries of this region that callers may
-  // use.
-  std::vector<std::string> CallerAddresses() const;
+  // use, for a look-up, which it counts.
+  std::vector<std::string> CallerAddresses();
   milliseconds lookup_ttl() const { return state_.bounds()->lookup_ttl; }
   const clock_source& clock() const { return clock_; }
   metrics& counters() { return metrics_; }
