--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -229,8 +229,9 @@
 
 std::vector<std::string> traffic_node::CallerAddresses() {
   metrics_.Count("lookups_total");
+  const auto entries = state_.entries().Get();
   std::vector<std::string> addresses;
-  for (const auto& each : state_.entries().Get()->listed)
+  for (const auto& each : entries->listed)
     addresses.push_back(each.caller_address);
   return addresses;
 }
