Show in failing tests that look-ups name entries long off

Callers are sent to instances that have ended.

- the list of last resort of a new entry names four where one runs;
- at a tenth of loss a serving entry of 24 is declared dead within five minutes;
- a suspended entry asks one member a second after its pause;
- the own path names the suspected as well;
- bounds that come as a table are never read, the window of stable links among them.

`bench_unlisting` measures the same from 10 to 2,800 nodes.

--- a/bench/membership_fleet.h
+++ b/bench/membership_fleet.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <queue>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -58,7 +59,8 @@
 // region and after 30 ms between regions.
 class fleet {
  public:
-  fleet(int count, int regions) {
+  fleet(int count, int regions, const membership_options& options = {})
+      : options_(options) {
     for (int i = 0; i < count; ++i)
       AddNode(i, regions);
   }
@@ -82,6 +84,9 @@
   }
 
   std::vector<node>& nodes() { return nodes_; }
+  const std::vector<node>& nodes() const { return nodes_; }
+  // Sets the probability, 0 to 1, that a datagram is lost.
+  void SetLoss(double loss) { loss_ = loss; }
   time_point now() const { return now_; }
   void ResetCounts() {
     for (auto& each : nodes_)
@@ -121,7 +126,7 @@
         added.address;
     self.incarnation = 1;
     added.core = std::make_unique<membership_core>(
-        self, membership_options{}, now_,
+        self, options_, now_,
         wall_time(now_.time_since_epoch() + std::chrono::hours(500000)),
         static_cast<std::uint64_t>(number));
     // The seeds are the first node of the fleet and the first node of the own
@@ -174,7 +179,7 @@
       each.sent_bytes += message.payload.size() + kDatagramOverheadBytes;
       ++each.messages;
       const auto to = by_address_.find(message.address);
-      if (to == by_address_.end())
+      if (to == by_address_.end() || IsLost())
         continue;
       const bool same_region = nodes_[to->second].region == each.region;
       in_flight_.push({now_ + milliseconds(same_region ? 1 : 30), ++order_,
@@ -190,6 +195,13 @@
     }
   }
 
+  bool IsLost() {
+    return loss_ > 0 && std::uniform_real_distribution<>(0, 1)(random_) < loss_;
+  }
+
+  const membership_options options_;
+  double loss_ = 0;
+  std::mt19937_64 random_{1};
   std::vector<node> nodes_;
   std::unordered_map<std::string, std::size_t> by_address_;
   std::priority_queue<datagram, std::vector<datagram>, std::greater<>>
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -25,13 +25,15 @@
   return ReadTarget("i-1", value, kRegions, kNow);
 }
 
+const std::string kBoundList =
+    R"(["grace=7s","retryBudgetRatio=0.3","odd","unknown=1",
+              "retryBudgetSlack=x"])";
 const std::string kSettings = R"({"instance":"n","failure_domain":"a-1",
     "region":"a","failure_domains":{"a-1":"a"},"caller_address":"127.0.0.1:1",
     "readiness_address":"127.0.0.1:2","lookup_address":"127.0.0.1:3",
     "peer_address":"127.0.0.1:4","metrics_address":"127.0.0.1:5","seeds":[],
     "peer_key":"k","store_addresses":["127.0.0.1:6"],
-    "bounds":["grace=7s","retryBudgetRatio=0.3","odd","unknown=1",
-              "retryBudgetSlack=x"]})";
+    "bounds":)" + kBoundList + "}";
 
 }  // namespace
 
@@ -177,6 +179,33 @@
   CHECK(ReadSettings("{").error().code == result_code::kJsonSyntax);
 }
 
+// Guards against an entry that keeps all defaults, whatever the installation
+// promises: the platform fills in the template with a table of bounds.
+TEST_CASE("bounds given as a table are read") {
+  const auto settings = ReadSettings(
+      Replaced(kSettings, kBoundList,
+               R"({"grace":"10s","retryBudgetRatio":0.3,"budgetWindow":"12s",)"
+               R"("retryBudgetSlack":430,"ttl_max":"1500ms","odd":true,)"
+               R"("stableWindow":"4000ms","quotaSlack":"x"})"));
+  REQUIRE(settings);
+  const auto& traffic = settings.value().traffic;
+  CHECK(traffic.bounds.stop_grace == 10s);
+  CHECK(traffic.bounds.retries.ratio == Approx(0.3));
+  CHECK(traffic.bounds.retries.slack == Approx(430));
+  CHECK(traffic.bounds.retries.window == 12s);
+  CHECK(traffic.bounds.lookup_ttl == 1500ms);
+  CHECK(traffic.bounds.limit_slack == Approx(0));
+  CHECK(traffic.unlisting_time == 7s);
+}
+
+// Guards against a bound of look-ups that does not follow the settings.
+TEST_CASE("the window of stable links determines when look-ups omit an entry") {
+  CHECK(ReadSettings(kSettings).value().traffic.unlisting_time == 6s);
+  const auto settings = ReadSettings(
+      Replaced(kSettings, kBoundList, R"(["stableWindow=1500ms"])"));
+  CHECK(settings.value().traffic.unlisting_time == 4500ms);
+}
+
 // Mechanisms are disabled to measure their benefit. If a misspelt name were
 // ignored, the measurement would run with the mechanism enabled and yield a
 // wrong figure.
--- a/tests/support/membership_simulation.cc
+++ b/tests/support/membership_simulation.cc
@@ -16,7 +16,7 @@
   auto& added = nodes_[name];
   added.region = region;
   added.core = std::make_unique<membership_core>(
-      self, membership_options{}, network.now(),
+      self, options, network.now(),
       wall_time(network.now().time_since_epoch() + std::chrono::hours(500000)),
       ++seed_);
   added.core->AddSeeds({seed_address});
--- a/tests/support/membership_simulation.h
+++ b/tests/support/membership_simulation.h
@@ -67,6 +67,8 @@
   int CountEvents(const std::string& name, member_state state) const;
 
   fake_peer_network network;
+  // Of the entries that are started from now on.
+  membership_options options;
 
  private:
   struct node {
--- a/tests/support/simulated_entry_list.h
+++ b/tests/support/simulated_entry_list.h
@@ -6,12 +6,14 @@
 
 namespace samphire {
 
-// Returns the list of entries that a ready entry with this view of the fleet
-// publishes.
+// Returns the list of entries that an entry with this view of the fleet
+// publishes. `ready` and `leaving` tell its own state.
 boost::intrusive_ptr<const entry_list> BuildEntryList(
     membership_core& core,
     entry_list_builder& builder,
-    time_point now);
+    time_point now,
+    bool ready = true,
+    bool leaving = false);
 
 }  // namespace samphire
 
