Let what a member has announced of itself prevail over suspicions

Callers were sent again to entries that had been stopped in an orderly way, 0.9 to 1.8 s after their end and until they were dead, and such an entry counted again for keys and shares of limits. Suspected ranked above leaving, so the first unanswered probe after its end took the announcement back.

Leaving now ranks above suspected: a leaving member that does not answer stays leaving and is declared dead after the same time as a suspected one, unless it is heard of meanwhile. The numbers on the wire are the same.

"an announced leaver that has ended is named and counted no more" failed at 4, 24 and 65 entries and passes.

--- a/src/libsamphire/membership/member.h
+++ b/src/libsamphire/membership/member.h
@@ -42,7 +42,9 @@
   time_point heard_at;
 
   // Of two reports on a member, the one of higher rank supersedes the other.
-  auto rank() const { return std::tuple(incarnation, refutation, state); }
+  auto rank() const {
+    return std::tuple(incarnation, refutation, Precedence(state));
+  }
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/libsamphire/membership/member_update.h
+++ b/src/libsamphire/membership/member_update.h
@@ -18,7 +18,9 @@
   member_state state = member_state::kAlive;
 
   // The same order as member::rank().
-  auto rank() const { return std::tuple(incarnation, refutation, state); }
+  auto rank() const {
+    return std::tuple(incarnation, refutation, Precedence(state));
+  }
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/libsamphire/membership/membership_table.cc
+++ b/src/libsamphire/membership/membership_table.cc
@@ -122,6 +122,8 @@
   if (found != other_members_.end() &&
       found->second.incarnation == incarnation) {
     found->second.heard_at = now;
+    if (found->second.state == member_state::kLeaving)
+      timer_due_.erase(found->first);
   }
 }
 
@@ -131,6 +133,10 @@
   const auto found = other_members_.find(name);
   if (found == other_members_.end())
     return merge_result::kNone;
+  if (found->second.state == member_state::kLeaving) {
+    timer_due_.try_emplace(name, now + SuspicionTime());
+    return merge_result::kNone;
+  }
   auto update = UpdateOf(found->second);
   update.state = member_state::kSuspect;
   return ApplyIfNewer(found->second, update, now);
@@ -153,7 +159,7 @@
       continue;
     }
     auto& known = other_members_.find(it->first)->second;
-    if (known.state == member_state::kSuspect) {
+    if (known.state != member_state::kDead) {
       known.state = member_state::kDead;
       it->second = now + options_.tombstone_retention;
       died.push_back(known.name);
--- a/src/libsamphire/membership/membership_table.h
+++ b/src/libsamphire/membership/membership_table.h
@@ -42,7 +42,8 @@
   void MergeDigest(const member_digest& seen, time_point now);
   // Records that a message of the process `incarnation` of a member arrived.
   void Heard(std::string_view name, std::uint64_t incarnation, time_point now);
-  // Marks a member that did not answer probes as suspected.
+  // Marks a member that did not answer probes as suspected. One that is leaving
+  // stays so, and is declared dead after the same time.
   merge_result MarkSuspected(const std::string& name, time_point now);
 
   // Declares suspected members dead whose time for a refutation is over, and
@@ -98,8 +99,8 @@
   member self_;
   const membership_options options_;
   std::map<std::string, member, std::less<>> other_members_;
-  // Time at which a suspected member is declared dead, or a dead one is
-  // removed.
+  // Time at which a suspected member, or a leaving one that does not answer, is
+  // declared dead, or a dead one is removed.
   std::map<std::string, time_point, std::less<>> timer_due_;
   // Names by ProcessId(), to find the member that a digest describes.
   std::map<std::uint32_t, std::string> name_by_process_id_;
