Name only running entries where none is known to be ready

Where no entry was known to be ready, look-ups named all members that were ever known: the dead, who are remembered for two hours, the leaving, and the asked entry itself while it left. Callers of a region that starts again got addresses of instances that were gone.

The list of last resort now holds the members that run and have not announced their leaving. It may be empty at an entry that leaves and knows nobody else; callers then ask another entry or keep the answer that they have.

--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -73,11 +73,15 @@
       list->listed.push_back(Listed(each, listing_reason::kReady));
     list->peer_addresses.push_back(each.peer_address);
   }
-  // If no entry has announced a configuration yet, list all of them: any may
-  // have loaded one since its last update.
+  // If no entry has announced a configuration yet, list all that run: any may
+  // have loaded one since its last update. Callers of an empty list keep the
+  // one that they have, or ask another entry.
   if (list->listed.empty()) {
-    for (const auto& each : members)
-      list->listed.push_back(Listed(each, listing_reason::kNoneReady));
+    for (const auto& each : members) {
+      const bool is_leaving = leaving && each.name == self_;
+      if (each.state == member_state::kAlive && !is_leaving)
+        list->listed.push_back(Listed(each, listing_reason::kNoneReady));
+    }
   }
   std::size_t size = list->names.size();
   for (const auto& region : regions) {
