Tell entries that start of the members that have ended

An entry that had started after the death of another and got a late report of it took it for alive, and named it to its callers for 44.5 s in the test, until it had probed it itself. It had ignored the death of a process that it did not know, and the others never sent it again: the comparison of tables took a dead member for known if the asking entry listed it with the same checksum, which says nothing of death.

A death of an unknown process is now kept (not forwarded), and an entry that lists a member which is dead here is told so.

--- a/src/libsamphire/membership/membership_core_receive.cc
+++ b/src/libsamphire/membership/membership_core_receive.cc
@@ -142,9 +142,13 @@
     if (own.name_id < request->first_name_id ||
         own.name_id > request->last_name_id)
       return true;
-    return std::ranges::any_of(request->checksums, [&own](const auto& theirs) {
-      return theirs.name_id == own.name_id && theirs.checksum == own.checksum;
-    });
+    const bool is_listed =
+        std::ranges::any_of(request->checksums, [&own](const auto& theirs) {
+          return theirs.name_id == own.name_id &&
+                 theirs.checksum == own.checksum;
+        });
+    // The requester lists the members that it does not hold for dead.
+    return known.state == member_state::kDead ? !is_listed : is_listed;
   };
   std::vector<const member*> missing;
   if (!known_to_requester(table_.self()))
--- a/src/libsamphire/membership/membership_table.cc
+++ b/src/libsamphire/membership/membership_table.cc
@@ -44,15 +44,16 @@
     if (found != other_members_.end())
       name_by_process_id_.erase(
           ProcessId(found->second.name, found->second.incarnation));
-    // The death of a process that was never known here is not worth forwarding.
-    if (found == other_members_.end() && seen.state == member_state::kDead)
-      return merge_result::kNone;
+    const bool is_new_and_dead =
+        found == other_members_.end() && seen.state == member_state::kDead;
     name_by_process_id_[ProcessId(seen.name, seen.incarnation)] = seen.name;
     auto& known = other_members_[seen.name] = seen;
     known.digest.process_id = ProcessId(seen.name, seen.incarnation);
     known.heard_at = now;
     UpdateTimer(seen, now);
-    return merge_result::kChanged;
+    // The death of a process that was never known here is kept, so that a late
+    // report does not make it a member, but is not worth forwarding.
+    return is_new_and_dead ? merge_result::kNone : merge_result::kChanged;
   }
   MergeDigest(seen.digest, now);
   return ApplyIfNewer(found->second, UpdateOf(seen), now);
