Leave suspected entries out of the own path's look-ups

The twin of the fault on the users' platform: look-ups of the product's own path named an entry that had ended until it was declared dead, 4 s times the logarithm of the region's size after the suspicion. Naming an entry that is off costs each of its callers a failed connection; leaving out one that serves, for the moment until it refutes, costs little. Peers go on asking the suspected.

"look-ups of the own path name no entry that is in doubt" failed for the suspected and for one that had left, and passes.

--- a/src/libsamphire/gateway/fleet_view.cc
+++ b/src/libsamphire/gateway/fleet_view.cc
@@ -14,11 +14,12 @@
           .leaving = each.state == member_state::kLeaving};
 }
 
-// A suspected member may merely be slow, and a look-up that names it costs its
-// callers one failed connection at worst. A look-up that names a member
-// declared failed would cost every one of its callers that connection.
-bool MayServe(const member& each) {
-  return each.state != member_state::kDead;
+// A suspected member may merely be slow, and is still asked by peers. A look-up
+// that names it would cost each of its callers a failed connection if it is
+// off; leaving it out for a moment costs little if it is not.
+bool MayBeNamed(const member& each) {
+  return each.state == member_state::kAlive ||
+         each.state == member_state::kLeaving;
 }
 
 }  // namespace
@@ -33,13 +34,15 @@
   bool first = true;
   for (const auto& each : membership.members()) {
     const bool self = std::exchange(first, false);
-    if (!MayServe(each))
+    if (each.state == member_state::kDead)
+      continue;
+    if (!self)
+      next->own_addresses[each.name] = each.peer_address;
+    if (!MayBeNamed(each))
       continue;
     lookup_entries.push_back(LiveEntryOf(each));
     if (self && state_.leaving)
       lookup_entries.back().leaving = true;
-    if (!self)
-      next->own_addresses[each.name] = each.peer_address;
   }
   for (const auto& region : regions) {
     if (region == own_region_)
