--- a/src/libsamphire/traffic/traffic_settings.h
+++ b/src/libsamphire/traffic/traffic_settings.h
@@ -42,7 +42,8 @@
   // even after a crash of all entries and with every fifth message lost. In
   // simulations of 240 fleets, 3 s let one of them exceed a limit.
   milliseconds settle_time{5000};
-  // Time after the end of an entry after which look-ups may no longer name it.
+  // Time after the end of an entry after which look-ups may no longer name it;
+  // from the platform's window of stable links.
   milliseconds unlisting_time{6000};
   // Whether the whole fleet starts for the first time, so that no process ran
   // before this one.
