Let the soak ask look-ups whom they name while entries stay away

The soak never asked a look-up whom it names, and no entry stayed away for longer than a restart took, so it could not find callers sent to entries long gone.

Entries are now killed or stopped and stay away for 5 to 7.5 s, beside all other faults, for 12 s a seed in place of 6. The answers of all entries are judged by the rule: none names, at an entry that nothing has disturbed for the window, one that ended that window and three seconds before; none is empty unless its entry has been asked to stop (traced: an entry that leaves while both others are gone).

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Time for which faults are injected in one run.
-constexpr std::chrono::seconds kFaultDuration{6};
+constexpr std::chrono::seconds kFaultDuration{12};
 
 // Returns an integer variable of the environment. scripts/soak sets the first
 // seed and their number, in order to run new seeds.
@@ -33,13 +33,13 @@
 }  // namespace
 
 // Injects faults at random and concurrently: entries are stopped, suspended,
-// killed and restarted, and lose their links to targets, alone or two at a
-// time; links are delayed, cut in one or both directions and reset; targets
-// fail and drain; the store refuses calls, loses its history and comes back
-// from copies.
-// Guards against a claim that runs twice, a response to another request, a
-// request that ran although its caller was told that it did not, and an entry
-// that does not recover.
+// killed and restarted, stay away for seconds, and lose their links to targets,
+// alone or two at a time; links are delayed, cut in one or both directions and
+// reset; targets fail and drain; the store refuses calls, loses its history and
+// comes back from copies. Guards against a claim that runs twice, a response to
+// another request, a request that ran although its caller was told that it did
+// not, look-ups that name entries long gone, and an entry that does not
+// recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
   const auto first = ReadEnvironment("SAMPHIRE_SOAK_SEED", 1);
   const auto count = ReadEnvironment("SAMPHIRE_SOAK_COUNT", 3);
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -8,6 +8,7 @@
 #include <map>
 
 #include "platform_adapter/wire_text.h"
+#include "platform_names.h"
 #include "soak/arrival_check.h"
 #include "soak/raw_call.h"
 #include "support/free_address.h"
@@ -39,6 +40,15 @@
 // The bound that the settings of entries name: small, so that few repeats
 // beyond it show.
 constexpr retry_bound kRetryBound{.ratio = 0.05, .slack = 10};
+// The same for the window of stable links, so that entries are away for longer
+// than they may be named within one run.
+constexpr std::chrono::milliseconds kStableWindow{1000};
+// Look-ups may name an entry for that time and this one after its end.
+constexpr std::chrono::milliseconds kUnlistingSlack{3000};
+constexpr std::chrono::milliseconds kLookupInterval{50};
+// The time for which an entry stays away.
+constexpr auto kMinAbsence = 5000ms;
+constexpr int kAbsenceRangeMs = 2500;
 
 // Whether the status states that the request did not run and never will.
 bool GuaranteesNotRun(int status) {
@@ -53,6 +63,8 @@
       restore_random_(seed),
       cut_random_(seed),
       connection_random_(seed),
+      absence_random_(seed),
+      lookups_(kStableWindow, kStableWindow + kUnlistingSlack),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
   std::filesystem::create_directories(folder_);
@@ -81,6 +93,7 @@
     auto one = std::make_unique<entry>();
     one->store_link = std::make_unique<relay>("127.0.0.1", store_.address());
     one->caller_address = FreeAddress();
+    one->lookup_address = FreeAddress();
     one->settings_path = (folder_ / fmt::format("entry-{}.json", i)).string();
     std::ofstream(one->settings_path) << fmt::format(
         R"({{"instance":"entry-{}","failure_domain":"a-1","region":"a",)"
@@ -90,10 +103,10 @@
         R"("seeds":["{}","{}","{}"],"store_addresses":["{}"],)"
         R"("peer_key":"0123456789abcdef0123456789abcdef",)"
         R"("bounds":["grace=4s","ttl_max=1s","retryBudgetRatio={}",)"
-        R"("retryBudgetSlack={}"]}})",
-        i, one->caller_address, FreeAddress(), FreeAddress(), peers[i],
+        R"("retryBudgetSlack={}","stableWindow={}ms"]}})",
+        i, one->caller_address, FreeAddress(), one->lookup_address, peers[i],
         FreeAddress(), peers[0], peers[1], peers[2], one->store_link->address(),
-        kRetryBound.ratio, kRetryBound.slack);
+        kRetryBound.ratio, kRetryBound.slack, kStableWindow.count());
     one->target_links = std::make_unique<process_cut>(
         (folder_ / fmt::format("cut-{}", i)).string(), target_addresses);
     StartEntry(*one);
@@ -115,6 +128,30 @@
       std::vector<std::string>{"--settings=" + one.settings_path},
       one.settings_path + ".log", child_output::kLog,
       one.target_links->environment());
+  lookups_.OnStarted(one.caller_address, std::chrono::steady_clock::now());
+}
+
+// The count is odd while the process is being killed, since requests that are
+// sent meanwhile may be cut as well.
+void soak_world::KillEntry(entry& one) {
+  ++one.kills;
+  one.process->Kill();
+  ++one.kills;
+  lookups_.OnEnded(one.caller_address, std::chrono::steady_clock::now());
+}
+
+void soak_world::StopEntry(entry& one) {
+  lookups_.OnLeaving(one.caller_address, std::chrono::steady_clock::now());
+  if (!one.leaving)
+    one.process->Signal(SIGTERM);
+  one.leaving = true;
+}
+
+void soak_world::NoteEnds() {
+  for (const auto& each : entries_) {
+    if (!each->process->running())
+      lookups_.OnEnded(each->caller_address, std::chrono::steady_clock::now());
+  }
 }
 
 void soak_world::Register(target& one, const std::string& state) {
@@ -163,8 +200,10 @@
   callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i)
     callers.emplace_back([this, i] { RunCaller(seed_ * 100 + i); });
+  callers.emplace_back([this] { RunLookups(); });
   const auto until = std::chrono::steady_clock::now() + fault_duration;
   while (std::chrono::steady_clock::now() < until) {
+    NoteEnds();
     InjectFault();
     std::this_thread::sleep_for(
         std::chrono::milliseconds(40 + random_() % 160));
@@ -178,6 +217,7 @@
   CheckClaims();
   CheckBrokenRequests();
   CheckArrivals();
+  CheckLookups();
   CheckLogs();
   return findings_;
 }
@@ -190,6 +230,8 @@
     InjectCut();
   if (connection_random_() % 5 == 0)
     InjectBrokenConnections();
+  if (absence_random_() % 16 == 0)
+    InjectAbsence();
   auto& one = *entries_[random_() % entries_.size()];
   auto& hit = targets_[random_() % targets_.size()];
   switch (random_() % 10) {
@@ -248,29 +290,41 @@
   }
 }
 
+void soak_world::InjectAbsence() {
+  auto& one = *entries_[absence_random_() % entries_.size()];
+  if (!one.process->running())
+    return;
+  one.absent_until =
+      std::chrono::steady_clock::now() + kMinAbsence +
+      std::chrono::milliseconds(absence_random_() % kAbsenceRangeMs);
+  if (absence_random_() % 2 == 0)
+    KillEntry(one);
+  else
+    StopEntry(one);
+}
+
 void soak_world::InjectEntryFault(entry& one) {
   if (!one.process->running()) {
-    StartEntry(one);
+    if (std::chrono::steady_clock::now() >= one.absent_until)
+      StartEntry(one);
     return;
   }
   switch (random_() % 4) {
     case 0:
-      // The count is odd while the process is being killed, since requests that
-      // are sent meanwhile may be cut as well.
-      ++one.kills;
-      one.process->Kill();
-      ++one.kills;
+      KillEntry(one);
       break;
     case 1:
-      if (!one.leaving)
-        one.process->Signal(SIGTERM);
-      one.leaving = true;
+      StopEntry(one);
       break;
     case 2:
+      lookups_.OnDisturbed(one.caller_address,
+                           std::chrono::steady_clock::now());
       one.process->Signal(SIGSTOP);
       std::this_thread::sleep_for(
           std::chrono::milliseconds(200 + random_() % 1200));
       one.process->Signal(SIGCONT);
+      lookups_.OnDisturbed(one.caller_address,
+                           std::chrono::steady_clock::now());
       break;
     default:
       one.process->Signal(SIGHUP);
@@ -330,6 +384,26 @@
   }
 }
 
+void soak_world::RunLookups() {
+  while (sending_) {
+    for (const auto& each : entries_) {
+      const auto sent = std::chrono::steady_clock::now();
+      const auto response = SendRawRequest(each->lookup_address, "GET",
+                                           platform::kLookupPath, "lookup", "");
+      if (response.status == 0 || response.refused || response.broken)
+        continue;
+      std::vector<std::string> named;
+      for (const auto& other : entries_) {
+        const auto address = '"' + other->caller_address + '"';
+        if (response.body.find(address) != std::string::npos)
+          named.push_back(other->caller_address);
+      }
+      lookups_.OnAnswer(each->caller_address, named, sent);
+    }
+    std::this_thread::sleep_for(kLookupInterval);
+  }
+}
+
 void soak_world::SendRequest(std::mt19937_64& random, std::uint64_t number) {
   auto& one = *entries_[random() % entries_.size()];
   const bool is_claim = random() % 3 == 0;
@@ -404,8 +478,11 @@
   }
 }
 
-// On-call engineers depend on the log, so each line must conform to the schema
-// in the manual.
+void soak_world::CheckLookups() {
+  for (const auto& each : lookups_.violations())
+    AddFinding("look-ups name no entry that is long off", each);
+}
+
 void soak_world::CheckArrivals() {
   for (const auto& [service, requests] : requests_) {
     service_arrivals seen{.requests = requests, .arrivals = {}};
@@ -418,6 +495,8 @@
   }
 }
 
+// On-call engineers depend on the log, so each line must conform to the schema
+// in the manual.
 void soak_world::CheckLogs() {
   const log_schema schema(SAMPHIRE_SOURCE_DIR "/docs/LOGS.md");
   for (const auto& line : LogLines()) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -15,6 +15,7 @@
 
 #include "platform_adapter/stand_in_platform.h"
 #include "platform_adapter/wire_target.h"
+#include "soak/lookup_check.h"
 #include "soak/process_cut.h"
 #include "soak/soak_finding.h"
 #include "support/child_process.h"
@@ -44,11 +45,14 @@
   // that were sent.
   int served() const { return served_; }
   int sent() const { return sent_; }
+  // Number of look-ups that were judged while an entry was off.
+  int judged_lookups() const { return lookups_.judged(); }
 
  private:
   // An entry process and its relay to the store.
   struct entry {
     std::string caller_address;
+    std::string lookup_address;
     std::string settings_path;
     std::unique_ptr<relay> store_link;
     // Its links to targets.
@@ -59,6 +63,8 @@
     std::atomic<int> kills{0};
     // Whether SIGTERM was sent to the process, so that it is stopping.
     std::atomic<bool> leaving{false};
+    // Until when the process is not started again once it has ended.
+    time_point absent_until;
   };
   // A target and the relay through which entries reach it.
   struct target {
@@ -85,6 +91,10 @@
   };
 
   void StartEntry(entry& one);
+  void KillEntry(entry& one);
+  void StopEntry(entry& one);
+  // Tells the check of look-ups which processes have ended by themselves.
+  void NoteEnds();
   // Writes the object of a target, with its state, to the store.
   void Register(target& one, const std::string& state);
   // Writes the configuration of the current version to the store.
@@ -99,6 +109,9 @@
   void InjectFault();
   void InjectEntryFault(entry& one);
   void InjectLinkFault(relay& link);
+  // Ends an entry in one of several ways and keeps it away for longer than
+  // look-ups may name it.
+  void InjectAbsence();
   // Cuts the links of one or two entries to targets, or ends all such cuts.
   void InjectCut();
   // Ends all faults and starts the processes that have ended.
@@ -106,10 +119,13 @@
   // Sends requests until `sending_` is false; runs in a thread per caller.
   void RunCaller(std::uint64_t seed);
   void SendRequest(std::mt19937_64& random, std::uint64_t number);
+  // Asks all entries in turn whom they name until `sending_` is false.
+  void RunLookups();
   // Check one kind of guarantee each and add what violates it to the findings.
   void CheckClaims();
   void CheckBrokenRequests();
   void CheckArrivals();
+  void CheckLookups();
   void CheckLogs();
   std::vector<std::string> LogLines() const;
   void CheckRecovery();
@@ -124,6 +140,9 @@
   std::mt19937_64 cut_random_;
   // The same for targets that break connections.
   std::mt19937_64 connection_random_;
+  // The same for entries that stay away.
+  std::mt19937_64 absence_random_;
+  lookup_check lookups_;
   const std::filesystem::path folder_;
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
