--- a/tests/membership/membership_fuzz_test.cc
+++ b/tests/membership/membership_fuzz_test.cc
@@ -46,7 +46,8 @@
         std::vector{message_kind::kProbe, message_kind::kProbeAck,
                     message_kind::kProbeRequest, message_kind::kJoin,
                     message_kind::kSyncRequest, message_kind::kGossip,
-                    message_kind::kRegionDigest});
+                    message_kind::kRegionDigest, message_kind::kPing,
+                    message_kind::kPingAck});
     const auto payload = *rc::gen::arbitrary<bool>() ? Bytes() : DamagedProbe();
     core.Receive(kind, {"peer", 1, "127.0.0.1:1", payload}, now);
     for (int i = 0; i < 50; ++i)
