--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -198,6 +198,16 @@
   CHECK(traffic.unlisting_time == 7s);
 }
 
+// Guards against an entry that does not start because of one unreadable value.
+TEST_CASE("bounds of another type leave the defaults") {
+  for (const std::string value : {"null", "7", R"({"grace":null})"}) {
+    const auto settings = ReadSettings(Replaced(kSettings, kBoundList, value));
+    REQUIRE(settings);
+    CHECK(settings.value().traffic.bounds.stop_grace == 6s);
+    CHECK(settings.value().traffic.unlisting_time == 6s);
+  }
+}
+
 // Guards against a bound of look-ups that does not follow the settings.
 TEST_CASE("the window of stable links determines when look-ups omit an entry") {
   CHECK(ReadSettings(kSettings).value().traffic.unlisting_time == 6s);
