--- a/src/libsamphire/membership/membership_options.h
+++ b/src/libsamphire/membership/membership_options.h
@@ -14,8 +14,9 @@
   milliseconds probe_interval{1000};
   // Time between the pings of the next member in the ring; see ring_watch.
   milliseconds watch_interval{1500};
-  // Time without an ack after which a member is probed again, other members are
-  // asked to probe it, and the watch of the ring goes on to the next members.
+  // Time without an ack after which a member is probed again, and the watch of
+  // the ring goes on to the next members. After twice this time other members
+  // are asked to probe it.
   milliseconds direct_probe_timeout{300};
   // Time without any ack after which the subject of a probe is suspected.
   milliseconds probe_timeout{1500};
