Tell each send of a request, and by which listing its target counted as open

The users' logs had no line for the uploads that ran cut short: an attempt that met its objective is at level debug, and entries that were asked to pass a request on left no line at all. Nor did any line tell by which version of the listing a target counted as open.

Each send now has a line (way, receiver, bytes of the body written and in all, position of the listing, result) unless it is a direct one that was answered, which the line of its request tells.

--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -102,6 +102,7 @@
   sent_at_ = std::chrono::steady_clock::now();
   BOOST_OUTCOME_TRYV(SendBytes(
       text.str() + (chunked ? EncodeChunk(body) : std::string(body))));
+  body_bytes_sent_ = body.size();
   if (body_remainder != nullptr) {
     BOOST_OUTCOME_TRYV(SendBodyRemainder(*body_remainder, chunked));
   }
@@ -145,6 +146,7 @@
     const std::string_view bytes(buffer.data(), bytes_read);
     BOOST_OUTCOME_TRYV(chunked ? SendBytes(EncodeChunk(bytes))
                                : SendBytes(bytes));
+    body_bytes_sent_ += bytes.size();
   }
 }
 
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include <cstdint>
 #include <istream>
 #include <memory>
 #include <optional>
@@ -77,6 +78,8 @@
   // response.
   bool ended_without_response() const;
   const body_framing& framing() const { return framing_; }
+  // Number of bytes of the request's body that were written to the connection.
+  std::uint64_t body_bytes_sent() const { return body_bytes_sent_; }
 
  private:
   // Concludes from the end of the connection whether it may have been stale.
@@ -106,6 +109,7 @@
   bool keep_alive_ = false;
   bool response_complete_ = false;
   bool may_have_been_stale_ = false;
+  std::uint64_t body_bytes_sent_ = 0;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/routing/live_target.h
+++ b/src/libsamphire/routing/live_target.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/clock_source.h"
+#include "store/store_cursor.h"
 
 namespace samphire {
 
@@ -28,6 +29,8 @@
   // the same id denotes a new process without the requests, queue and cached
   // keys of the earlier one.
   std::int64_t started_ms = 0;
+  // Position of the listing in which this entry found this description.
+  store_cursor listing;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/routing/target_set.cc
+++ b/src/libsamphire/routing/target_set.cc
@@ -6,10 +6,15 @@
 namespace samphire {
 
 target_set::target_set(std::vector<live_target> targets,
-                       std::set<std::string> evacuated_domains)
-    : evacuated_domains_(std::move(evacuated_domains)), size_(targets.size()) {
-  for (auto& target : targets)
+                       std::set<std::string> evacuated_domains,
+                       store_cursor listing)
+    : evacuated_domains_(std::move(evacuated_domains)),
+      listing_(listing),
+      size_(targets.size()) {
+  for (auto& target : targets) {
+    target.listing = listing;
     by_service_[target.service].push_back(std::move(target));
+  }
 }
 
 const std::vector<live_target>& target_set::OfService(
--- a/src/libsamphire/routing/target_set.h
+++ b/src/libsamphire/routing/target_set.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "routing/live_target.h"
+#include "store/store_cursor.h"
 
 namespace samphire {
 
@@ -19,8 +20,10 @@
     : public boost::intrusive_ref_counter<target_set,
                                           boost::thread_safe_counter> {
  public:
+  // `listing` is the position of the store at which the targets were listed.
   target_set(std::vector<live_target> targets,
-             std::set<std::string> evacuated_domains);
+             std::set<std::string> evacuated_domains,
+             store_cursor listing = {});
 
   // Returns every target of a service, whether or not it accepts new requests.
   const std::vector<live_target>& OfService(std::string_view service) const;
@@ -30,6 +33,7 @@
   const std::set<std::string>& evacuated_domains() const {
     return evacuated_domains_;
   }
+  store_cursor listing() const { return listing_; }
   std::size_t size() const { return size_; }
   // Returns the number of targets that may get new requests.
   std::size_t open_count() const;
@@ -37,6 +41,7 @@
  private:
   std::map<std::string, std::vector<live_target>, std::less<>> by_service_;
   std::set<std::string> evacuated_domains_;
+  store_cursor listing_;
   std::size_t size_;
 };
 
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -37,6 +37,9 @@
   // seconds, because their meaning to the handler has changed. May be called
   // from any thread.
   void RequestRedelivery() { redelivery_requested_ = true; }
+  // The position of the objects that are being passed to the handler. To be
+  // called by the handler only.
+  store_cursor position() const { return mirror_.position(); }
 
  private:
   // Makes one watch and processes its result. Returns the delay before the next
--- a/src/libsamphire/store/object_mirror.h
+++ b/src/libsamphire/store/object_mirror.h
@@ -40,6 +40,8 @@
   bool Expire(time_point now);
   // Returns when Expire is to be called, if any change is delayed.
   std::optional<time_point> expiry() const;
+  // The highest position that this mirror has reached.
+  store_cursor position() const { return highest_cursor_; }
   // Number of successive batches that were skipped because they were older than
   // what this mirror has seen.
   std::uint32_t skipped_batches() const { return skipped_batches_; }
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -11,6 +11,7 @@
 #include "gateway/response_stream.h"
 #include "gateway/status_reader.h"
 #include "traffic/relayed_call.h"
+#include "traffic/send_log.h"
 
 namespace samphire {
 
@@ -137,11 +138,31 @@
     Fail(result_code::kCallerGone, end);
   } else if (connected) {
     SendTo(exchange, relay, target, end);
+    RecordSend(exchange, relay, target, end);
   }
   if (end.attempt.took == duration{0})
     end.attempt.took = context_.clock.now() - started;
 }
 
+void target_exchange::RecordSend(const http_exchange& exchange,
+                                 const std::string& relay,
+                                 const live_target& target,
+                                 target_exchange_end& end) const {
+  send_record send{.receiver = relay.empty() ? target.address : relay,
+                   .listing = target.listing,
+                   .body_sent = exchange.body_bytes_sent()};
+  if (!relay.empty())
+    send.way = send_way::kThroughEntry;
+  else if (request_.from_peer)
+    send.way = send_way::kForEntry;
+  if (request_.body_rest == nullptr)
+    send.body_bytes = request_.body.size();
+  else
+    send.body_bytes = request_.body_length;
+  LogSend(context_, request_, target, send, end);
+  end.send = std::move(send);
+}
+
 void target_exchange::SendTo(http_exchange& exchange,
                              const std::string& relay,
                              const live_target& target,
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -49,6 +49,11 @@
               const std::string& relay,
               const live_target& target,
               target_exchange_end& end);
+  // Logs what was sent to the target, or to `relay` if that is not empty.
+  void RecordSend(const http_exchange& exchange,
+                  const std::string& relay,
+                  const live_target& target,
+                  target_exchange_end& end) const;
   // Opens a connection to the target and reports that to the links. Returns
   // false if it failed.
   bool ConnectToTarget(http_exchange& exchange,
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -10,6 +10,7 @@
 #include "routing/attempt_end.h"
 #include "routing/sent_request.h"
 #include "routing/target_path.h"
+#include "traffic/send_record.h"
 
 namespace samphire {
 
@@ -32,6 +33,8 @@
   int streamed_status = 0;
   // How the attempt reached the target, or tried to.
   target_path path = target_path::kDirect;
+  // The last send of the attempt; nothing if there was none.
+  std::optional<send_record> send;
   // The response's head, if the request came from a peer.
   std::optional<Poco::Net::HTTPResponse> head;
   // A complete response that has not been forwarded to the caller yet.
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "gateway/response_relay.h"
 #include "routing/arrival_cause.h"
+#include "traffic/send_log.h"
 #include "traffic/target_sender.h"
 
 namespace samphire {
@@ -115,6 +116,8 @@
   ++attempts_;
   last_target_ = target.id;
   auto end = Exchange(target);
+  if (end.send)
+    last_send_ = end.send;
   ReportAttemptEnd(placed, end);
   CountArrival(end);
   if (end.attempt.result == attempt_result::kNotSent)
@@ -368,6 +371,7 @@
       "request_seconds",
       code == result_code::kOk ? "outcome=\"answered\"" : "outcome=\"failed\"",
       std::chrono::duration_cast<duration>(took));
+  const auto send = last_send_.value_or(send_record{});
   Log(log_level::kInfo, "request",
       {{"request", request_.id},
        {"route", request_.route->name},
@@ -379,6 +383,11 @@
        {"status", status},
        {"attempts", attempts_},
        {"target", last_target_},
+       {"way", last_send_ ? NameOf(kSendWayNames, send.way) : "none"},
+       {"body_sent", send.body_sent},
+       {"body_bytes", LoggedBodyBytes(send)},
+       {"listing_era", send.listing.era},
+       {"listing_revision", send.listing.revision},
        {"ms", took.count()}});
 }
 
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -88,6 +88,8 @@
   arrival_account arrivals_;
   // Id of the target of the last attempt.
   std::string last_target_;
+  // The last send of any attempt; nothing if there was none.
+  std::optional<send_record> last_send_;
   // The last error response of a target, which is forwarded if no other attempt
   // succeeds.
   std::optional<buffered_response> failure_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -194,9 +194,10 @@
   AnnounceReady();
 }
 
-void traffic_node::SetTargets(std::vector<live_target> targets) {
+void traffic_node::SetTargets(std::vector<live_target> targets,
+                              store_cursor listing) {
   const bool first = !state_.targets();
-  state_.SetTargets(std::move(targets));
+  state_.SetTargets(std::move(targets), listing);
   LogTargets();
   if (first)
     AnnounceReady();
@@ -224,6 +225,8 @@
   Log(log_level::kInfo, "targets-changed",
       {{"targets", targets->size()},
        {"open", targets->open_count()},
+       {"listing_era", targets->listing().era},
+       {"listing_revision", targets->listing().revision},
        {"evacuated_domains", targets->evacuated_domains().size()}});
 }
 
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -67,7 +67,7 @@
   void AddSeeds(const std::vector<std::string>& seeds);
   // Ignored unless the manifest's version is above the current one.
   void SetManifest(const manifest_ptr& manifest);
-  void SetTargets(std::vector<live_target> targets);
+  void SetTargets(std::vector<live_target> targets, store_cursor listing);
   void SetEvacuatedDomains(std::set<std::string> domains);
 
   // Returns a watcher of the platform's store that shares watches with the
--- a/src/libsamphire/traffic/traffic_state.cc
+++ b/src/libsamphire/traffic/traffic_state.cc
@@ -13,9 +13,11 @@
   return true;
 }
 
-void traffic_state::SetTargets(std::vector<live_target> targets) {
+void traffic_state::SetTargets(std::vector<live_target> targets,
+                               store_cursor listing) {
   std::lock_guard guard(lock_);
   listed_targets_ = std::move(targets);
+  listing_ = listing;
   targets_known_ = true;
   PublishTargets();
 }
@@ -32,8 +34,8 @@
 
 void traffic_state::PublishTargets() {
   if (targets_known_)
-    targets_.Replace(
-        target_set_ptr(new target_set(listed_targets_, evacuated_domains_)));
+    targets_.Replace(target_set_ptr(
+        new target_set(listed_targets_, evacuated_domains_, listing_)));
 }
 
 bool traffic_state::IsReady() const {
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -24,8 +24,9 @@
   // entry never returns to an older configuration while it runs. Returns
   // whether the manifest was replaced.
   bool SetManifest(const manifest_ptr& manifest);
-  // Replaces the list of all targets, including those in evacuated domains.
-  void SetTargets(std::vector<live_target> targets);
+  // Replaces the list of all targets, including those in evacuated domains, by
+  // the one at the position `listing` of the store.
+  void SetTargets(std::vector<live_target> targets, store_cursor listing = {});
   // Sets the failure domains whose targets get no new requests.
   void SetEvacuatedDomains(std::set<std::string> domains);
 
@@ -57,6 +58,7 @@
   std::mutex lock_;
   bool targets_known_ = false;
   std::vector<live_target> listed_targets_;
+  store_cursor listing_;
   std::set<std::string> evacuated_domains_;
   shared_snapshot<traffic_manifest> manifest_;
   shared_snapshot<target_set> targets_;
