--- a/tests/platform_adapter/stand_in_platform.cc
+++ b/tests/platform_adapter/stand_in_platform.cc
@@ -87,19 +87,23 @@
       return got ? http_reply{200, WithMetadata(got.value())}
                  : http_reply{404, "{}"};
     }
-    return query.contains("watch") ? Watch(key + "/", query)
-                                   : List(key + "/", query["after"]);
+    return query.contains("watch")
+               ? Watch(key + "/", query)
+               : List(key + "/", query["after"], query["allowStale"] == "1");
   }
 
-  http_reply List(const std::string& prefix, const std::string& after) {
-    const auto cursor =
-        platform_.objects_.Watch(prefix, 0, milliseconds{0}).value().cursor;
+  http_reply List(const std::string& prefix,
+                  const std::string& after,
+                  bool may_be_stale) {
+    const auto* source =
+        platform_.page_source ? platform_.page_source(may_be_stale) : nullptr;
+    const auto shown =
+        source != nullptr ? *source : platform_.objects_.MakeCopy();
     std::string items;
     std::size_t count = 0;
     bool more = false;
-    const auto objects = platform_.objects_.List(prefix);
-    for (const auto& object : objects.value()) {
-      if (!after.empty() && object.key <= prefix + after)
+    for (const auto& [key, object] : shown.objects) {
+      if (!key.starts_with(prefix) || (!after.empty() && key <= prefix + after))
         continue;
       if (count == platform_.page_size) {
         more = true;
@@ -108,7 +112,7 @@
       items += (count++ > 0 ? "," : "") + WithMetadata(object);
     }
     return {200, fmt::format(R"({{"items":[{}],"hasMore":{},"asOf":{}}})",
-                             items, more, cursor.revision)};
+                             items, more, shown.revision)};
   }
 
   http_reply Watch(const std::string& prefix,
--- a/tests/platform_adapter/stand_in_platform.h
+++ b/tests/platform_adapter/stand_in_platform.h
@@ -5,6 +5,7 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,8 @@
   void Remove(const std::string& key);
   // Keeps a copy of all objects.
   void TakeCopy() { copy_ = objects_.MakeCopy(); }
+  // Returns a copy of all objects.
+  stand_in_objects::copy MakeCopy() { return objects_.MakeCopy(); }
   // Comes back from the last copy: what was written since is lost, and its
   // revisions are given out again.
   void RestoreCopy() { objects_.Restore(copy_); }
@@ -42,6 +45,10 @@
   std::atomic<int> lose_write_responses = 0;
   // Maximum number of objects in one page of a listing.
   std::atomic<std::size_t> page_size = 500;
+  // Called before each page of a listing is served, with whether the page may
+  // be stale. Returns the copy that the page shows; null for the objects as
+  // they are. Set before the first call.
+  std::function<const stand_in_objects::copy*(bool may_be_stale)> page_source;
   // Number of calls received.
   std::atomic<int> calls = 0;
 
