Let a request own its body, and send it only where all of it can go

Callers got a 200 for uploads of which a target had run the first 128 KiB.

Cause: what an entry doesn't buffer of a body can be read once, and nobody owned that fact. The first entry that was asked to pass an upload on got all of it, also where it then reached no target; the next entry, the direct attempt or another target got the buffered part, which the last chunk ended in order. target_sender dropped the note that the body was consumed, so that the dispatcher tried other targets too. With a declared length the target waited for bytes that nobody had, and the caller got 504.

Change: a body has one owner, outgoing_body, with one state (buffered, unread, taken, ended). Its rest can be taken once, and whatever sends asks for it; a send that can't give the whole body doesn't start (2209). An entry that passes requests on is offered the head and the buffered part, and asks for the rest with 100 Continue once it has a connection to the target and before it sends it anything. If it refuses, the body is whole for the next one.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -133,6 +133,9 @@
      "Every target tried refused for its own load."},
     {kTargetClosed, "target-closed", 502, true,
      "The target closed the connection before any part of an answer."},
+    {kBodySpent, "body-spent", 503, true,
+     "The body was read for an earlier attempt, so that none can send it whole "
+     "any more."},
 
     {kLedgerUnavailable, "ledger-unavailable", 503, true,
      "The platform can't take the reservation, so the request is not run."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -82,6 +82,7 @@
   kPeerLost = 2206,
   kTargetShedding = 2207,
   kTargetClosed = 2208,
+  kBodySpent = 2209,
 
   // 23xx: requests with at-most-once semantics.
   kLedgerUnavailable = 2301,
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -94,17 +94,58 @@
 result<void> http_exchange::Send(const Poco::Net::HTTPRequest& head,
                                  std::string_view body,
                                  body_source* body_remainder) {
+  BOOST_OUTCOME_TRYV(SendStart(head, body));
+  if (body_remainder != nullptr)
+    return SendRest(*body_remainder);
+  stage_ = exchange_stage::kAwaitingHead;
+  return Success();
+}
+
+result<void> http_exchange::SendStart(const Poco::Net::HTTPRequest& head,
+                                      std::string_view start) {
   is_head_request_ = head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
-  const bool chunked = head.getChunkedTransferEncoding();
+  is_chunked_request_ = head.getChunkedTransferEncoding();
   std::ostringstream text;
   head.write(text);
   stage_ = exchange_stage::kSending;
   sent_at_ = std::chrono::steady_clock::now();
-  BOOST_OUTCOME_TRYV(SendBytes(
-      text.str() + (chunked ? EncodeChunk(body) : std::string(body))));
-  body_bytes_sent_ = body.size();
-  if (body_remainder != nullptr) {
-    BOOST_OUTCOME_TRYV(SendBodyRemainder(*body_remainder, chunked));
+  BOOST_OUTCOME_TRYV(
+      SendBytes(text.str() + (is_chunked_request_ ? EncodeChunk(start)
+                                                  : std::string(start))));
+  body_bytes_sent_ = start.size();
+  return Success();
+}
+
+result<bool> http_exchange::Offer(const Poco::Net::HTTPRequest& head,
+                                  std::string_view start,
+                                  time_point until) {
+  BOOST_OUTCOME_TRYV(SendStart(head, start));
+  stage_ = exchange_stage::kAwaitingHead;
+  buffer_->set_deadline(std::min(until, deadline_));
+  BOOST_OUTCOME_TRYV(ReadAnyHead());
+  buffer_->set_deadline(deadline_);
+  if (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE) {
+    stage_ = exchange_stage::kSending;
+    return true;
+  }
+  BOOST_OUTCOME_TRYV(AcceptHead());
+  has_unreturned_head_ = true;
+  return false;
+}
+
+result<void> http_exchange::SendRest(body_source& rest) {
+  std::vector<char> buffer(kReadBufferBytes);
+  while (true) {
+    BOOST_OUTCOME_TRY(bytes_read, rest.Read(buffer));
+    if (bytes_read == 0)
+      break;
+    const std::string_view bytes(buffer.data(), bytes_read);
+    BOOST_OUTCOME_TRYV(is_chunked_request_ ? SendBytes(EncodeChunk(bytes))
+                                           : SendBytes(bytes));
+    body_bytes_sent_ += bytes.size();
+  }
+  if (is_chunked_request_) {
+    BOOST_OUTCOME_TRYV(SendBytes(kLastChunk));
   }
   stage_ = exchange_stage::kAwaitingHead;
   return Success();
@@ -136,27 +177,15 @@
   return Success();
 }
 
-result<void> http_exchange::SendBodyRemainder(body_source& body_remainder,
-                                              bool chunked) {
-  std::vector<char> buffer(kReadBufferBytes);
-  while (true) {
-    BOOST_OUTCOME_TRY(bytes_read, body_remainder.Read(buffer));
-    if (bytes_read == 0)
-      return chunked ? SendBytes(kLastChunk) : result<void>(Success());
-    const std::string_view bytes(buffer.data(), bytes_read);
-    BOOST_OUTCOME_TRYV(chunked ? SendBytes(EncodeChunk(bytes))
-                               : SendBytes(bytes));
-    body_bytes_sent_ += bytes.size();
-  }
-}
-
 // A faulty target may respond to a request twice, the second time when the
 // connection already carries the next request. Taken for the response to that
 // request, it would reach another caller. So responses that echo another
 // request's id are skipped.
 result<Poco::Net::HTTPResponse*> http_exchange::ReadHead() {
   for (int late = 0; late <= kMaxLateResponses; ++late) {
-    BOOST_OUTCOME_TRYV(ReadNextHead());
+    if (!std::exchange(has_unreturned_head_, false)) {
+      BOOST_OUTCOME_TRYV(ReadNextHead());
+    }
     if (!IsResponseToOtherRequest()) {
       stage_ = exchange_stage::kReceiving;
       return &*head_;
@@ -168,16 +197,25 @@
 }
 
 result<void> http_exchange::ReadNextHead() {
+  do {
+    BOOST_OUTCOME_TRYV(ReadAnyHead());
+  } while (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
+  return AcceptHead();
+}
+
+result<void> http_exchange::ReadAnyHead() {
   try {
-    do {
-      head_.emplace();
-      head_->read(*input_);
-    } while (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
+    head_.emplace();
+    head_->read(*input_);
   } catch (const Poco::Exception&) {
     if (ended_without_response())
       OnConnectionEnded();
     return MakeReadError(result_code::kTargetFailed);
   }
+  return Success();
+}
+
+result<void> http_exchange::AcceptHead() {
   auto framing = ParseResponseFraming(*head_, is_head_request_);
   if (!framing)
     return framing.error();
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -54,6 +54,15 @@
   result<void> Send(const Poco::Net::HTTPRequest& head,
                     std::string_view body,
                     body_source* body_remainder = nullptr);
+  // Sends the request without the rest of its body, and waits until `until` for
+  // the other side to ask for that with 100 Continue. Returns false if a final
+  // response came in its place, which ReadHead() returns; else SendRest() has
+  // to follow. Fails like Send() and ReadHead().
+  result<bool> Offer(const Poco::Net::HTTPRequest& head,
+                     std::string_view start,
+                     time_point until);
+  // Sends what follows the start of a body. Fails like Send().
+  result<void> SendRest(body_source& rest);
   // Returns the response head, valid for as long as the exchange. Skips late
   // responses to earlier requests, and of the interim responses only 100
   // Continue. Fails with kTargetFailed, kAnswerTruncated (see accept_unframed),
@@ -85,10 +94,16 @@
   // Concludes from the end of the connection whether it may have been stale.
   void OnConnectionEnded();
   result<void> SendBytes(std::string_view bytes);
-  result<void> SendBodyRemainder(body_source& body_remainder, bool chunked);
+  // Sends the head and the first part of the body.
+  result<void> SendStart(const Poco::Net::HTTPRequest& head,
+                         std::string_view start);
   // Returns why the connection ended, or `fallback` if it ended in order.
   error MakeReadError(result_code fallback) const;
   result<void> ReadNextHead();
+  // Reads one head, which may be that of an interim response.
+  result<void> ReadAnyHead();
+  // Prepares for the body of the response whose head was read.
+  result<void> AcceptHead();
   bool IsResponseToOtherRequest() const;
   result<void> SkipResponse();
 
@@ -106,6 +121,9 @@
   body_framing framing_;
   std::optional<body_reader> body_;
   bool is_head_request_ = false;
+  bool is_chunked_request_ = false;
+  // Whether ReadHead() has to return the head that was read last.
+  bool has_unreturned_head_ = false;
   bool keep_alive_ = false;
   bool response_complete_ = false;
   bool may_have_been_stale_ = false;
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -1,5 +1,7 @@
 #include "traffic/relay_handler.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/NumberParser.h>
 
 #include <fmt/format.h>
@@ -54,6 +56,19 @@
   return end.reason;
 }
 
+// Until it is asked, the peer keeps the rest of a long body, which it can give
+// to one entry only. It is asked once this entry has a connection to the
+// target, and before the target gets anything.
+result<void> AskForRest(Poco::Net::StreamSocket socket) {
+  static const std::string ask = "HTTP/1.1 100 Continue\r\n\r\n";
+  try {
+    socket.sendBytes(ask.data(), static_cast<int>(ask.size()));
+  } catch (const Poco::Exception& e) {
+    return MakeError(result_code::kCallerGone, e.displayText());
+  }
+  return Success();
+}
+
 // Counts the requests that are being passed on for as long as it exists.
 class relayed_request {
  public:
@@ -91,14 +106,18 @@
   };
   if (counted.number() > kMaxRelayed)
     return refuse(result_code::kNoPathToTarget);
-  const auto read = Read(incoming);
+  auto read = Read(incoming);
   if (!read)
     return refuse(read.error().code);
   const auto target = FindTarget(request);
   if (!target)
     return refuse(target.error().code);
-  if (read.value().body_rest != nullptr)
+  if (read.value().body.state() != body_state::kBuffered)
     response.setKeepAlive(false);
+  if (request.has(kHeaderRelayAsk)) {
+    read.value().body.SetPermission(
+        [socket = sink.socket()] { return AskForRest(socket); });
+  }
   const caller_watch peer(sink.socket());
   const auto sent_at = context_.clock.now();
   const auto end = target_exchange(context_, read.value(), peer, sink)
@@ -129,22 +148,23 @@
   BOOST_OUTCOME_TRY(
       body,
       request.OpenBody(read.manifest->limits().max_body_bytes, read.deadline));
-  read.body_length = body->length();
+  std::string start;
   std::array<char, kChunkBytes> chunk;
-  while (!body->ended() && read.body.size() < signed_bytes) {
+  while (!body->ended() && start.size() < signed_bytes) {
     const auto wanted =
-        std::min<std::size_t>(chunk.size(), signed_bytes - read.body.size());
+        std::min<std::size_t>(chunk.size(), signed_bytes - start.size());
     BOOST_OUTCOME_TRY(got, body->Read({chunk.data(), wanted}));
-    read.body.append(chunk.data(), got);
+    start.append(chunk.data(), got);
   }
   BOOST_OUTCOME_TRYV(context_.signer.Verify(
       {.method = read.method,
        .request_target = read.path,
        .receiver_address = context_.settings.peer_address,
-       .signed_content = RelayedContent(request, read.body)},
+       .signed_content = RelayedContent(request, start)},
       request.get(kPeerTokenHeader, "")));
-  if (!body->ended())
-    read.body_rest = body;
+  read.body = body->ended()
+                  ? outgoing_body(std::move(start))
+                  : outgoing_body(std::move(start), *body, body->length());
   return read;
 }
 
--- a/src/libsamphire/traffic/relayed_call.cc
+++ b/src/libsamphire/traffic/relayed_call.cc
@@ -24,12 +24,12 @@
   head.set(kHeaderRelayService, target.service);
   head.set(kHeaderRelayTarget, target.id);
   head.set(kHeaderRelayIdempotent, request.route->idempotent ? "1" : "0");
-  head.set(kHeaderRelaySigned, std::to_string(request.body.size()));
-  head.set(kPeerTokenHeader,
-           signer.Sign({.method = head.getMethod(),
-                        .request_target = head.getURI(),
-                        .receiver_address = relay,
-                        .signed_content = RelayedContent(head, request.body)}));
+  head.set(kHeaderRelaySigned, std::to_string(request.body.start().size()));
+  head.set(kPeerTokenHeader, signer.Sign({.method = head.getMethod(),
+                                          .request_target = head.getURI(),
+                                          .receiver_address = relay,
+                                          .signed_content = RelayedContent(
+                                              head, request.body.start())}));
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/relayed_call.h
+++ b/src/libsamphire/traffic/relayed_call.h
@@ -25,6 +25,10 @@
 // Number of the first bytes of the body that the token covers.
 inline const std::string kHeaderRelaySigned = "Samphirewinch-Relay-Signed";
 
+// "1" if the sender keeps the rest of the body until it is asked for it with
+// 100 Continue.
+inline const std::string kHeaderRelayAsk = "Samphirewinch-Relay-Ask";
+
 // Returns what the token of the call covers in addition to the request line;
 // `body` is the part of the body that it covers.
 std::string RelayedContent(const Poco::Net::HTTPRequest& head,
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/request_placer.cc
@@ -28,7 +28,7 @@
   const auto& route = *request.route;
   criteria_.route = route.name;
   criteria_.key_hash = request.key_hash;
-  criteria_.body_bytes = request.body_bytes();
+  criteria_.body_bytes = request.body.known_bytes();
   criteria_.objective = route.latency_objective;
   criteria_.home_regions = request.home_regions;
 }
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -26,6 +26,10 @@
 // accepted a connection after this time is down or unreachable.
 constexpr milliseconds kConnectTimeout{250};
 
+// Time for another entry to receive the start of a long body, connect to the
+// target and ask for the rest.
+constexpr milliseconds kMaxAskTime{1000};
+
 // Parses a load report of the form RUNNING,WAITING,SLOTS. Returns nothing if it
 // is malformed.
 std::optional<target_report> ReadReport(const std::string& text) {
@@ -49,7 +53,7 @@
 }  // namespace
 
 target_exchange::target_exchange(const traffic_context& context,
-                                 const traffic_request& request,
+                                 traffic_request& request,
                                  const caller_watch& caller,
                                  response_sink& sink)
     : context_(context), request_(request), caller_(caller), sink_(sink) {}
@@ -61,8 +65,8 @@
 target_exchange_end target_exchange::Run(const live_target& target,
                                          connection_use use) {
   target_exchange_end end;
-  const bool may_repeat =
-      request_.route->idempotent && request_.body_rest == nullptr;
+  const bool may_repeat = request_.route->idempotent &&
+                          request_.body.state() == body_state::kBuffered;
   Exchange("", target, may_repeat ? use : connection_use::kNew, end);
   return end;
 }
@@ -107,11 +111,11 @@
   const bool has_body =
       request_.headers.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) ||
       request_.headers.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
-  if (request_.body_rest == nullptr && has_body)
-    head.setContentLength64(static_cast<Poco::Int64>(request_.body.size()));
-  else if (request_.body_rest != nullptr && request_.body_length)
-    head.setContentLength64(static_cast<Poco::Int64>(*request_.body_length));
-  else if (request_.body_rest != nullptr)
+  const bool is_long = request_.body.state() != body_state::kBuffered;
+  const auto length = request_.body.length();
+  if (length && (is_long || has_body))
+    head.setContentLength64(static_cast<Poco::Int64>(*length));
+  else if (is_long)
     head.setChunkedTransferEncoding(true);
 }
 
@@ -137,7 +141,11 @@
     // caller has disconnected; sending it would waste the target's capacity.
     Fail(result_code::kCallerGone, end);
   } else if (connected) {
-    SendTo(exchange, relay, target, end);
+    if (relayed)
+      SendThrough(exchange, relay, target, end);
+    else
+      SendTo(exchange, target, end);
+    end.sent.may_have_been_stale = exchange.may_have_been_stale();
     RecordSend(exchange, relay, target, end);
   }
   if (end.attempt.took == duration{0})
@@ -150,34 +158,76 @@
                                  target_exchange_end& end) const {
   send_record send{.receiver = relay.empty() ? target.address : relay,
                    .listing = target.listing,
-                   .body_sent = exchange.body_bytes_sent()};
+                   .body_sent = exchange.body_bytes_sent(),
+                   .body_bytes = request_.body.length()};
   if (!relay.empty())
     send.way = send_way::kThroughEntry;
   else if (request_.from_peer)
     send.way = send_way::kForEntry;
-  if (request_.body_rest == nullptr)
-    send.body_bytes = request_.body.size();
-  else
-    send.body_bytes = request_.body_length;
   LogSend(context_, request_, target, send, end);
   end.send = std::move(send);
 }
 
 void target_exchange::SendTo(http_exchange& exchange,
-                             const std::string& relay,
                              const live_target& target,
                              target_exchange_end& end) {
+  const auto head = HeadFor(target);
+  auto rest = request_.body.TakeRest();
+  if (!rest) {
+    NotSent(rest.error().code, end);
+    return;
+  }
   end.sent = {.arrived = true, .may_have_run = true};
-  end.body_consumed = request_.body_rest != nullptr;
+  const auto sent = exchange.Send(head, request_.body.start(),
+                                  rest.value() ? &*rest.value() : nullptr);
+  if (!sent)
+    Fail(sent.error().code, end);
+  else
+    ReceiveResponse(exchange, false, end);
+}
+
+void target_exchange::SendThrough(http_exchange& exchange,
+                                  const std::string& relay,
+                                  const live_target& target,
+                                  target_exchange_end& end) {
   auto head = HeadFor(target);
-  if (!relay.empty())
-    AddRelayHeaders(context_.signer, request_, target, relay, head);
-  if (const auto sent = exchange.Send(head, request_.body, request_.body_rest);
-      !sent)
+  AddRelayHeaders(context_.signer, request_, target, relay, head);
+  const auto sent = request_.body.state() == body_state::kBuffered
+                        ? exchange.Send(head, request_.body.start())
+                        : SendIfAsked(exchange, head, end);
+  if (end.attempt.result == attempt_result::kNotSent)
+    return;
+  end.sent = {.arrived = true, .may_have_run = true};
+  if (!sent)
     Fail(sent.error().code, end);
   else
-    ReceiveResponse(exchange, !relay.empty(), end);
-  end.sent.may_have_been_stale = exchange.may_have_been_stale();
+    ReceiveResponse(exchange, true, end);
+}
+
+// A relay that can't reach the target would otherwise consume the rest of the
+// body, which no other one could send then. Before it asks for the rest it has
+// sent the target nothing.
+result<void> target_exchange::SendIfAsked(http_exchange& exchange,
+                                          Poco::Net::HTTPRequest& head,
+                                          target_exchange_end& end) {
+  head.set(kHeaderRelayAsk, "1");
+  const auto asked = exchange.Offer(head, request_.body.start(),
+                                    context_.clock.now() + kMaxAskTime);
+  if (!asked) {
+    NotSent(caller_.IsDisconnected() ? result_code::kCallerGone
+                                     : result_code::kNoPathToTarget,
+            end);
+    return asked.error();
+  }
+  if (!asked.value())
+    return Success();
+  BOOST_OUTCOME_TRY(rest, request_.body.TakeRest());
+  return rest ? exchange.SendRest(*rest) : Success();
+}
+
+void target_exchange::NotSent(result_code code, target_exchange_end& end) {
+  end.reason = code;
+  end.attempt.result = attempt_result::kNotSent;
 }
 
 bool target_exchange::ConnectToTarget(http_exchange& exchange,
@@ -204,8 +254,7 @@
                                      target_exchange_end& end) {
   if (exchange.Connect(connection_use::kNew))
     return true;
-  end.attempt.result = attempt_result::kNotSent;
-  end.reason = result_code::kNoPathToTarget;
+  NotSent(result_code::kNoPathToTarget, end);
   return false;
 }
 
@@ -246,7 +295,7 @@
       return;
     }
   }
-  end.attempt.body_bytes = request_.body_bytes() + body.size();
+  end.attempt.body_bytes = request_.body.known_bytes() + body.size();
   if (end.sent.may_have_run && end.reason == result_code::kOk)
     end.response = buffered_response{head, std::move(body)};
 }
@@ -339,8 +388,8 @@
                             ? static_cast<std::uint64_t>(std::max<Poco::Int64>(
                                   0, head.getContentLength64()))
                             : 0;
-  end.attempt.body_bytes =
-      request_.body_bytes() + std::max<std::uint64_t>(declared, first.size());
+  end.attempt.body_bytes = request_.body.known_bytes() +
+                           std::max<std::uint64_t>(declared, first.size());
   const auto streamed =
       StreamResponse(exchange, head, first, response_status{}, sink_);
   if (streamed.code != result_code::kOk)
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -23,7 +23,7 @@
 class target_exchange {
  public:
   target_exchange(const traffic_context& context,
-                  const traffic_request& request,
+                  traffic_request& request,
                   const caller_watch& caller,
                   response_sink& sink);
 
@@ -44,11 +44,21 @@
                 const live_target& target,
                 connection_use use,
                 target_exchange_end& end);
-  // Sends the request on an open connection.
+  // Sends the request on an open connection to the target.
   void SendTo(http_exchange& exchange,
-              const std::string& relay,
               const live_target& target,
               target_exchange_end& end);
+  // Sends the request on an open connection to `relay`.
+  void SendThrough(http_exchange& exchange,
+                   const std::string& relay,
+                   const live_target& target,
+                   target_exchange_end& end);
+  // Sends a request with a long body, and the rest of it only if the relay asks
+  // for that. The result is kNotSent if the relay gives no answer.
+  result<void> SendIfAsked(http_exchange& exchange,
+                           Poco::Net::HTTPRequest& head,
+                           target_exchange_end& end);
+  static void NotSent(result_code code, target_exchange_end& end);
   // Logs what was sent to the target, or to `relay` if that is not empty.
   void RecordSend(const http_exchange& exchange,
                   const std::string& relay,
@@ -85,7 +95,7 @@
   void Fail(result_code code, target_exchange_end& end) const;
 
   const traffic_context& context_;
-  const traffic_request& request_;
+  traffic_request& request_;
   const caller_watch& caller_;
   response_sink& sink_;
 };
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/target_exchange_end.h
@@ -23,9 +23,6 @@
   sent_request sent;
   // Whether the target closed the connection without any response.
   bool connection_lost = false;
-  // Whether part of a long body was read from the caller without being
-  // buffered, so that the request can't be sent again.
-  bool body_consumed = false;
   // Whether the response began to stream to the caller, so that no other
   // response may be sent.
   bool streamed = false;
--- a/src/libsamphire/traffic/target_sender.cc
+++ b/src/libsamphire/traffic/target_sender.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 target_sender::target_sender(const traffic_context& context,
-                             const traffic_request& request,
+                             traffic_request& request,
                              const caller_watch& caller,
                              response_sink& sink)
     : context_(context),
@@ -114,7 +114,8 @@
 }
 
 bool target_sender::MayGoOn() const {
-  return context_.clock.now() < request_.deadline && !caller_.IsDisconnected();
+  return request_.body.CanBeSent() &&
+         context_.clock.now() < request_.deadline && !caller_.IsDisconnected();
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/target_sender.h
+++ b/src/libsamphire/traffic/target_sender.h
@@ -19,7 +19,7 @@
 class target_sender {
  public:
   target_sender(const traffic_context& context,
-                const traffic_request& request,
+                traffic_request& request,
                 const caller_watch& caller,
                 response_sink& sink);
 
@@ -41,7 +41,7 @@
   bool MayGoOn() const;
 
   const traffic_context& context_;
-  const traffic_request& request_;
+  traffic_request& request_;
   const caller_watch& caller_;
   target_exchange exchange_;
 };
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -71,7 +71,7 @@
 }  // namespace
 
 traffic_dispatcher::traffic_dispatcher(traffic_context& context,
-                                       const traffic_request& request,
+                                       traffic_request& request,
                                        const caller_watch& caller,
                                        response_sink& sink)
     : context_(context),
@@ -260,7 +260,7 @@
 // target or a failure to connect proves that it did not run. Whatever may reach
 // a target once more is paid for from a budget that all entries share.
 bool traffic_dispatcher::MayRetry(const target_exchange_end& end) {
-  if (end.streamed || end.body_consumed ||
+  if (end.streamed || !request_.body.CanBeSent() ||
       end.reason == result_code::kCallerGone ||
       end.reason == result_code::kDeadlineExceeded)
     return false;
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -24,7 +24,7 @@
 class traffic_dispatcher {
  public:
   traffic_dispatcher(traffic_context& context,
-                     const traffic_request& request,
+                     traffic_request& request,
                      const caller_watch& caller,
                      response_sink& sink);
 
@@ -78,7 +78,7 @@
                       const std::string& owner) const;
 
   traffic_context& context_;
-  const traffic_request& request_;
+  traffic_request& request_;
   const caller_watch& caller_;
   response_sink& sink_;
   request_placer placer_;
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -23,7 +23,7 @@
                                     Poco::Net::HTTPServerResponse& response) {
   auto& incoming = static_cast<front_request&>(request);
   caller_response sink(request, response, status_headers::kOnRefusals);
-  const auto read = ReadTrafficRequest(incoming, context_);
+  auto read = ReadTrafficRequest(incoming, context_);
   if (!read) {
     if (!incoming.IsFullyRead())
       response.setKeepAlive(false);
@@ -32,7 +32,7 @@
   }
   // If the request is refused, the rest of its body remains unread, and the
   // connection can't be reused.
-  if (read.value().body_rest != nullptr)
+  if (read.value().body.state() != body_state::kBuffered)
     response.setKeepAlive(false);
   const caller_watch caller(sink.socket());
   traffic_dispatcher(context_, read.value(), caller, sink).Run();
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -10,13 +10,12 @@
 
 #include "base/clock_source.h"
 #include "decision/request_fingerprint.h"
-#include "proxy/body_source.h"
 #include "routing/traffic_manifest.h"
+#include "traffic/outgoing_body.h"
 
 namespace samphire {
 
-// One caller's request with its route, team and deadline. The body may be
-// incomplete, see `body_rest`.
+// One caller's request with its route, team and deadline.
 struct traffic_request {
   // The configuration in force when the request arrived. Keeps `route` and
   // `team` alive.
@@ -34,16 +33,7 @@
   // Includes the query.
   std::string path;
   Poco::Net::NameValueCollection headers;
-  // The body, or the first part of a long one.
-  std::string body;
-  // Source of the rest of a long body; null if `body` is complete. The rest can
-  // be read only once, so the request can't be sent again after that.
-  body_source* body_rest = nullptr;
-  // Length of the whole body in bytes, if the caller declared it.
-  std::optional<std::uint64_t> body_length;
-  // Returns the size of the whole body, or that of its first part if the length
-  // is not declared.
-  std::uint64_t body_bytes() const { return body_length.value_or(body.size()); }
+  outgoing_body body;
 
   // Whether another entry sent the request, which makes the attempt through
   // this one. Its headers are then those for the target already.
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "routing/target_rank.h"
 
@@ -85,16 +86,18 @@
   BOOST_OUTCOME_TRY(body,
                     request.OpenBody(limits.max_body_bytes,
                                      read.arrived + limits.header_timeout));
-  read.body_length = body->length();
+  std::string start;
   std::array<char, kChunkBytes> chunk;
-  while (!body->ended() && read.body.size() < kMaxBufferedBytes) {
+  while (!body->ended() && start.size() < kMaxBufferedBytes) {
     BOOST_OUTCOME_TRY(got, body->Read(chunk));
-    read.body.append(chunk.data(), got);
+    start.append(chunk.data(), got);
   }
-  if (!body->ended()) {
-    body->set_deadline(read.deadline);
-    read.body_rest = body;
+  if (body->ended()) {
+    read.body = outgoing_body(std::move(start));
+    return Success();
   }
+  body->set_deadline(read.deadline);
+  read.body = outgoing_body(std::move(start), *body, body->length());
   return Success();
 }
 
@@ -124,7 +127,7 @@
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
   read.fingerprint = FingerprintOf(
       request.getHost(), read.team == nullptr ? "" : read.team->name,
-      read.method, read.path, DigestOfBody(read.body));
+      read.method, read.path, DigestOfBody(read.body.start()));
   // Requests without an affinity key are distributed by their own ids.
   read.key_hash = KeyHash(read.route->name,
                           request.get(context.headers.affinity_key, read.id));
--- a/tests/proxy/http_exchange_test.cc
+++ b/tests/proxy/http_exchange_test.cc
@@ -343,3 +343,51 @@
   }
   CHECK_FALSE(seen.ends_with("0\r\n\r\n"));
 }
+
+// Guards against the rest of a body that goes to a peer which can't use it, and
+// is then missing elsewhere.
+TEST_CASE("the rest of an offered body is sent only if it is asked for") {
+  const bool asked = GENERATE(true, false);
+  std::string seen;
+  scripted_target target({[&](auto& socket) {
+    ReadRequest(socket);
+    if (asked) {
+      SendBytes(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+      seen = ReadUntilQuiet(socket);
+    }
+    SendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  }});
+  connection_pool pool;
+  const caller_watch no_caller;
+  const auto deadline = std::chrono::steady_clock::now() + 2s;
+  http_exchange exchange(pool, target.address(), no_caller, deadline);
+  REQUIRE(exchange.Connect(connection_use::kNew));
+  auto head = Get();
+  head.setContentLength(9);
+  const auto offered = exchange.Offer(head, "half", deadline);
+  REQUIRE(offered);
+  CHECK(offered.value() == asked);
+  scripted_body rest({" more"});
+  if (asked)
+    REQUIRE(exchange.SendRest(rest));
+  REQUIRE(exchange.ReadHead());
+  CHECK(ReadBody(exchange) == "ok");
+  CHECK(exchange.body_bytes_sent() == (asked ? 9 : 4));
+  if (asked)
+    CHECK(seen.ends_with(" more"));
+}
+
+TEST_CASE("an offer without an answer ends at its own time") {
+  scripted_target target({[](auto& socket) {
+    ReadRequest(socket);
+    AwaitClose(socket);
+  }});
+  connection_pool pool;
+  const caller_watch no_caller;
+  const auto now = std::chrono::steady_clock::now();
+  http_exchange exchange(pool, target.address(), no_caller, now + 5s);
+  REQUIRE(exchange.Connect(connection_use::kNew));
+  CHECK(exchange.Offer(Get(), "", now + 100ms).error().code ==
+        result_code::kDeadlineExceeded);
+  CHECK(std::chrono::steady_clock::now() - now < 2s);
+}
