--- a/src/libsamphire/store/object_mirror.cc
+++ b/src/libsamphire/store/object_mirror.cc
@@ -44,13 +44,17 @@
   std::set<std::string> removed;
   for (const auto& event : batch.events) {
     listed.insert(event.key);
+    const auto revision =
+        event.version == 0 ? batch.cursor.revision : event.version;
+    if (IsKnownFromLater(event.key, revision))
+      continue;
     if (event.version == 0) {
       removed.insert(event.key);
     } else if (event.value) {
       // One batch may contain both the deletion of an object and its
       // re-creation.
       removed.erase(event.key);
-      changed |= Store(event.key, *event.value, new_era, now);
+      changed |= Store(event, new_era, now);
     }
   }
   if (batch.reset && batch.cursor.IsSet()) {
@@ -65,16 +69,29 @@
   return Remove(removed, new_era, now) || changed;
 }
 
-bool object_mirror::Store(const std::string& key,
-                          const std::string& value,
+// The pages of a listing may be of different times, and a source of changes may
+// be behind the latest of them. What such a source reports of an object that is
+// known from later would bring a target back that has announced that it is
+// leaving.
+bool object_mirror::IsKnownFromLater(const std::string& key,
+                                     std::uint64_t revision) const {
+  const auto known = versions_.find(key);
+  return known != versions_.end() && known->second.era == cursor_.era &&
+         revision < known->second.revision;
+}
+
+bool object_mirror::Store(const store_event& event,
                           bool new_era,
                           time_point now) {
+  const auto& key = event.key;
+  const auto& value = *event.value;
   if (IsOutdated(key, value, new_era)) {
     Delay(key, value, now + kOutdatedDelay);
     return false;
   }
   delayed_.erase(key);
   removed_.erase(key);
+  versions_[key] = {event.version, cursor_.era};
   auto& stored = objects_[key];
   const bool changed = stored != value;
   stored = value;
@@ -140,6 +157,7 @@
                    .era = highest_cursor_.era,
                    .removed_at = now};
   objects_.erase(found);
+  versions_.erase(key);
 }
 
 void object_mirror::Delay(const std::string& key,
--- a/src/libsamphire/store/object_mirror.h
+++ b/src/libsamphire/store/object_mirror.h
@@ -65,10 +65,10 @@
   };
 
   // Applies one new value. Returns whether the objects changed.
-  bool Store(const std::string& key,
-             const std::string& value,
-             bool new_era,
-             time_point now);
+  bool Store(const store_event& event, bool new_era, time_point now);
+  // Whether the object is known from a later position of this era than
+  // `revision`.
+  bool IsKnownFromLater(const std::string& key, std::uint64_t revision) const;
   // Whether the value is older than what is known of the object.
   bool IsOutdated(const std::string& key,
                   const std::string& value,
@@ -88,6 +88,8 @@
   // The highest cursor applied so far; batches with a lower one are skipped.
   store_cursor highest_cursor_;
   object_map objects_;
+  // The position of the last change of each object.
+  std::map<std::string, store_cursor> versions_;
   std::map<std::string, delayed_change> delayed_;
   // Objects removed lately, by key.
   std::map<std::string, removed_object> removed_;
--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -129,6 +129,8 @@
   else if (batch.reset || batch.cursor.era != replica.cursor.era)
     replica.gaps.push_back({replica.cursor, batch.cursor});
   for (const auto& event : new_events) {
+    if (IsKnownFromLater(replica, event, batch.cursor))
+      continue;
     patched_event logged{event.key, event.version, object_deletion{},
                          batch.cursor.era};
     if (event.version == 0) {
@@ -150,6 +152,17 @@
   replica.cursor = batch.cursor;
 }
 
+// The pages of a listing may be of different times, and the changes that follow
+// may be ones that a later page shows already.
+bool object_relay::IsKnownFromLater(const prefix_replica& replica,
+                                    const store_event& event,
+                                    store_cursor position) {
+  const auto known = replica.objects.find(event.key);
+  const auto revision = event.version == 0 ? position.revision : event.version;
+  return known != replica.objects.end() && known->second.era == position.era &&
+         revision < known->second.version;
+}
+
 // After lost history a new listing mostly contains what was known before. If it
 // were forwarded in full, it would be sent to every follower of this entry at
 // once, hundreds of kilobytes each, and saturate the entry's link while the
--- a/src/libsamphire/store/object_relay.h
+++ b/src/libsamphire/store/object_relay.h
@@ -107,6 +107,11 @@
       store_cursor cursor,
       milliseconds wait,
       bool await_fresh);
+  // Whether the replica has a later version of the event's object. `position`
+  // is that of the event's batch.
+  static bool IsKnownFromLater(const prefix_replica& replica,
+                               const store_event& event,
+                               store_cursor position);
   // Returns a full listing.
   static watch_batch Snapshot(const prefix_replica& replica);
   // Returns the current state of the objects that changed after `cursor`.
--- a/src/libsamphire/traffic/target_sender.cc
+++ b/src/libsamphire/traffic/target_sender.cc
@@ -38,8 +38,19 @@
       caller_(caller),
       exchange_(context, request, caller, sink) {}
 
+// Between the choice of a target and a send, permits, connections and other
+// entries may have taken time.
+bool target_sender::IsStillOpen(const live_target& target) const {
+  const auto targets = context_.state.targets();
+  const auto& known = targets->OfService(target.service);
+  const auto found = std::ranges::find(known, target.id, &live_target::id);
+  return found != known.end() && targets->IsOpen(*found);
+}
+
 target_exchange_end target_sender::Send(const live_target& target,
                                         connection_use use) {
+  if (!IsStillOpen(target))
+    return NotSent();
   if (context_.links.PathTo(target) == target_path::kRelayed)
     return SendRelayed(target, use);
   auto end = exchange_.Run(target, use);
@@ -49,7 +60,7 @@
   const auto relays = Relays();
   if (relays.empty())
     return end;
-  return MayGoOn() ? SendThroughPeers(relays, target) : NotSent();
+  return MayGoOn(target) ? SendThroughPeers(relays, target) : NotSent();
 }
 
 // When all entries suspect their links, as after the loss of a region, none
@@ -59,7 +70,7 @@
   const auto relays = Relays();
   if (!relays.empty()) {
     auto end = SendThroughPeers(relays, target);
-    if (end.attempt.result != attempt_result::kNotSent || !MayGoOn())
+    if (end.attempt.result != attempt_result::kNotSent || !MayGoOn(target))
       return end;
   }
   auto end = exchange_.Run(target, use);
@@ -96,7 +107,7 @@
       if (++failures >= kFailuresToBlameTarget || !quick)
         return end;
     }
-    if (!MayGoOn())
+    if (!MayGoOn(target))
       break;
   }
   return end;
@@ -113,8 +124,8 @@
   return relays;
 }
 
-bool target_sender::MayGoOn() const {
-  return request_.body.CanBeSent() &&
+bool target_sender::MayGoOn(const live_target& target) const {
+  return IsStillOpen(target) && request_.body.CanBeSent() &&
          context_.clock.now() < request_.deadline && !caller_.IsDisconnected();
 }
 
--- a/src/libsamphire/traffic/target_sender.h
+++ b/src/libsamphire/traffic/target_sender.h
@@ -38,7 +38,10 @@
   target_exchange_end SendThroughPeers(const std::vector<std::string>& relays,
                                        const live_target& target);
   std::vector<std::string> Relays() const;
-  bool MayGoOn() const;
+  // Whether the target may still get requests.
+  bool IsStillOpen(const live_target& target) const;
+  // Whether another send is of use and may be made.
+  bool MayGoOn(const live_target& target) const;
 
   const traffic_context& context_;
   traffic_request& request_;
