Bound what is read of a target or peer in bytes, and take no cut head for whole

A target in trouble may send bytes that are no answer without end, in a head or a body, until the entry closes. A request thread read them until its deadline, a 100 Continue or a space at a time, and the body of a failure or refusal was kept in memory whatever its length. A connection that ended within a head passed for a complete answer without a body.

Cause: heads were read by a library reader that has no bound, skips any number of spaces before a status line and takes the end of a stream for the end of a head; only bodies of successes counted against the buffer.

Answers of peers are bounded by what is asked for (32 MiB for listings), those of the store by 64 MiB.

--- a/src/libsamphire/gateway/peer_post.cc
+++ b/src/libsamphire/gateway/peer_post.cc
@@ -11,13 +11,12 @@
 
 namespace {
 
-// Bounds a response: the largest complete declaration, with a margin.
-constexpr std::size_t kMaxResponseBytes = std::size_t{256} << 20U;
 // Bounds what is read from the connection at once.
 constexpr std::size_t kReadBufferBytes = 16384;
 
 // Reads the body of a response to its end.
-result<std::string> ReadWholeBody(http_exchange& exchange) {
+result<std::string> ReadWholeBody(http_exchange& exchange,
+                                  std::size_t max_bytes) {
   std::string body;
   std::array<char, kReadBufferBytes> buffer;
   const auto deadline = std::chrono::steady_clock::now() + kMaxBodyTime;
@@ -31,7 +30,7 @@
     if (got.value() == 0)
       return body;
     body.append(buffer.data(), got.value());
-    if (body.size() > kMaxResponseBytes)
+    if (body.size() > max_bytes)
       return MakeError(result_code::kPeerMalformed,
                        "response body exceeds the size limit");
   }
@@ -64,7 +63,7 @@
     return MakeError(result_code::kPeerDeclined, response->getReason());
   peer_response complete{.content_type = response->getContentType(),
                          .body = {}};
-  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange));
+  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, post.max_response_bytes));
   complete.body = std::move(body);
   return complete;
 }
--- a/src/libsamphire/gateway/peer_post.h
+++ b/src/libsamphire/gateway/peer_post.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_PEER_POST_H_
 #define GATEWAY_PEER_POST_H_
 
+#include <cstddef>
 #include <string>
 
 #include "base/clock_source.h"
@@ -19,6 +20,9 @@
   // Media type of the response that the caller understands besides the peer's
   // default; empty if none.
   std::string accept = {};
+  // Upper bound on the body of the response, in bytes: by default the largest
+  // complete declaration, with a margin.
+  std::size_t max_response_bytes = std::size_t{256} << 20U;
 };
 
 struct peer_response {
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "proxy/head_reader.h"
+
 namespace samphire {
 
 namespace {
@@ -17,6 +19,10 @@
 // Bounds the late responses to earlier requests that are skipped on one
 // connection. With more of them, the connection can't be trusted.
 constexpr int kMaxLateResponses = 2;
+// Bounds the body of such a response, in bytes.
+constexpr std::uint64_t kMaxSkippedBytes = std::uint64_t{1} << 20U;
+// Bounds the 100 Continue responses before another one.
+constexpr int kMaxInterimResponses = 4;
 
 // Bytes of a request body forwarded at a time.
 constexpr std::size_t kReadBufferBytes = std::size_t{16} << 10U;
@@ -197,22 +203,22 @@
 }
 
 result<void> http_exchange::ReadNextHead() {
-  do {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     BOOST_OUTCOME_TRYV(ReadAnyHead());
-  } while (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
-  return AcceptHead();
+    if (head_->getStatus() != Poco::Net::HTTPResponse::HTTP_CONTINUE)
+      return AcceptHead();
+  }
+  return MakeError(result_code::kTargetFailed, "too many interim responses");
 }
 
 result<void> http_exchange::ReadAnyHead() {
-  try {
-    head_.emplace();
-    head_->read(*input_);
-  } catch (const Poco::Exception&) {
-    if (ended_without_response())
-      OnConnectionEnded();
-    return MakeReadError(result_code::kTargetFailed);
-  }
-  return Success();
+  head_.emplace();
+  const auto got = ReadResponseHead(*input_, *head_);
+  if (got)
+    return Success();
+  if (ended_without_response())
+    OnConnectionEnded();
+  return MakeReadError(got.error().code);
 }
 
 result<void> http_exchange::AcceptHead() {
@@ -244,13 +250,17 @@
 
 result<void> http_exchange::SkipResponse() {
   std::array<char, 4096> buffer;
-  while (true) {
+  std::uint64_t skipped = 0;
+  while (skipped <= kMaxSkippedBytes) {
     const auto read_result = body_->Read(buffer);
     if (!read_result)
       return MakeReadError(read_result.error().code);
     if (read_result.value() == 0)
       return Success();
+    skipped += read_result.value();
   }
+  return MakeError(result_code::kTargetFailed,
+                   "a response to another request is too long");
 }
 
 bool http_exchange::ended_without_response() const {
@@ -280,6 +290,11 @@
     // must not be reused.
     response_complete_ = buffer_->in_avail() <= 0;
   }
+  body_bytes_read_ += read_result.value();
+  if (!std::holds_alternative<fixed_length_body>(framing_) &&
+      body_bytes_read_ > options_.max_unframed_body)
+    return MakeError(result_code::kAnswerTruncated,
+                     "the body of the response has no end");
   return read_result.value();
 }
 
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -65,12 +65,13 @@
   result<void> SendRest(body_source& rest);
   // Returns the response head, valid for as long as the exchange. Skips late
   // responses to earlier requests, and of the interim responses only 100
-  // Continue. Fails with kTargetFailed, kAnswerTruncated (see accept_unframed),
-  // kDeadlineExceeded or kCallerGone.
+  // Continue, a few of each. Fails with kTargetFailed, kAnswerTruncated (see
+  // accept_unframed), kDeadlineExceeded or kCallerGone.
   result<Poco::Net::HTTPResponse*> ReadHead();
   // Reads the next bytes of the response body and returns their number; 0 only
   // at the end of a complete body. Fails with kAnswerTruncated if the body
-  // breaks off, and with kTargetFailed, kDeadlineExceeded or kCallerGone.
+  // breaks off or exceeds max_unframed_body, and with kTargetFailed,
+  // kDeadlineExceeded or kCallerGone.
   result<std::size_t> ReadBody(std::span<char> buffer);
 
   // Replaces the deadline of what follows.
@@ -128,6 +129,7 @@
   bool response_complete_ = false;
   bool may_have_been_stale_ = false;
   std::uint64_t body_bytes_sent_ = 0;
+  std::uint64_t body_bytes_read_ = 0;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -18,6 +18,10 @@
 // Size of the buffer through which a body is read.
 constexpr std::size_t kReadChunkBytes = 16'384;
 
+// Upper bound on the body of a response, in bytes. A page of a listing has
+// about 1 MB.
+constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20U;
+
 // Reads a body of exactly `length` bytes and throws if it ends early: a
 // truncated response must never be taken for a complete one. The deadline
 // bounds responses that arrive slowly while each byte stays within the socket's
@@ -33,6 +37,8 @@
       throw Poco::TimeoutException("response not complete before the deadline");
     in.read(buffer.data(), buffer.size());
     body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+    if (body.size() > kMaxBodyBytes)
+      throw Poco::Net::MessageException("response body too long");
   }
   if (length < 0 || body.size() != static_cast<std::size_t>(length))
     throw Poco::Net::MessageException("response body truncated");
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -20,6 +20,9 @@
 // abandoned after this time and the margin, so that with two such peers a
 // change is still received within three seconds.
 constexpr milliseconds kPeerWatchTime{1000};
+// Upper bound on what a peer returns: a listing of some thousand objects and
+// their largest values, while the memory of a small instance holds it.
+constexpr std::size_t kMaxBatchBytes = std::size_t{32} << 20U;
 // Added to the requested wait to obtain the timeout of a call to a peer.
 constexpr milliseconds kPeerResponseMargin{250};
 // Time for which a peer that did not respond is not queried again.
@@ -243,11 +246,13 @@
 result<watch_batch> shared_store::FetchFromPeer(const std::string& peer,
                                                 const mirror_request& request,
                                                 milliseconds timeout) {
-  BOOST_OUTCOME_TRY(response, PostToPeer(pool_, signer_, peer,
-                                         {.path = kMirrorPath,
-                                          .body = EncodeBinary(request),
-                                          .timeout = timeout,
-                                          .accept = kPatchedBatchType}));
+  BOOST_OUTCOME_TRY(response,
+                    PostToPeer(pool_, signer_, peer,
+                               {.path = kMirrorPath,
+                                .body = EncodeBinary(request),
+                                .timeout = timeout,
+                                .accept = kPatchedBatchType,
+                                .max_response_bytes = kMaxBatchBytes}));
   // A peer of an earlier version.
   if (response.content_type != kPatchedBatchType) {
     auto batch = DecodeBinary<watch_batch>(response.body);
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -50,6 +50,13 @@
          code == result_code::kRequestTooSlow;
 }
 
+// Whether the target has run the request, so that its response is the caller's.
+// The body of another one is of no use to anybody, however long it is.
+bool IsOfRun(const target_exchange_end& end) {
+  return end.attempt.result == attempt_result::kAnswered ||
+         end.attempt.result == attempt_result::kTargetError;
+}
+
 }  // namespace
 
 target_exchange::target_exchange(const traffic_context& context,
@@ -289,9 +296,9 @@
     if (got.value() == 0)
       break;
     body.append(chunk.data(), got.value());
-    if (body.size() > kMaxBufferedBytes &&
-        end.attempt.result == attempt_result::kAnswered) {
-      Stream(exchange, head, body, end);
+    if (body.size() > kMaxBufferedBytes) {
+      if (IsOfRun(end))
+        Stream(exchange, head, body, end);
       return;
     }
   }
