Let peers turn to others at once when a watch of the store fails

A region whose watchers the store turns away learned of changes up to over 3 s late, longer than a target that leaves may go on serving.

Cause: an entry that can't watch the store any more counted as fresh until its last confirmation was 1.6 s old, and kept peers that asked for a fresh copy waiting for 0.4 s each, although it would not ask the store again for a second.

Change: after a failed watch a copy is fresh for 0.4 s more, and for 0.8 s nobody is kept waiting for one.

--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -14,6 +14,12 @@
 // A watch of the platform returns at least once a second; a replica that was
 // not confirmed for longer is behind a failing platform or link.
 constexpr milliseconds kMaxConfirmationAge{1600};
+// Time for which a replica stays fresh after a watch failed: enough for another
+// watch.
+constexpr milliseconds kFailedWatchGrace{400};
+// Time after a failed watch for which no peer is kept waiting for a fresh
+// replica. Entries that are not watchers wait longer before the next one.
+constexpr milliseconds kFailedWatchMemory{800};
 // Maximum number of logged events per prefix; holds about a minute of changes
 // under high load. Peers that are further behind receive a full listing.
 constexpr std::size_t kMaxLoggedEvents = 2000;
@@ -60,6 +66,19 @@
 
 }  // namespace
 
+// Peers that wait here turn to others as soon as this entry can't follow the
+// platform. If they waited for the age of the last confirmation, a change could
+// take longer to reach them than a target that leaves goes on serving.
+void object_relay::OnWatchFailed(const std::string& prefix) {
+  std::lock_guard guard(lock_);
+  auto& replica = replicas_[prefix];
+  replica.confirmed_at =
+      std::min(replica.confirmed_at,
+               clock_.now() - kMaxConfirmationAge + kFailedWatchGrace);
+  replica.failed_at = clock_.now();
+  changed_.notify_all();
+}
+
 // The patches are made without the lock, since peers wait for it.
 void object_relay::Publish(const std::string& prefix,
                            const watch_batch& batch,
@@ -245,7 +264,9 @@
     if (replica.cursor.era < cursor.era && (!await_fresh || now >= deadline))
       return MakeError(result_code::kStoreUnreachable,
                        "the copy of this prefix is of an earlier era");
-    if (!fresh && (!await_fresh || now >= deadline))
+    const bool may_wait = await_fresh && now < deadline &&
+                          now - replica.failed_at >= kFailedWatchMemory;
+    if (!fresh && !may_wait)
       return MakeError(result_code::kStoreUnreachable,
                        "no fresh copy of this prefix");
     const bool has_changes = !CoversChangesSince(replica, cursor) ||
--- a/src/libsamphire/store/object_relay.h
+++ b/src/libsamphire/store/object_relay.h
@@ -32,6 +32,10 @@
                const watch_batch& batch,
                bool confirmed = true);
 
+  // Reports that the platform could not be watched. The replica counts as fresh
+  // for a moment longer only, unless another watch confirms it.
+  void OnWatchFailed(const std::string& prefix);
+
   // Serves a watch like the platform, from `cursor` and for at most `wait`, but
   // returns kStoreUnreachable when the replica is of an earlier era than
   // `cursor`, or not fresh, that is, was not confirmed by the platform recently
@@ -88,8 +92,10 @@
     std::deque<gap> gaps;
     // That of the last applied batch; none before the first.
     store_cursor cursor;
-    // When the platform last confirmed the replica.
+    // When the platform last confirmed the replica, and when it could not be
+    // watched.
     time_point confirmed_at;
+    time_point failed_at;
   };
   // Patches by key.
   using patch_map = std::map<std::string, value_patch>;
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -282,6 +282,8 @@
   LogSourceResult(prefix, "platform", ElapsedSince(start), batch);
   if (batch)
     relay_.Publish(prefix, batch.value());
+  else
+    relay_.OnWatchFailed(prefix);
   WithFallback(prefix, [&](auto& fallback) {
     if (batch)
       fallback.OnUpdate();
