--- a/tests/proxy/endless_answer_test.cc
+++ b/tests/proxy/endless_answer_test.cc
@@ -182,7 +182,7 @@
 };
 
 const std::string kHead =
-    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: s.1\r\n";
+    "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nAnswered-By: s.1\r\n";
 
 std::vector<sound_answer> SoundAnswers() {
   const std::string late =
