Let the soak send large uploads and let a target leave while pages are listed

What ran must be what was sent, once, and as its caller was told. At the end a target leaves while an entry starts whose listing has stale pages; it must get nothing later than 2.5 s.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -28,6 +28,7 @@
                << " served");
   CHECK(findings.empty());
   CHECK(world.served() > 0);
+  CHECK(world.served_uploads() > 0);
 }
 
 }  // namespace
@@ -38,8 +39,9 @@
 // reset; targets fail and drain; the store refuses calls, loses its history and
 // comes back from copies. Guards against a claim that runs twice, a response to
 // another request, a request that ran although its caller was told that it did
-// not, look-ups that name entries long gone, and an entry that does not
-// recover.
+// not, look-ups that name entries long gone, an upload that runs with
+// another body than its caller sent, a target that is used after it has left,
+// and an entry that does not recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
   const auto first = ReadEnvironment("SAMPHIRE_SOAK_SEED", 1);
   const auto count = ReadEnvironment("SAMPHIRE_SOAK_COUNT", 3);
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <map>
 
 #include "platform_adapter/wire_text.h"
@@ -50,6 +51,13 @@
 constexpr auto kMinAbsence = kStableWindow + kUnlistingSlack + 1500ms;
 constexpr int kAbsenceRangeMs = 2500;
 
+// Objects in one page of a listing, so that the targets fill several.
+constexpr std::size_t kPageObjects = 3;
+// The bound in force for entries whose settings name none, and the time after
+// it in which requests at a leaver are counted.
+constexpr std::chrono::milliseconds kDrain{2500};
+constexpr std::chrono::milliseconds kWatchLeaver{1500};
+
 // Whether the status states that the request did not run and never will.
 bool GuaranteesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -64,11 +72,21 @@
       cut_random_(seed),
       connection_random_(seed),
       absence_random_(seed),
+      upload_random_(seed),
+      uploads_(seed),
       lookups_(kStableWindow, kStableWindow + kUnlistingSlack),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
   std::filesystem::create_directories(folder_);
-  store_.Write("config/main", platform::ManifestObject("00000001"));
+  store_.page_size = kPageObjects;
+  store_.page_source = [this](bool may_be_stale) {
+    const bool stale =
+        may_be_stale && shows_stale_pages_ && stale_pages_++ % 2 == 1;
+    return stale ? &stale_state_ : nullptr;
+  };
+  WriteConfiguration();
+  for (const auto& [key, object] : uploads_.Objects())
+    store_.Write(key, object);
   for (const std::string service : {"reads", "writes"}) {
     for (int i = 0; i < kTargetsOfService; ++i) {
       target one;
@@ -89,6 +107,7 @@
   target_addresses.reserve(targets_.size());
   for (const auto& each : targets_)
     target_addresses.push_back(each.link->address());
+  std::ranges::copy(uploads_.Addresses(), std::back_inserter(target_addresses));
   for (int i = 0; i < kEntries; ++i) {
     auto one = std::make_unique<entry>();
     one->store_link = std::make_unique<relay>("127.0.0.1", store_.address());
@@ -164,8 +183,8 @@
 }
 
 void soak_world::WriteConfiguration() {
-  store_.Write("config/main",
-               platform::ManifestObject(fmt::format("{:08x}", version_)));
+  store_.Write("config/main", upload_load::AddTo(platform::ManifestObject(
+                                  fmt::format("{:08x}", version_))));
 }
 
 // A store that comes back is away for a moment before, and its owners need up
@@ -185,6 +204,8 @@
   WriteConfiguration();
   for (auto& each : targets_)
     Register(each, each.state);
+  for (const auto& [key, object] : uploads_.Objects())
+    store_.Write(key, object);
 }
 
 std::vector<soak_finding> soak_world::Run(std::chrono::seconds fault_duration) {
@@ -201,6 +222,7 @@
   for (int i = 0; i < kCallers; ++i)
     callers.emplace_back([this, i] { RunCaller(seed_ * 100 + i); });
   callers.emplace_back([this] { RunLookups(); });
+  callers.emplace_back([this] { RunUploads(); });
   const auto until = std::chrono::steady_clock::now() + fault_duration;
   while (std::chrono::steady_clock::now() < until) {
     NoteEnds();
@@ -211,6 +233,7 @@
   RemoveFaults();
   KeepEntriesAway();
   RemoveFaults();
+  LeaveDuringListing();
   sending_ = false;
   for (auto& caller : callers)
     caller.join();
@@ -220,6 +243,7 @@
   CheckBrokenRequests();
   CheckArrivals();
   CheckLookups();
+  CheckUploads();
   CheckLogs();
   return findings_;
 }
@@ -234,6 +258,8 @@
     InjectBrokenConnections();
   if (absence_random_() % 16 == 0)
     InjectAbsence();
+  if (upload_random_() % 3 == 0)
+    uploads_.InjectFault();
   auto& one = *entries_[random_() % entries_.size()];
   auto& hit = targets_[random_() % targets_.size()];
   switch (random_() % 10) {
@@ -328,6 +354,29 @@
   }
 }
 
+void soak_world::LeaveDuringListing() {
+  auto& leaving = targets_[upload_random_() % targets_.size()];
+  auto& starting = *entries_[upload_random_() % entries_.size()];
+  stale_state_ = store_.MakeCopy();
+  stale_pages_ = 0;
+  shows_stale_pages_ = true;
+  Register(leaving, "draining");
+  const auto reported = std::chrono::steady_clock::now();
+  KillEntry(starting);
+  StartEntry(starting);
+  std::this_thread::sleep_until(reported + kDrain);
+  const int before = leaving.process->arrivals;
+  std::this_thread::sleep_for(kWatchLeaver);
+  const int late = leaving.process->arrivals - before;
+  if (late > 0) {
+    AddFinding("no request at a target that has left",
+               fmt::format("{} at {}, {} starting", late, leaving.process->id(),
+                           starting.caller_address));
+  }
+  shows_stale_pages_ = false;
+  Register(leaving, "ready");
+}
+
 void soak_world::InjectEntryFault(entry& one) {
   if (!one.process->running()) {
     if (std::chrono::steady_clock::now() >= one.absent_until)
@@ -391,6 +440,7 @@
     reset_link(*each.link);
     Register(each, "ready");
   }
+  uploads_.RemoveFaults();
   for (auto& each : entries_) {
     reset_link(*each->store_link);
     each->target_links->Apply(link_cut::kNone);
@@ -429,6 +479,14 @@
   }
 }
 
+void soak_world::RunUploads() {
+  std::mt19937_64 random(seed_);
+  while (sending_) {
+    uploads_.SendOne(entries_[random() % entries_.size()]->caller_address);
+    std::this_thread::sleep_for(std::chrono::milliseconds(random() % 20));
+  }
+}
+
 void soak_world::SendRequest(std::mt19937_64& random, std::uint64_t number) {
   auto& one = *entries_[random() % entries_.size()];
   const bool is_claim = random() % 3 == 0;
@@ -508,6 +566,11 @@
     AddFinding("look-ups name no entry that is long off", each);
 }
 
+void soak_world::CheckUploads() {
+  for (const auto& each : uploads_.Violations())
+    AddFinding("uploads run whole, once and as answered", each);
+}
+
 void soak_world::CheckArrivals() {
   for (const auto& [service, requests] : requests_) {
     service_arrivals seen{.requests = requests, .arrivals = {}};
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -18,6 +18,7 @@
 #include "soak/lookup_check.h"
 #include "soak/process_cut.h"
 #include "soak/soak_finding.h"
+#include "soak/upload_load.h"
 #include "support/child_process.h"
 #include "support/relay.h"
 
@@ -47,6 +48,8 @@
   int sent() const { return sent_; }
   // Number of look-ups that were judged while an entry was off.
   int judged_lookups() const { return lookups_.judged(); }
+  // Number of uploads that succeeded while faults were injected.
+  int served_uploads() const { return uploads_.served(); }
 
  private:
   // An entry process and its relay to the store.
@@ -115,6 +118,10 @@
   // Ends one or two entries and keeps them away for as long, without any other
   // fault.
   void KeepEntriesAway();
+  // Lets a target leave while an entry starts whose listing has pages of
+  // different ages, and checks that no request reaches the target later than it
+  // serves for.
+  void LeaveDuringListing();
   // Cuts the links of one or two entries to targets, or ends all such cuts.
   void InjectCut();
   // Ends all faults and starts the processes that have ended.
@@ -124,11 +131,14 @@
   void SendRequest(std::mt19937_64& random, std::uint64_t number);
   // Asks all entries in turn whom they name until `sending_` is false.
   void RunLookups();
+  // Sends uploads until `sending_` is false.
+  void RunUploads();
   // Check one kind of guarantee each and add what violates it to the findings.
   void CheckClaims();
   void CheckBrokenRequests();
   void CheckArrivals();
   void CheckLookups();
+  void CheckUploads();
   void CheckLogs();
   std::vector<std::string> LogLines() const;
   void CheckRecovery();
@@ -145,8 +155,16 @@
   std::mt19937_64 connection_random_;
   // The same for entries that stay away.
   std::mt19937_64 absence_random_;
+  // The same for uploads and their targets.
+  std::mt19937_64 upload_random_;
+  upload_load uploads_;
   lookup_check lookups_;
   const std::filesystem::path folder_;
+  // The state that every other page of a listing that may be stale shows while
+  // the flag is set.
+  stand_in_objects::copy stale_state_;
+  std::atomic<bool> shows_stale_pages_{false};
+  std::atomic<int> stale_pages_{0};
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
   std::vector<target> targets_;
