--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -36,6 +36,20 @@
                  "protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]}})";
 }
 
+std::string UploadManifestObject(const std::string& version) {
+  const auto with_route =
+      Replaced(ManifestObject(version), R"("homeRegions":["a"]}}]}])",
+               R"("homeRegions":["a"]}},
+      {"name":"r-upload","kind":"upload","targetLatency":"400ms",
+       "priority":1,"sessionAffinity":false,"match":{"pathPrefix":"/upload/"},
+       "action":{"service":"uploads","timeout":"1500ms","maxAttempts":2,
+                 "homeRegions":[]}}]}])");
+  return Replaced(
+      with_route, R"("clusters":[)",
+      R"("clusters":[{"name":"uploads","healthPath":"/health","maxConns":360,
+                 "protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0},)");
+}
+
 std::string TeamManifestObject(const std::string& version,
                                bool anonymous_reads) {
   auto manifest = Replaced(ManifestObject(version), R"("listeners")",
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -15,6 +15,9 @@
 // is idempotent and leads to service "reads"; its route "/write/" is not and
 // leads to service "writes". `version` is hexadecimal.
 std::string ManifestObject(const std::string& version);
+// Returns the same manifest with a route "/upload/" to service "uploads" in
+// addition, whose requests are long and must not be repeated.
+std::string UploadManifestObject(const std::string& version);
 
 // Returns the same manifest with two teams: "team-1" with API keys "key-1" and
 // "key-2", and "team-2" with API key "key-3" and home region "b". If
