--- a/tests/platform_adapter/digest_target.cc
+++ b/tests/platform_adapter/digest_target.cc
@@ -35,9 +35,9 @@
 class digest_target::connection {
  public:
   connection(digest_target& target,
-             Poco::Net::StreamSocket socket,
+             const Poco::Net::StreamSocket& socket,
              const std::stop_token& stop)
-      : target_(target), socket_(std::move(socket)), stop_(stop) {}
+      : target_(target), socket_(socket), stop_(stop) {}
 
   // Returns false if the connection ended before another request began.
   bool ReadHead() {
--- a/tests/platform_adapter/endless_target_test.cc
+++ b/tests/platform_adapter/endless_target_test.cc
@@ -28,12 +28,12 @@
 // Time between two blocks of 8 KiB, which leaves the machine to others.
 constexpr auto kPause = 2ms;
 // A few buffers of an entry for each request that runs.
-constexpr long kMaxGrowthKb = 48 * 1024;
+constexpr long kMaxGrowthKb = 49'152;
 
 // A target that sends `begin` and then `filler` until its peer closes.
 class endless_target {
  public:
-  endless_target(std::string begin, std::string filler)
+  endless_target(std::string begin, const std::string& filler)
       : begin_(std::move(begin)),
         listener_(Poco::Net::SocketAddress("127.0.0.1:0")),
         acceptor_([this](const std::stop_token& stop) { AcceptAll(stop); }) {
@@ -146,6 +146,7 @@
   std::atomic<long> most = 0;
   {
     std::vector<std::jthread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&, caller] {
         for (int i = 0; i < kRequestsOfCaller; ++i) {
--- a/tests/platform_adapter/whole_body_test.cc
+++ b/tests/platform_adapter/whole_body_test.cc
@@ -90,7 +90,7 @@
   // Returns a key whose uploads the target gets.
   std::string KeyOf(const digest_target& target) {
     for (int key = 0; key < 100; ++key) {
-      const auto text = std::to_string(key);
+      auto text = std::to_string(key);
       Upload({.affinity_key = text, .bytes = 1});
       if (HasRunLast(target))
         return text;
--- a/tests/traffic/leaver_spread_test.cc
+++ b/tests/traffic/leaver_spread_test.cc
@@ -51,7 +51,7 @@
       INFO(refused.watchers << " watchers and " << refused.backups
                             << " backups turned away, round " << round
                             << ", after " << took.count() << " ms");
-      CHECK(late == std::vector<std::string>{});
+      CHECK_THAT(late, Catch::Matchers::Equals(std::vector<std::string>{}));
     }
   }
 }
