Take no status outside 100 to 599 for an answer

With undefined-behaviour sanitizer the fuzz of answers stopped at a spoilt status 700, which the library reads into an enumeration that can't hold it. Bytes with such a status are no answer, and are given up at its first digit.

Before: 'load of value 700, which is not a valid value for type HTTPStatus'.

--- a/src/libsamphire/proxy/head_reader.cc
+++ b/src/libsamphire/proxy/head_reader.cc
@@ -3,7 +3,6 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <cctype>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -15,6 +14,16 @@
 constexpr std::string_view kProtocol = "HTTP/1.";
 // The protocol, a digit, a space and the three digits of the status.
 constexpr std::size_t kStatusEnd = kProtocol.size() + 5;
+constexpr std::size_t kSpaceAt = kProtocol.size() + 1;
+constexpr std::size_t kClassAt = kSpaceAt + 1;
+
+bool CanStandAt(std::size_t at, char byte) {
+  if (at == kSpaceAt)
+    return byte == ' ';
+  if (at == kClassAt)
+    return byte >= '1' && byte <= '5';
+  return byte >= '0' && byte <= '9';
+}
 
 // Whether `text`, the beginning of a status line, can become a whole one.
 // Checked as bytes arrive, so that other ones are given up at once.
@@ -23,9 +32,7 @@
   if (protocol != kProtocol.substr(0, protocol.size()))
     return false;
   for (auto i = kProtocol.size(); i < std::min(text.size(), kStatusEnd); ++i) {
-    const auto byte = static_cast<unsigned char>(text[i]);
-    const bool is_space = i == kProtocol.size() + 1;
-    if (is_space ? byte != ' ' : std::isdigit(byte) == 0)
+    if (!CanStandAt(i, text[i]))
       return false;
   }
   return true;
