--- a/tests/platform_adapter/digest_target.h
+++ b/tests/platform_adapter/digest_target.h
@@ -8,7 +8,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
--- a/tests/platform_adapter/whole_body_test.cc
+++ b/tests/platform_adapter/whole_body_test.cc
@@ -36,8 +36,8 @@
 constexpr std::size_t kShort = 100'000;
 constexpr auto kFramings = {upload_framing::kLength, upload_framing::kChunks};
 
-// Returns the first object of a service in which uploads may take long and may
-// be passed on by entries of any region.
+// Returns a configuration in which uploads may take long and may be passed on
+// by entries of any region.
 std::string UploadManifest() {
   return Replaced(ManifestObject("00000009"),
                   R"("timeout":"800ms","maxAttempts":2,"homeRegions":["a"])",
--- a/tests/soak/upload_load.h
+++ b/tests/soak/upload_load.h
@@ -15,7 +15,7 @@
 
 namespace samphire {
 
-// Targets of the service of uploads, the uploads that were sent, and what
+// Targets of a service of uploads, the uploads that were sent, and what
 // became of them. SendOne() may be called from one thread beside the others.
 class upload_load {
  public:
