Take no malformed chunk for the end of a body

Cause: the reader of chunked bodies, of callers and of targets alike, took a chunk size up to the first space, with a prefix 0x, with line ends that lack their carriage return, and skipped whatever stood behind the last chunk up to a blank line. A size that was spoilt into 0 thus ended the body, and the bytes of its chunk passed for a trailer.

What callers saw: an upload whose chunk was malformed ran with what came before it and was answered 200. A target's answer could end early in the same way.

Change: a chunk head is digits and an optional extension, each line ends with CRLF, and a trailer consists of field lines (head_syntax).

--- a/src/libsamphire/proxy/body_reader.cc
+++ b/src/libsamphire/proxy/body_reader.cc
@@ -1,11 +1,14 @@
 #include "proxy/body_reader.h"
 
+#include <Poco/Ascii.h>
 #include <Poco/NumberParser.h>
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
+#include "proxy/head_syntax.h"
+
 namespace samphire {
 
 namespace {
@@ -20,14 +23,15 @@
 }
 
 // Reads one line and removes its line end. Returns false if the stream ends
-// within the line or the line is too long.
+// within the line, the line is too long or its end lacks the carriage return.
 bool ReadLine(std::istream& input, std::string& line) {
   line.clear();
   for (int c = input.get(); c != std::char_traits<char>::eof();
        c = input.get()) {
     if (c == '\n') {
-      if (!line.empty() && line.back() == '\r')
-        line.pop_back();
+      if (line.empty() || line.back() != '\r')
+        return false;
+      line.pop_back();
       return true;
     }
     if (line.size() >= kMaxLineBytes)
@@ -114,13 +118,18 @@
     return Truncated();
   if (!ReadLine(input_, line))
     return Truncated();
-  const auto size_text = line.substr(0, line.find_first_of("; \t"));
+  const auto size_text = line.substr(0, line.find(';'));
   Poco::UInt64 length = 0;
-  if (!Poco::NumberParser::tryParseHex64(size_text, length))
+  // The parser also takes a prefix "0x".
+  if (!std::ranges::all_of(size_text, Poco::Ascii::isHexDigit) ||
+      !Poco::NumberParser::tryParseHex64(size_text, length) ||
+      !IsFieldText(line))
     return Truncated();
   return std::uint64_t{length};
 }
 
+// A chunk head that was spoilt into a size of zero is followed by the bytes of
+// its chunk in place of a trailer.
 result<void> body_reader::SkipTrailer() {
   std::string line;
   for (int i = 0; i < kMaxTrailerLines; ++i) {
@@ -128,6 +137,8 @@
       return Truncated();
     if (line.empty())
       return Success();
+    if (!IsFieldLine(line))
+      return Truncated();
   }
   return Truncated();
 }
--- a/tests/platform_adapter/upload_call.cc
+++ b/tests/platform_adapter/upload_call.cc
@@ -38,9 +38,13 @@
     Send(socket,
          chunks ? fmt::format("{:x}\r\n{}\r\n", part.size(), part) : part);
   }
-  if (end == body.size() && chunks)
+  if (call.leaves_after >= 0) {
+    Send(socket, call.breaks_off_with);
+    return call.waits;
+  }
+  if (chunks)
     Send(socket, "0\r\n\r\n");
-  return end == body.size();
+  return true;
 }
 
 std::string ReadHead(Poco::Net::StreamSocket& socket) {
@@ -83,8 +87,8 @@
     Send(socket,
          fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n"
                      "Request-Id: {}\r\nAffinity-Key: {}\r\n"
-                     "Request-Deadline: 4000\r\n{}\r\n\r\n",
-                     call.path, call.id, call.affinity_key,
+                     "Request-Deadline: {}\r\n{}\r\n\r\n",
+                     call.path, call.id, call.affinity_key, call.deadline_ms,
                      call.framing == upload_framing::kChunks
                          ? "Transfer-Encoding: chunked"
                          : fmt::format("Content-Length: {}", call.bytes)));
--- a/tests/platform_adapter/upload_call.h
+++ b/tests/platform_adapter/upload_call.h
@@ -20,6 +20,13 @@
   // negative for never.
   std::int64_t leaves_after = -1;
   std::string path = "/write/upload";
+  // Bytes that the caller sends after `leaves_after` bytes of the body in place
+  // of the rest, whatever its framing.
+  std::string breaks_off_with;
+  // Whether the caller then waits for a response; else it leaves.
+  bool waits = false;
+  // The time that the caller allows, in milliseconds.
+  int deadline_ms = 4000;
 };
 
 // Returns the body of the call.
--- a/tests/proxy/body_reader_test.cc
+++ b/tests/proxy/body_reader_test.cc
@@ -62,9 +62,13 @@
 }
 
 TEST_CASE("invalid chunk heads make the response truncated") {
-  for (const auto* bytes : {"zz\r\nhello\r\n0\r\n\r\n", "\r\n", "-1\r\nx",
-                            "5\r\nhelloXX5\r\nworld\r\n0\r\n\r\n",
-                            "fffffffffffffffff\r\nx\r\n0\r\n\r\n"}) {
+  for (const auto* bytes :
+       {"zz\r\nhello\r\n0\r\n\r\n", "\r\n", "-1\r\nx",
+        "5\r\nhelloXX5\r\nworld\r\n0\r\n\r\n",
+        "fffffffffffffffff\r\nx\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n",
+        "5 \r\nhello\r\n0\r\n\r\n", "5\nhello\r\n0\r\n\r\n",
+        "5;\x01\r\nhello\r\n0\r\n\r\n", "0\r\nhello\r\n0\r\n\r\n",
+        "0\r\n: x\r\n\r\n", "0\r\n\n"}) {
     CHECK(ReadAll(bytes, chunked_body{}).end == result_code::kAnswerTruncated);
   }
   CHECK(ReadAll(std::string(100'000, '1'), chunked_body{}).end ==
