Take no answer whose framing is in doubt

Cause: an answer's head was read up to its blank line, but what it says was not checked: the library skips a line without a colon, joins folded lines, takes the first of several lengths and any coding that isn't "chunked" for none. A body without a length then ended with its connection, wherever that broke off. Through another entry, too, an answer was allowed to end with its connection, though entries always send a length or chunks.

What callers saw: a complete 200 with the worker's stamp and part of the body, or with chunk heads in it.

Evidence: the new tests stand at the caller's end, behind a stand-in target that sends bytes as they are told, directly and through another entry.

Change: a head is checked line by line (status line, tokens, CRLF, no folding or control bytes); a coding is exactly one "chunked", a length exactly one number; both, a coding in HTTP/1.0, a body with 204, a header that differs in one byte from those of framing, and a change of protocols are failures. Other interim answers are skipped. Entries' answers need a length or chunks, and an empty answer that is passed on gets a length.

After: cuts at every byte, a spoilt byte at every place, doubled and conflicting headers give what the bytes say or a failure. What can't be told: a digit that makes a length smaller (bytes beyond an answer belong to no request), and the end of a body without length on a connection that is closed in order.

--- a/src/libsamphire/gateway/response_relay.cc
+++ b/src/libsamphire/gateway/response_relay.cc
@@ -112,13 +112,10 @@
 void SendBuffered(response_sink& sink,
                   const buffered_response& response,
                   const response_status& status) {
-  const bool empty =
-      response.body.empty() &&
-      !response.head.has(Poco::Net::HTTPMessage::CONTENT_LENGTH) &&
-      !response.head.getChunkedTransferEncoding();
   sink.Begin(response.head,
-             empty ? body_framing(no_body{})
-                   : body_framing(fixed_length_body{response.body.size()}),
+             HasNoBody(response.head)
+                 ? body_framing(no_body{})
+                 : body_framing(fixed_length_body{response.body.size()}),
              status);
   if (!sink.Write(response.body)) {
     sink.Abort();
--- a/src/libsamphire/proxy/body_framing.h
+++ b/src/libsamphire/proxy/body_framing.h
@@ -24,10 +24,15 @@
 using body_framing =
     std::variant<no_body, fixed_length_body, chunked_body, until_close_body>;
 
+// Whether responses with the status of `head` never have a body.
+bool HasNoBody(const Poco::Net::HTTPResponse& head);
+
 // Determines the framing of a response's body from its head.
 // `is_response_to_head` means that the request's method was HEAD. Fails with
-// kTargetFailed if the length headers are invalid or contradictory. May be
-// called from any thread.
+// kTargetFailed if the head leaves room for doubt: length headers that are
+// invalid, repeated, contradictory or seem spoilt, a coding other than chunked,
+// or a declared body where the status allows none. May be called from any
+// thread.
 result<body_framing> ParseResponseFraming(const Poco::Net::HTTPResponse& head,
                                           bool is_response_to_head);
 
--- a/src/libsamphire/proxy/head_reader.cc
+++ b/src/libsamphire/proxy/head_reader.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "proxy/head_syntax.h"
+
 namespace samphire {
 
 namespace {
@@ -39,7 +41,7 @@
 }
 
 bool EndsWithBlankLine(std::string_view text) {
-  return text.ends_with("\n\r\n") || text.ends_with("\n\n");
+  return text.ends_with("\r\n\r\n");
 }
 
 }  // namespace
@@ -60,8 +62,7 @@
     if (text.size() > kMaxResponseHeadBytes)
       return MakeError(result_code::kTargetFailed, "the head is too long");
   }
-  if (text.size() <= kStatusEnd)
-    return MakeError(result_code::kTargetFailed, "the status line broke off");
+  BOOST_OUTCOME_TRYV(CheckResponseHead(text));
   std::istringstream whole(text);
   try {
     head.read(whole);
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -21,7 +21,7 @@
 constexpr int kMaxLateResponses = 2;
 // Bounds the body of such a response, in bytes.
 constexpr std::uint64_t kMaxSkippedBytes = std::uint64_t{1} << 20U;
-// Bounds the 100 Continue responses before another one.
+// Bounds the interim responses before another one.
 constexpr int kMaxInterimResponses = 4;
 
 // Bytes of a request body forwarded at a time.
@@ -45,6 +45,19 @@
                                          std::chrono::steady_clock::now());
 }
 
+// Whether another response to the same request follows. What follows a change
+// of protocols, which no request asks for, is no response.
+bool IsInterim(const Poco::Net::HTTPResponse& head) {
+  return head.getStatus() < Poco::Net::HTTPResponse::HTTP_OK &&
+         head.getStatus() != Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS;
+}
+
+// Whether a body may follow all the same, as the status may be spoilt.
+bool DeclaresBody(const Poco::Net::HTTPResponse& head) {
+  return head.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
+         head.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
+}
+
 void SendAll(Poco::Net::StreamSocket& socket, std::string_view bytes) {
   while (!bytes.empty()) {
     const int sent =
@@ -134,6 +147,8 @@
     stage_ = exchange_stage::kSending;
     return true;
   }
+  if (IsInterim(*head_))
+    return MakeError(result_code::kTargetFailed, "unexpected interim response");
   BOOST_OUTCOME_TRYV(AcceptHead());
   has_unreturned_head_ = true;
   return false;
@@ -205,7 +220,7 @@
 result<void> http_exchange::ReadNextHead() {
   for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     BOOST_OUTCOME_TRYV(ReadAnyHead());
-    if (head_->getStatus() != Poco::Net::HTTPResponse::HTTP_CONTINUE)
+    if (!IsInterim(*head_))
       return AcceptHead();
   }
   return MakeError(result_code::kTargetFailed, "too many interim responses");
@@ -222,6 +237,8 @@
 }
 
 result<void> http_exchange::AcceptHead() {
+  if (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+    return MakeError(result_code::kTargetFailed, "nobody asked for an upgrade");
   auto framing = ParseResponseFraming(*head_, is_head_request_);
   if (!framing)
     return framing.error();
@@ -232,7 +249,9 @@
                      "response has neither Content-Length nor chunked coding, "
                      "so its end can't be verified");
   }
-  keep_alive_ = head_->getKeepAlive() &&
+  const bool hides_body = !is_head_request_ && DeclaresBody(*head_) &&
+                          std::holds_alternative<no_body>(framing_);
+  keep_alive_ = head_->getKeepAlive() && !hides_body &&
                 !std::holds_alternative<until_close_body>(framing_);
   body_.emplace(*input_, framing_);
   return Success();
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -64,9 +64,9 @@
   // Sends what follows the start of a body. Fails like Send().
   result<void> SendRest(body_source& rest);
   // Returns the response head, valid for as long as the exchange. Skips late
-  // responses to earlier requests, and of the interim responses only 100
-  // Continue, a few of each. Fails with kTargetFailed, kAnswerTruncated (see
-  // accept_unframed), kDeadlineExceeded or kCallerGone.
+  // responses to earlier requests and interim responses, a few of each. Fails
+  // with kTargetFailed, kAnswerTruncated (see accept_unframed),
+  // kDeadlineExceeded or kCallerGone.
   result<Poco::Net::HTTPResponse*> ReadHead();
   // Reads the next bytes of the response body and returns their number; 0 only
   // at the end of a complete body. Fails with kAnswerTruncated if the body
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -132,8 +132,10 @@
                                target_exchange_end& end) {
   const auto started = context_.clock.now();
   const bool relayed = !relay.empty();
+  // A target may end a response with its connection. A relay never does, and
+  // one that is killed closes its connections in order.
   exchange_options options{.connect_timeout = kConnectTimeout,
-                           .accept_unframed = true};
+                           .accept_unframed = !relayed};
   // A relay checks the target's echo, and has none in its own refusals.
   if (!relayed && !request_.id.empty()) {
     options.echo_header = context_.headers.request_id;
--- /dev/null
+++ b/tests/platform_adapter/framed_answer_test.cc
@@ -0,0 +1,417 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <functional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform_adapter/fleet_fixture.h"
+#include "platform_adapter/raw_answer.h"
+#include "platform_adapter/scripted_target.h"
+#include "platform_adapter/wire_text.h"
+
+using namespace samphire;
+using namespace samphire::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Time after which an entry no longer takes an earlier connection for a proof
+// that its links work.
+constexpr auto kQuiet = 900ms;
+// Below all buffers of an entry, above those of one read (16 KiB), and above
+// the responses that are held until they are whole (128 KiB).
+constexpr std::size_t kSmall = 9;
+constexpr std::size_t kMedium = 20'000;
+constexpr std::size_t kLarge = 140'000;
+
+const std::string kStart =
+    "HTTP/1.1 200 OK\r\nRequest-Id: " + scripted_target::kRequestId +
+    "\r\nServer-Stamp: stamp.7\r\n";
+
+std::string Body(std::size_t bytes) {
+  std::string body;
+  while (body.size() < bytes)
+    body += "level " + std::to_string(body.size()) + "\n";
+  body.resize(bytes);
+  return body;
+}
+
+std::string InChunks(const std::string& body, const std::string& trailer = "") {
+  constexpr std::size_t kChunk = 7'001;
+  std::string coded;
+  for (std::size_t at = 0; at < body.size(); at += kChunk) {
+    const auto part = body.substr(at, kChunk);
+    coded += fmt::format("{:x}\r\n{}\r\n", part.size(), part);
+  }
+  return coded + "0\r\n" + trailer + "\r\n";
+}
+
+scripted_answer WithLength(std::size_t bytes) {
+  return {fmt::format("{}Content-Length: {}\r\n\r\n{}", kStart, bytes,
+                      Body(bytes))};
+}
+
+scripted_answer Chunked(std::size_t bytes) {
+  return {kStart + "Transfer-Encoding: chunked\r\n\r\n" +
+          InChunks(Body(bytes))};
+}
+
+scripted_answer Unframed(std::size_t bytes) {
+  return {kStart + "\r\n" + Body(bytes)};
+}
+
+// Sends requests to one target, by the entry that an instance uses.
+class caller {
+ public:
+  caller(std::string address, scripted_target& target)
+      : address_(std::move(address)), target_(target) {}
+
+  // Returns what a caller gets for the answer. The target has been asked, and
+  // serves another request before, so that it does not count as failing.
+  caller_view Get(const scripted_answer& answer,
+                  const std::string& version = "1.1") {
+    CHECK(Ask(address_, "/write/sound", NextId()).IsSuccess());
+    target_.SetAnswer(answer);
+    const int asked = target_.faulty_answers();
+    id_ = NextId();
+    const auto view = Ask(address_, "/write/faulty/" + id_, id_, version);
+    CHECK(target_.faulty_answers() == asked + 1);
+    return view;
+  }
+  const std::string& id() const { return id_; }
+
+ private:
+  std::string NextId() { return std::to_string(1000 + ++requests_ % 9000); }
+
+  const std::string address_;
+  scripted_target& target_;
+  std::string id_;
+  int requests_ = 0;
+};
+
+// Checks that a caller gets what the target's bytes say or a failure.
+void CheckTold(caller& by,
+               const scripted_answer& answer,
+               const std::string& version = "1.1") {
+  const auto view = by.Get(answer, version);
+  const auto said = Understand(answer, by.id());
+  if (view.IsSuccess()) {
+    REQUIRE(said);
+    CHECK(view.answer.status == said->status);
+    CHECK(view.answer.stamp == said->stamp);
+    CHECK((view.answer.body == said->body));
+  } else if (view.whole && !view.answer.stamp.empty()) {
+    REQUIRE(said);
+    CHECK(view.answer.status == said->status);
+  }
+  CHECK(view.excess == 0);
+}
+
+void CheckServed(caller& by,
+                 const scripted_answer& answer,
+                 const std::string& version = "1.1") {
+  const auto view = by.Get(answer, version);
+  const auto said = Understand(answer, by.id());
+  REQUIRE(said);
+  CHECK(view.whole);
+  CHECK(view.answer.status == said->status);
+  CHECK(view.answer.stamp == said->stamp);
+  CHECK((view.answer.body == said->body));
+  CHECK(view.excess == 0);
+}
+
+std::string FirstBytes(const std::string& bytes) {
+  return bytes.substr(0, 160) + " ... of " + std::to_string(bytes.size());
+}
+
+// Answers that a sound target may send.
+std::vector<scripted_answer> SoundAnswers() {
+  std::vector<scripted_answer> sound;
+  for (const auto bytes : {std::size_t{0}, kSmall, kMedium, kLarge}) {
+    sound.push_back(WithLength(bytes));
+    sound.push_back(Chunked(bytes));
+    sound.push_back(Unframed(bytes));
+  }
+  const std::string length = "Content-Length: 9\r\n\r\nthe level";
+  const auto without_reason = "HTTP/1.1 200\r\n" + kStart.substr(17) + length;
+  const auto late =
+      "HTTP/1.1 200 OK\r\nRequest-Id: 0001\r\nContent-Length: 4\r\n\r\nlate";
+  for (const auto& bytes :
+       {without_reason, late + kStart + length,
+        "HTTP/1.1 100 Continue\r\n\r\n" + kStart + length,
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + kStart + length,
+        "HTTP/1.0" + kStart.substr(8) + length,
+        kStart + "x-level:\t\xc3\xa4 \r\ncontent-length:9 \r\n\r\nthe level",
+        kStart + "Transfer-Encoding: CHUNKED\r\n\r\n9;a=b\r\nthe level\r\n"
+                 "0\r\nTrailer: z\r\n\r\n",
+        "HTTP/1.1 204 No Content" + kStart.substr(15) + "\r\n",
+        // Bytes beyond the answer, also a second answer.
+        kStart + length + "\r\nHTTP/1.1 500",
+        kStart + length + kStart + length})
+    sound.push_back({bytes});
+  return sound;
+}
+
+// Heads whose framing can't be relied on, each with a body that is whole by
+// some reading and one that is cut.
+std::vector<scripted_answer> DoubtfulAnswers() {
+  const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+  std::vector<std::pair<std::string, std::string>> heads;
+  for (const auto* coding :
+       {"Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chun\x01"
+        "ed",
+        "Transfer-Encoding: chunket", "Transfer-Encoding:",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding : chunked", "Transfer-Encoding chunked",
+        "Transfer-Encodinh: chunked", "Transfer_Encoding: chunked",
+        "Transfer-Encoding:\r\n chunked", " Transfer-Encoding: chunked",
+        "Transfer\tEncoding: chunked"})
+    heads.emplace_back(coding, chunks);
+  for (const auto* length : {"Content-Length: 3\r\nContent-Length: 5",
+                             "Content-Length: 5\r\nContent-Length: 5",
+                             "Content-Length: 3, 5",
+                             "Content-Length: +3",
+                             "Content-Length: -3",
+                             "Content-Length: 0x3",
+                             "Content-Length: 3 5",
+                             "Content-Length:",
+                             "Content-Length: 3\x01",
+                             "Content-Length: three",
+                             "Content-Length 99",
+                             "Content-Length; 99",
+                             "Content-Length : 99",
+                             "Content-Lengti: 99",
+                             "ContentoLength: 99",
+                             "Content-Length: 99999999999999999999",
+                             "Content-Length:\r\n 99",
+                             "Content-Length: 9\n9",
+                             "Content\x7fLength: 99",
+                             ": 99",
+                             "Content-Length\r\n: 99"})
+    heads.emplace_back(length, "hello");
+  std::vector<scripted_answer> doubtful;
+  for (const auto& [head, body] : heads) {
+    doubtful.push_back({kStart + head + "\r\n\r\n" + body});
+    doubtful.push_back({kStart + head + "\r\n\r\n" + body.substr(0, 4)});
+  }
+  for (const auto& bytes :
+       {"HTTP/1.0" + kStart.substr(8) + "Transfer-Encoding: chunked\r\n\r\n" +
+            chunks,
+        "HTTP/1.1 204 X" + kStart.substr(15) + "Content-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 101 X" + kStart.substr(15) + "\r\n" + kStart +
+            "Content-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200OK" + kStart.substr(15) + "\r\nhello",
+        "HTTP/1.1  200 OK" + kStart.substr(15) + "\r\nhello",
+        // The blank line comes early, or its line end is spoilt.
+        kStart + "\nContent-Length: 99\r\n\r\nhello",
+        kStart + "Content-Length: 5\r\n\nhello",
+        kStart + "Content-Length: 5\n\r\nhello"})
+    doubtful.push_back({bytes});
+  const auto chunked = kStart + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto* body :
+       {"0x5\r\nhello\r\n0\r\n\r\n", "+5\r\nhello\r\n0\r\n\r\n",
+        " 5\r\nhello\r\n0\r\n\r\n", "5\nhello\r\n0\r\n\r\n",
+        "5\r\nhello0\r\n\r\n", "5\r\nhello\r\n0\r\n",
+        // A size that was spoilt into that of the last chunk.
+        "0\r\nhello\r\n0\r\n\r\n", "0\r\nhe:lo\r\n0\r\n\r\n",
+        "\r\n5\r\nhello\r\n0\r\n\r\n", "5\r\nhello\r\n\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\n\n"})
+    doubtful.push_back({chunked + body});
+  return doubtful;
+}
+
+// A target whose answers are the test's, for callers of one entry.
+struct one_entry {
+  test_setup setup;
+  scripted_target target{"i-script"};
+  std::unique_ptr<caller> by;
+
+  one_entry() {
+    for (const auto* other : {&setup.write_1, &setup.write_2})
+      setup.stand_in.Remove("servers/" + other->id());
+    setup.stand_in.Write("servers/" + target.id(),
+                         TargetObject(target.address(), "writes"));
+    setup.StartReady();
+    by =
+        std::make_unique<caller>(setup.settings.traffic.caller_address, target);
+  }
+};
+
+// The same for callers of an entry whose links to targets are cut, so that
+// others pass its requests on.
+struct entry_beside_others : ticking_fleet {
+  scripted_target target{"i-script"};
+  std::unique_ptr<caller> by;
+
+  entry_beside_others() {
+    const auto& address = settings.front().traffic.caller_address;
+    links.front()->AddTarget(target.address());
+    for (const auto* other : {&targets.write_1, &targets.write_2})
+      targets.stand_in.Remove("servers/" + other->id());
+    targets.stand_in.Write("servers/" + target.id(),
+                           TargetObject(target.address(), "writes"));
+    REQUIRE(Eventually([&] {
+      return Ask(address, "/write/sound", "1").answer.stamp == target.stamp();
+    }));
+    links.front()->CutAll(link_cut::kRefuseNew);
+    std::this_thread::sleep_for(kQuiet);
+    by = std::make_unique<caller>(address, target);
+  }
+};
+
+// Calls `check` for a caller of an entry that reaches the target itself, and
+// for one of an entry that asks another one.
+void BothWays(const std::function<void(caller&)>& check) {
+  SECTION("directly") {
+    one_entry entry;
+    check(*entry.by);
+  }
+  SECTION("through another entry") {
+    entry_beside_others entry;
+    check(*entry.by);
+  }
+}
+
+scripted_answer Cut(const scripted_answer& sound,
+                    std::size_t at,
+                    connection_end end) {
+  return {sound.bytes.substr(0, at), end};
+}
+
+std::size_t HeadBytes(const scripted_answer& answer) {
+  return answer.bytes.find("\r\n\r\n") + 4;
+}
+
+// Every byte of short answers and of heads; of long bodies, those at the edges
+// of buffers and some between.
+std::vector<std::size_t> Places(const scripted_answer& answer) {
+  const auto head = HeadBytes(answer);
+  std::vector<std::size_t> places;
+  for (std::size_t at = 0; at < answer.bytes.size(); ++at) {
+    const auto in_body = at < head ? 0 : at - head;
+    const auto left = answer.bytes.size() - at;
+    const bool at_edge = in_body % 16'384 < 2 || in_body % 7'001 < 8;
+    if (in_body < 60 || left < 12 || (at_edge && in_body % 5 == 0))
+      places.push_back(at);
+  }
+  return places;
+}
+
+struct fuzz_seeds {
+  std::uint32_t first = 20261204;
+  std::uint32_t count = 1;
+};
+
+fuzz_seeds SeedsFromEnvironment() {
+  fuzz_seeds seeds;
+  if (const char* first = std::getenv("SAMPHIRE_FUZZ_SEED"))
+    seeds.first = static_cast<std::uint32_t>(std::stoul(first));
+  if (const char* count = std::getenv("SAMPHIRE_FUZZ_COUNT"))
+    seeds.count = static_cast<std::uint32_t>(std::stoul(count));
+  return seeds;
+}
+
+// Whether the byte belongs to the value of Content-Length. A smaller length can
+// not be told from bytes beyond an answer.
+bool IsOfLength(const scripted_answer& answer, std::size_t at) {
+  const auto begin = answer.bytes.find("Content-Length: ");
+  return begin != std::string::npos && at >= begin + 16 &&
+         at < answer.bytes.find("\r\n", begin);
+}
+
+}  // namespace
+
+// Guards against answers that are refused although nothing is wrong with them.
+TEST_CASE("callers get sound answers of all framings whole") {
+  BothWays([](caller& by) {
+    for (const auto& answer : SoundAnswers()) {
+      INFO(FirstBytes(answer.bytes));
+      CheckServed(by, answer);
+    }
+  });
+}
+
+// Guards against chunk heads in the body of a caller that knows no chunks, and
+// against a body that breaks off and seems to end with the connection.
+TEST_CASE("callers that speak HTTP/1.0 get whole answers or a reset") {
+  one_entry entry;
+  for (const auto bytes : {kSmall, kLarge}) {
+    for (const auto& answer :
+         {WithLength(bytes), Chunked(bytes), Unframed(bytes)}) {
+      INFO(FirstBytes(answer.bytes));
+      CheckServed(*entry.by, answer, "1.0");
+      const auto cut =
+          Cut(answer, answer.bytes.size() - 3, connection_end::kReset);
+      CHECK_FALSE(entry.by->Get(cut, "1.0").IsSuccess());
+    }
+  }
+}
+
+// Guards against a body that breaks off, or holds the bytes of its coding, and
+// passes for a whole one since the head says nothing reliable of its end.
+TEST_CASE("callers get no success from an answer whose framing is in doubt") {
+  BothWays([](caller& by) {
+    for (const auto& answer : DoubtfulAnswers()) {
+      INFO(answer.bytes);
+      CHECK_FALSE(by.Get(answer).IsSuccess());
+    }
+  });
+}
+
+// Guards against an answer that ends early and looks complete. Where only the
+// end of the connection ends the body, a reset is its cut.
+TEST_CASE("callers get no success from an answer that is cut at any byte") {
+  BothWays([](caller& by) {
+    for (const auto bytes : {kSmall, kLarge}) {
+      for (const auto& answer :
+           {WithLength(bytes), Chunked(bytes), Unframed(bytes)}) {
+        const bool unframed = answer.bytes == Unframed(bytes).bytes;
+        for (const auto at : Places(answer)) {
+          const auto end = unframed && at >= HeadBytes(answer)
+                               ? connection_end::kReset
+                               : connection_end::kClose;
+          INFO(FirstBytes(answer.bytes) << ", cut after " << at);
+          CHECK_FALSE(by.Get(Cut(answer, at, end)).IsSuccess());
+        }
+      }
+    }
+  });
+}
+
+// Guards against any other answer than the one that was sent when a byte of it
+// is spoilt, and against a cut body that passes for a whole one as the head was
+// spoilt as well. More seeds by SAMPHIRE_FUZZ_SEED and SAMPHIRE_FUZZ_COUNT.
+TEST_CASE("callers get what a spoilt answer says, or a failure") {
+  const auto seeds = SeedsFromEnvironment();
+  BothWays([&](caller& by) {
+    for (auto seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+      std::mt19937 random(seed);
+      for (const auto& answer : {WithLength(kSmall), Chunked(kSmall),
+                                 Unframed(kSmall), Chunked(kLarge)}) {
+        for (const auto at : Places(answer)) {
+          auto spoilt = answer;
+          spoilt.bytes[at] = static_cast<char>(random() % 256);
+          INFO("seed " << seed << ", byte " << at << " spoilt in "
+                       << FirstBytes(spoilt.bytes));
+          CheckTold(by, spoilt);
+          const bool unframed = answer.bytes == Unframed(kSmall).bytes;
+          if (at >= HeadBytes(answer) || unframed || IsOfLength(answer, at))
+            continue;
+          const auto cut =
+              Cut(spoilt, HeadBytes(answer) + 4, connection_end::kClose);
+          CHECK_FALSE(by.Get(cut).IsSuccess());
+        }
+      }
+    }
+  });
+}
