Send callers of HTTP/1.0 no chunks

Cause: an answer of unknown length was sent in chunks whatever version of HTTP the caller speaks. A response to HEAD declared the length of an empty body.

What callers saw: one that speaks HTTP/1.0 got the heads of chunks as part of the body, in a success.

Change: there a body ends with the connection, and one that breaks off with a reset. A response to HEAD passes on the length that the target declares.

--- a/src/libsamphire/gateway/caller_response.h
+++ b/src/libsamphire/gateway/caller_response.h
@@ -38,8 +38,11 @@
   Poco::Net::HTTPServerResponse& response_;
   Poco::Net::StreamSocket socket_;
   const status_headers headers_;
+  const bool is_response_to_head_;
   std::ostream* stream_ = nullptr;
   bool refused_ = false;
+  // Whether only the end of the connection ends the body.
+  bool ends_with_connection_ = false;
 };
 
 }  // namespace samphire
