Read the store's answers as carefully as those of targets

Cause: the client of the store read heads with the library's reader, which takes the end of a connection for the end of a head. An answer cut there loses its ETag, its era or a length that a proxy would have needed; it was refused only where the length was missing.

What callers saw: nothing yet. A listing without its era would have counted as one of the era that is known.

--- a/src/libsamphire/gateway/peer_post.cc
+++ b/src/libsamphire/gateway/peer_post.cc
@@ -1,43 +1,11 @@
 #include "gateway/peer_post.h"
 
-#include <algorithm>
-#include <array>
-
-#include "base/body_time_limits.h"
 #include "peer/peer_token.h"
 #include "proxy/http_exchange.h"
+#include "proxy/whole_body.h"
 
 namespace samphire {
 
-namespace {
-
-// Bounds what is read from the connection at once.
-constexpr std::size_t kReadBufferBytes = 16384;
-
-// Reads the body of a response to its end.
-result<std::string> ReadWholeBody(http_exchange& exchange,
-                                  std::size_t max_bytes) {
-  std::string body;
-  std::array<char, kReadBufferBytes> buffer;
-  const auto deadline = std::chrono::steady_clock::now() + kMaxBodyTime;
-  while (true) {
-    exchange.SetDeadline(
-        std::min(deadline, std::chrono::steady_clock::now() + kMaxBodyPause));
-    const auto got = exchange.ReadBody(buffer);
-    if (!got)
-      return MakeError(result_code::kPeerTimeout,
-                       "response body ended before it was complete");
-    if (got.value() == 0)
-      return body;
-    body.append(buffer.data(), got.value());
-    if (body.size() > max_bytes)
-      return MakeError(result_code::kPeerMalformed,
-                       "response body exceeds the size limit");
-  }
-}
-
-}  // namespace
-
 result<peer_response> PostToPeer(connection_pool& pool,
                                  peer_signer& signer,
                                  const std::string& peer,
@@ -63,8 +31,13 @@
     return MakeError(result_code::kPeerDeclined, response->getReason());
   peer_response complete{.content_type = response->getContentType(),
                          .body = {}};
-  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, post.max_response_bytes));
-  complete.body = std::move(body);
+  auto body = ReadWholeBody(exchange, post.max_response_bytes);
+  if (!body && body.error().code != result_code::kPeerMalformed)
+    return MakeError(result_code::kPeerTimeout,
+                     "response body ended before it was complete");
+  if (!body)
+    return body.error();
+  complete.body = std::move(body.value());
   return complete;
 }
 
--- a/src/libsamphire/proxy/connection_pool.cc
+++ b/src/libsamphire/proxy/connection_pool.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-// Time after which an idle connection is no longer reused. Targets close idle
-// connections after some seconds, and a request on a connection that is just
-// being closed would be a failed attempt.
-constexpr milliseconds kMaxRest{2000};
 // Time for which a connection that was just used can be taken for open.
 constexpr milliseconds kRecentRest{100};
 // Time for which the rest after which a connection was closed is remembered.
@@ -85,8 +81,9 @@
   });
 }
 
-duration connection_pool::MaxRest(const address_state& state, time_point now) {
-  return now < state.max_rest_until ? state.max_rest : kMaxRest;
+duration connection_pool::MaxRest(const address_state& state,
+                                  time_point now) const {
+  return now < state.max_rest_until ? state.max_rest : max_rest_;
 }
 
 // Returns the connection that was used last, which is the least likely to have
--- a/src/libsamphire/proxy/connection_pool.h
+++ b/src/libsamphire/proxy/connection_pool.h
@@ -31,10 +31,16 @@
     duration opened_in{0};
   };
 
+  // Time after which an idle connection is no longer reused. Targets close idle
+  // connections after some seconds, and a request on a connection that is just
+  // being closed would be a failed attempt.
+  static constexpr milliseconds kMaxRest{2000};
+
   // `opener` must outlive the pool.
   explicit connection_pool(
-      const connection_opener& opener = tcp_connection_opener::Default())
-      : opener_(opener) {}
+      const connection_opener& opener = tcp_connection_opener::Default(),
+      milliseconds max_rest = kMaxRest)
+      : opener_(opener), max_rest_(max_rest) {}
 
   // Returns an idle connection that still appears open and that `use` allows,
   // or opens a new one. Fails with kTargetUnreachable if connecting fails or
@@ -72,9 +78,10 @@
 
   std::optional<pooled_connection> AcquireIdle(const std::string& address,
                                                connection_use use);
-  static duration MaxRest(const address_state& state, time_point now);
+  duration MaxRest(const address_state& state, time_point now) const;
 
   const connection_opener& opener_;
+  const duration max_rest_;
   sharded<address_map> addresses_;
 };
 
--- a/src/libsamphire/proxy/tcp_connection_opener.cc
+++ b/src/libsamphire/proxy/tcp_connection_opener.cc
@@ -10,15 +10,9 @@
 
 namespace samphire {
 
-namespace {
-
-// Time without any acknowledgement after which a connection fails. Without it,
-// TCP would retransmit to a machine that lost power or is partitioned for many
-// minutes, and the waiting request would notice only at its deadline.
-constexpr milliseconds kDeadPeerTimeout{1000};
-
-}  // namespace
-
+// Without a bound on the time without any acknowledgement, TCP would retransmit
+// to a machine that lost power or is partitioned for many minutes, and the
+// waiting request would notice only at its deadline.
 result<Poco::Net::StreamSocket> tcp_connection_opener::Open(
     const std::string& address,
     milliseconds timeout) const {
@@ -29,7 +23,7 @@
         Poco::Timespan(
             std::chrono::duration_cast<microseconds>(timeout).count()));
     socket.setNoDelay(true);
-    SetDeadPeerTimeout(socket, kDeadPeerTimeout);
+    SetDeadPeerTimeout(socket, dead_peer_timeout_);
     return socket;
   } catch (const Poco::Exception& e) {
     return MakeError(result_code::kTargetUnreachable, e.displayText());
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -1,48 +1,36 @@
 #include "store/http_caller.h"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 #include <fmt/format.h>
 
-#include <array>
-#include <istream>
 #include <utility>
 
-#include "base/body_time_limits.h"
+#include "proxy/caller_watch.h"
+#include "proxy/whole_body.h"
 
 namespace samphire {
 
 namespace {
 
-// Size of the buffer through which a body is read.
-constexpr std::size_t kReadChunkBytes = 16'384;
+// A connection on which the platform acknowledges nothing for this long fails.
+// A watch waits for seconds without receiving a byte; if its connection broke
+// unnoticed, every change would be delayed until the watch times out.
+constexpr milliseconds kUnacknowledgedTimeout{1500};
 
 // Upper bound on the body of a response, in bytes. A page of a listing has
 // about 1 MB.
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20U;
 
-// Reads a body of exactly `length` bytes and throws if it ends early: a
-// truncated response must never be taken for a complete one. The deadline
-// bounds responses that arrive slowly while each byte stays within the socket's
-// own timeout.
-std::string ReadBody(std::istream& in,
-                     std::streamsize length,
-                     const clock_source& clock,
-                     time_point deadline) {
-  std::string body;
-  std::array<char, kReadChunkBytes> buffer{};
-  while (in.good()) {
-    if (clock.now() > deadline)
-      throw Poco::TimeoutException("response not complete before the deadline");
-    in.read(buffer.data(), buffer.size());
-    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
-    if (body.size() > kMaxBodyBytes)
-      throw Poco::Net::MessageException("response body too long");
-  }
-  if (length < 0 || body.size() != static_cast<std::size_t>(length))
-    throw Poco::Net::MessageException("response body truncated");
-  return body;
+Poco::Net::HTTPRequest HeadOf(const store_http_call& call) {
+  Poco::Net::HTTPRequest head(call.method, call.uri,
+                              Poco::Net::HTTPMessage::HTTP_1_1);
+  head.setHost("platform");
+  head.setKeepAlive(true);
+  for (const auto& [name, value] : call.headers)
+    head.set(name, value);
+  if (!call.body.empty() || call.method == Poco::Net::HTTPRequest::HTTP_PUT)
+    head.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+  return head;
 }
 
 }  // namespace
@@ -80,12 +68,10 @@
 }
 
 http_caller::http_caller(http_store_options options, const clock_source& clock)
-    : options_(std::move(options)), clock_(clock) {
-  for (const auto& address : options_.addresses) {
-    pools_.push_back(
-        std::make_unique<http_connection_pool>(address, options_, clock_));
-  }
-}
+    : options_(std::move(options)),
+      clock_(clock),
+      opener_(kUnacknowledgedTimeout),
+      pool_(opener_, options_.max_idle_time) {}
 
 // Tries the next address only while the call certainly had no effect, which is
 // always the case for a read.
@@ -93,9 +79,10 @@
   const auto first = preferred_index_.load();
   error last = MakeError(result_code::kStoreUnreachable,
                          "no platform address configured");
-  for (std::size_t i = 0; i < pools_.size(); ++i) {
-    const auto index = (first + i) % pools_.size();
-    auto reply = CallAddress(*pools_[index], call);
+  const auto& addresses = options_.addresses;
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    const auto index = (first + i) % addresses.size();
+    auto reply = CallAddress(addresses[index], call);
     const bool unavailable = reply && reply.value().status == 503;
     if (reply && !unavailable) {
       preferred_index_ = index;
@@ -108,49 +95,36 @@
   return last;
 }
 
-result<store_http_reply> http_caller::CallAddress(http_connection_pool& pool,
+// Nothing was sent if connecting fails. Once connected, the call is sent once.
+result<store_http_reply> http_caller::CallAddress(const std::string& address,
                                                   const store_http_call& call) {
-  BOOST_OUTCOME_TRY(session, pool.Acquire());
-  auto reply = Exchange(*session, call);
-  if (reply && session->getKeepAlive())
-    pool.Release(std::move(session));
+  const caller_watch no_caller;
+  http_exchange exchange(pool_, address, no_caller,
+                         clock_.now() + options_.connect_timeout,
+                         {.connect_timeout = options_.connect_timeout});
+  if (const auto connected = exchange.Connect(connection_use::kAny); !connected)
+    return MakeError(result_code::kStoreUnreachable,
+                     address + ": " + connected.error().detail);
+  auto reply = Exchange(exchange, call);
+  if (!reply)
+    return IncompleteResponseError(call, reply.error().detail);
   return reply;
 }
 
 result<store_http_reply> http_caller::Exchange(
-    Poco::Net::HTTPClientSession& session,
-    const store_http_call& call) {
-  try {
-    session.setTimeout(Poco::Timespan(call.timeout.count() * 1000));
-    session.socket().setReceiveTimeout(session.getTimeout());
-    session.socket().setSendTimeout(session.getTimeout());
-    Poco::Net::HTTPRequest head(call.method, call.uri,
-                                Poco::Net::HTTPMessage::HTTP_1_1);
-    head.setHost("platform");
-    head.setKeepAlive(true);
-    for (const auto& [name, value] : call.headers)
-      head.set(name, value);
-    if (!call.body.empty() || call.method == Poco::Net::HTTPRequest::HTTP_PUT)
-      head.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-    session.sendRequest(head) << call.body << std::flush;
-    Poco::Net::HTTPResponse response;
-    auto& in = session.receiveResponse(response);
-    store_http_reply reply;
-    reply.status = response.getStatus();
-    reply.etag = response.get("Etag", "");
-    if (!options_.era_header.empty())
-      reply.era = response.get(options_.era_header, "");
-    session.socket().setReceiveTimeout(
-        Poco::Timespan(microseconds(kMaxBodyPause).count()));
-    reply.body = ReadBody(in, response.getContentLength64(), clock_,
-                          clock_.now() + kMaxBodyTime);
-    session.setKeepAlive(response.getKeepAlive());
-    return reply;
-  } catch (const Poco::Exception& e) {
-    return IncompleteResponseError(call, e.displayText());
-  } catch (const std::exception& e) {
-    return IncompleteResponseError(call, e.what());
-  }
+    http_exchange& exchange,
+    const store_http_call& call) const {
+  exchange.SetDeadline(clock_.now() + call.timeout);
+  BOOST_OUTCOME_TRYV(exchange.Send(HeadOf(call), call.body));
+  BOOST_OUTCOME_TRY(head, exchange.ReadHead());
+  store_http_reply reply;
+  reply.status = head->getStatus();
+  reply.etag = head->get("Etag", "");
+  if (!options_.era_header.empty())
+    reply.era = head->get(options_.era_header, "");
+  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, kMaxBodyBytes));
+  reply.body = std::move(body);
+  return reply;
 }
 
 }  // namespace samphire
--- a/src/libsamphire/store/http_caller.h
+++ b/src/libsamphire/store/http_caller.h
@@ -3,12 +3,13 @@
 
 #include <atomic>
 #include <cstddef>
-#include <memory>
-#include <vector>
+#include <string>
 
 #include "base/clock_source.h"
 #include "base/result.h"
-#include "store/http_connection_pool.h"
+#include "proxy/connection_pool.h"
+#include "proxy/http_exchange.h"
+#include "proxy/tcp_connection_opener.h"
 #include "store/http_store_options.h"
 #include "store/store_http_call.h"
 
@@ -31,17 +32,17 @@
   const http_store_options& options() const { return options_; }
 
  private:
-  // Makes the call over a connection of `pool`, which gets the connection back
-  // after a complete response.
-  result<store_http_reply> CallAddress(http_connection_pool& pool,
+  // Makes the call at one address.
+  result<store_http_reply> CallAddress(const std::string& address,
                                        const store_http_call& call);
-  // Sends the request and reads the response.
-  result<store_http_reply> Exchange(Poco::Net::HTTPClientSession& session,
-                                    const store_http_call& call);
+  // Sends the request and reads the response on the connection of `exchange`.
+  result<store_http_reply> Exchange(http_exchange& exchange,
+                                    const store_http_call& call) const;
 
   const http_store_options options_;
   const clock_source& clock_;
-  std::vector<std::unique_ptr<http_connection_pool>> pools_;
+  const tcp_connection_opener opener_;
+  connection_pool pool_;
   // Index of the address that responded last.
   std::atomic<std::size_t> preferred_index_{0};
 };
--- a/tests/store/http_object_store_test.cc
+++ b/tests/store/http_object_store_test.cc
@@ -1,5 +1,6 @@
 #include "store/http_object_store.h"
 
+#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/ServerSocket.h>
