--- /dev/null
+++ b/tests/platform_adapter/cut_store_answer_test.cc
@@ -0,0 +1,165 @@
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "base/system_clock_source.h"
+#include "platform_store.h"
+#include "store/http_object_store.h"
+
+using namespace samphire;
+using namespace samphire::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Answers each connection with the bytes that a test sets, and closes it.
+class cut_store {
+ public:
+  cut_store()
+      : listener_(Poco::Net::SocketAddress("127.0.0.1:0")),
+        thread_([this](const std::stop_token& stop) { ServeAll(stop); }) {}
+
+  std::string address() const { return listener_.address().toString(); }
+  void SetAnswer(std::string answer) {
+    std::lock_guard guard(lock_);
+    answer_ = std::move(answer);
+  }
+
+ private:
+  void ServeAll(const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      if (!listener_.poll(Poco::Timespan(20'000),
+                          Poco::Net::Socket::SELECT_READ))
+        continue;
+      auto socket = listener_.acceptConnection();
+      std::array<char, 4096> request{};
+      if (socket.receiveBytes(request.data(), request.size()) <= 0)
+        continue;
+      std::lock_guard guard(lock_);
+      if (!answer_.empty())
+        socket.sendBytes(answer_.data(), static_cast<int>(answer_.size()));
+    }
+  }
+
+  Poco::Net::ServerSocket listener_;
+  std::mutex lock_;
+  std::string answer_;
+  std::jthread thread_;
+};
+
+// A call and the whole answer to it.
+struct store_case {
+  std::string name;
+  std::function<result_code()> call;
+  std::string body;
+  bool writes = false;
+};
+
+template <typename T>
+result_code CodeOf(const result<T>& got) {
+  return got ? result_code::kOk : got.error().code;
+}
+
+std::string AnswerInLength(const std::string& body) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nEtag: 412\r\nStore-Era: 7\r\nContent-Length: {}\r\n"
+      "Content-Type: application/json\r\nEtag-Note: 1\r\n\r\n{}",
+      body.size(), body);
+}
+
+std::string AnswerInChunks(const std::string& body) {
+  const auto chunk =
+      body.empty() ? "" : fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nEtag: 412\r\nStore-Era: 7\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+      chunk);
+}
+
+void CheckCuts(cut_store& store, const store_case& one) {
+  const auto expected = one.writes ? result_code::kStoreOutcomeUnknown
+                                   : result_code::kStoreUnreachable;
+  for (const auto& whole :
+       {AnswerInLength(one.body), AnswerInChunks(one.body)}) {
+    store.SetAnswer(whole);
+    INFO(one.name);
+    CHECK(one.call() == result_code::kOk);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+      store.SetAnswer(whole.substr(0, at));
+      INFO("cut after '" << whole.substr(0, at) << "'");
+      CHECK(one.call() == expected);
+    }
+    // Without its length, an answer has no certain end.
+    const auto length = whole.find("Content-Length");
+    auto spoilt = whole;
+    if (length != std::string::npos)
+      spoilt[length + 8] = 'l' + 1;
+    else
+      spoilt[whole.find("chunked")] = 'k';
+    store.SetAnswer(spoilt);
+    CHECK(one.call() == expected);
+  }
+}
+
+}  // namespace
+
+// Guards against an answer of the store that ends early and counts as whole:
+// without its era, its version or a part of a listing, mirrors and leases would
+// act on what the store never said.
+TEST_CASE("answers of the platform's store that are cut count as none") {
+  cut_store peer;
+  const system_clock_source clock;
+  metrics counters;
+  http_store_options options{.addresses = {peer.address()},
+                             .era_header = "Store-Era"};
+  platform_store store(options, clock, counters);
+  const std::string object =
+      R"({"metadata":{"name":"a","rev":412},"spec":{},"status":null})";
+  const auto listing =
+      R"({"items":[)" + object + R"(],"hasMore":false,"asOf":412})";
+  const std::vector<store_case> cases{
+      {"get", [&] { return CodeOf(store.Get("k/a")); }, object},
+      {"listing", [&] { return CodeOf(store.List("k/")); }, listing},
+      {"watch",
+       [&] {
+         return CodeOf(store.Watch("k/", {411, 7}, 10ms));
+       },
+       R"({"events":[{"object":)" + object +
+           R"(,"deleted":false}],"asOf":412})"},
+      {"write", [&] { return CodeOf(store.Put("k/a", R"({"spec":{}})", 0)); },
+       object, true},
+      {"delete", [&] { return CodeOf(store.Delete("k/a", 412)); }, "", true}};
+  for (const auto& one : cases)
+    CheckCuts(peer, one);
+}
+
+// Guards against the same on the product's own path.
+TEST_CASE("answers of the own path's store that are cut count as none") {
+  cut_store peer;
+  const system_clock_source clock;
+  metrics counters;
+  http_object_store store({.addresses = {peer.address()}}, clock, counters);
+  const std::vector<store_case> cases{
+      {"get", [&] { return CodeOf(store.Get("a")); }, "value"},
+      {"listing", [&] { return CodeOf(store.List("a")); }, R"({"objects":[]})"},
+      {"watch",
+       [&] {
+         return CodeOf(store.Watch("a", {411, 7}, 10ms));
+       },
+       R"({"cursor":412,"era":7,"reset":false,"events":[]})"},
+      {"write", [&] { return CodeOf(store.Put("a", "1", 0)); },
+       R"({"version":412})", true},
+      {"delete", [&] { return CodeOf(store.Delete("a", 412)); }, "", true}};
+  for (const auto& one : cases)
+    CheckCuts(peer, one);
+}
