--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -17,6 +17,9 @@
 namespace {
 
 // 10 Mbit/s.
+// Time after the end of a watch until its call is given up, as on the users'
+// platform.
+constexpr milliseconds kWatchMargin{700};
 constexpr std::int64_t kLinkBytesPerSecond = 1'250'000;
 
 }  // namespace
@@ -78,7 +81,18 @@
                                           milliseconds wait) {
   if (turned_away)
     return MakeError(result_code::kStoreUnreachable, "turned away");
-  return store_.Watch(prefix, cursor, wait);
+  // A call that has met a silent store waits for its whole time, also when the
+  // store is back meanwhile.
+  if (store_.IsSilent()) {
+    std::this_thread::sleep_for(wait + kWatchMargin);
+    return MakeError(result_code::kStoreUnreachable, "silent");
+  }
+  auto batch = store_.Watch(prefix, cursor, wait);
+  if (store_.IsSilent()) {
+    std::this_thread::sleep_for(kWatchMargin);
+    return MakeError(result_code::kStoreUnreachable, "silent");
+  }
+  return batch;
 }
 
 void followed_entry::OnObjects(const object_mirror::object_map& objects) {
--- a/tests/traffic/region_store.h
+++ b/tests/traffic/region_store.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_TRAFFIC_REGION_STORE_H_
 #define TESTS_TRAFFIC_REGION_STORE_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -24,6 +25,10 @@
   watch_batch Watch(const std::string& prefix,
                     store_cursor cursor,
                     milliseconds wait);
+  // While the store is silent, calls get no answer: those under way and those
+  // that begin.
+  void SetSilent(bool silent) { silent_ = silent; }
+  bool IsSilent() const { return silent_; }
 
  private:
   std::mutex lock_;
@@ -31,6 +36,7 @@
   std::map<std::string, store_object> objects_;
   std::vector<store_event> log_;
   std::uint64_t revision_ = 1;
+  std::atomic<bool> silent_ = false;
 };
 
 }  // namespace samphire
