Let the time of a request begin when its connection was accepted

Cause: the clock of a request began when a thread had read its head. On a busy processor a new connection waits in the server's own queue until its thread runs. What the kernel's queue held before is not seen.

Deadline, time-out, retries and what is offered to targets all counted from the late clock, and targets worked for callers who had left.

Change: the acceptance of each connection is noted, and is the arrival of its first request if that had come when the thread began; a metric shows the wait.

--- a/src/libsamphire/front/connection_limiter.cc
+++ b/src/libsamphire/front/connection_limiter.cc
@@ -15,14 +15,16 @@
 }  // namespace
 
 connection_limiter::connection_limiter(std::uint32_t limit,
-                                       samphire::metrics& counters)
-    : limit_(limit), metrics_(counters) {}
+                                       samphire::metrics& counters,
+                                       accept_times& accepted)
+    : limit_(limit), metrics_(counters), accepted_(accepted) {}
 
 // When all threads are busy, another connection would wait in the queue behind
 // long downloads, and be closed without a response once the queue is full. A
 // caller can't distinguish that from a crash and retries immediately. A result
 // code and a retry time make it use another entry instead.
 bool connection_limiter::accept(const Poco::Net::StreamSocket& socket) {
+  accepted_.OnAccepted(socket);
   const auto* server = server_.load();
   if (server == nullptr ||
       server->currentConnections() < static_cast<int>(limit_))
--- a/src/libsamphire/front/connection_limiter.h
+++ b/src/libsamphire/front/connection_limiter.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 
+#include "front/accept_times.h"
 #include "metrics/metrics.h"
 
 namespace samphire {
@@ -15,7 +16,11 @@
 // server's accepting thread.
 class connection_limiter final : public Poco::Net::TCPServerConnectionFilter {
  public:
-  connection_limiter(std::uint32_t limit, samphire::metrics& counters);
+  // `accepted` is told of each connection that is accepted, and must outlive
+  // this object.
+  connection_limiter(std::uint32_t limit,
+                     samphire::metrics& counters,
+                     accept_times& accepted);
 
   // Returns false after refusing the connection, which blocks for a bounded
   // time, see RefuseConnection(); no other connection is accepted meanwhile.
@@ -28,6 +33,7 @@
  private:
   std::uint32_t limit_;
   samphire::metrics& metrics_;
+  accept_times& accepted_;
   std::atomic<const Poco::Net::TCPServer*> server_{nullptr};
 };
 
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -47,7 +47,9 @@
       params_(std::move(params)),
       factory_(std::move(factory)),
       shared_state_(shared_state),
-      metrics_(counters) {}
+      metrics_(counters),
+      accepted_(shared_state.accepted.Take(socket)),
+      arrived_(accepted_) {}
 
 // POCO's own connection class responds to bytes that it can't parse with a bare
 // 400 and has no time limit for a complete head. This loop differs from it only
@@ -66,9 +68,30 @@
   }
 }
 
+// On a busy processor, a connection waits for its thread for up to seconds,
+// with the request of its caller, who had no reason to wait before sending it.
+// A clock that began when the thread looks would keep that caller waiting
+// beyond its time and let targets work for nobody. On a connection that was
+// read from before, the wait between two requests is the caller's own.
+void front_connection::NoteArrival(Poco::Net::StreamSocket& socket) {
+  const auto now = std::chrono::steady_clock::now();
+  const bool is_first = std::exchange(is_new_, false);
+  const bool has_come = is_first && socket.poll(Poco::Timespan(0),
+                                                Poco::Net::Socket::SELECT_READ);
+  arrived_ = has_come ? accepted_ : now;
+  if (has_come) {
+    metrics_.Observe("request_wait_for_thread_seconds", "",
+                     std::chrono::duration_cast<duration>(now - accepted_));
+  }
+}
+
 bool front_connection::ServeOne(front_session& session) {
+  NoteArrival(session.socket());
   if (!session.HasBuffered()) {
+    const bool has_waited = arrived_ != accepted_;
     const auto wait_result = AwaitRequestHead(session.socket(), shared_state_);
+    if (has_waited)
+      arrived_ = std::chrono::steady_clock::now();
     if (wait_result == result_code::kCallerGone)
       return false;
     if (wait_result != result_code::kOk) {
@@ -105,7 +128,7 @@
     return connection_disposition::kClose;
   }
   Poco::Net::HTTPServerResponseImpl response(session);
-  front_request request(response, session, params_.get());
+  front_request request(response, session, params_.get(), arrived_);
   response.setDate(Poco::Timestamp());
   response.setVersion(request.getVersion());
   response.setKeepAlive(request.getKeepAlive() &&
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -33,6 +33,8 @@
   // would be parsed as the next request.
   enum class connection_disposition { kKeepOpen, kClose, kUnreadBody };
 
+  // Notes when the next request came.
+  void NoteArrival(Poco::Net::StreamSocket& socket);
   // Waits for one request and handles it. Returns false when the connection is
   // to be closed.
   bool ServeOne(front_session& session);
@@ -45,6 +47,10 @@
   Poco::Net::HTTPRequestHandlerFactory::Ptr factory_;
   front_shared_state& shared_state_;
   samphire::metrics& metrics_;
+  const time_point accepted_;
+  // When the request that is being served came, as far as that can be told.
+  time_point arrived_;
+  bool is_new_ = true;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_request.cc
+++ b/src/libsamphire/front/front_request.cc
@@ -45,8 +45,11 @@
 
 front_request::front_request(Poco::Net::HTTPServerResponseImpl& response,
                              front_session& session,
-                             Poco::Net::HTTPServerParams* params)
-    : HTTPServerRequestImpl(response, session, params), session_(session) {}
+                             Poco::Net::HTTPServerParams* params,
+                             time_point arrived)
+    : HTTPServerRequestImpl(response, session, params),
+      session_(session),
+      arrived_(arrived) {}
 
 result<request_body*> front_request::OpenBody(std::uint64_t limit,
                                               time_point deadline) {
--- a/src/libsamphire/front/front_request.h
+++ b/src/libsamphire/front/front_request.h
@@ -21,7 +21,12 @@
  public:
   front_request(Poco::Net::HTTPServerResponseImpl& response,
                 front_session& session,
-                Poco::Net::HTTPServerParams* params);
+                Poco::Net::HTTPServerParams* params,
+                time_point arrived);
+
+  // When the request came: with its connection, if that had to wait for a
+  // thread, else when its head was complete.
+  time_point arrived() const { return arrived_; }
 
   // Returns the body for reading as it arrives; it is valid for as long as the
   // request. Allows at most `limit` bytes, all of which must arrive before
@@ -39,6 +44,7 @@
 
  private:
   front_session& session_;
+  const time_point arrived_;
   std::optional<request_body> body_;
 };
 
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -84,8 +84,8 @@
   server_ = std::make_unique<Poco::Net::TCPServer>(
       new connection_factory(std::move(factory), shared_state_, counters),
       threads_, socket_, params);
-  Poco::AutoPtr<connection_limiter> limit(
-      new connection_limiter(limits.max_connections, counters));
+  Poco::AutoPtr<connection_limiter> limit(new connection_limiter(
+      limits.max_connections, counters, shared_state_.accepted));
   limit->set_server(server_.get());
   server_->setConnectionFilter(limit);
 }
--- a/src/libsamphire/front/front_shared_state.h
+++ b/src/libsamphire/front/front_shared_state.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 
+#include "front/accept_times.h"
 #include "front/front_limits.h"
 #include "front/front_phase.h"
 
@@ -29,6 +30,7 @@
   std::atomic<front_phase> phase = front_phase::kOpen;
   // Number of requests being handled.
   std::atomic<int> active_requests = 0;
+  accept_times accepted;
   // Carries no data. Its write end is closed when the port enters kRefusing,
   // which wakes every connection that waits for its next request.
   Poco::Pipe refusing_pipe;
