--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -129,7 +129,7 @@
 
 result<traffic_request> relay_handler::Read(front_request& request) const {
   traffic_request read;
-  read.arrived = request.arrived();
+  read.arrived = context_.clock.now();
   read.manifest = context_.state.manifest();
   if (!read.manifest)
     return MakeError(result_code::kNoPathToTarget);
@@ -142,8 +142,6 @@
   read.deadline =
       read.arrived + milliseconds(NumberIn(request, context_.headers.deadline,
                                            kDefaultDeadlineMs));
-  if (context_.clock.now() >= read.deadline)
-    return MakeError(result_code::kQueueExpired);
   const auto signed_bytes = NumberIn(request, kHeaderRelaySigned, 0);
   if (signed_bytes > kMaxSignedBytes + kChunkBytes)
     return MakeError(result_code::kPeerMalformed);
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -106,7 +106,7 @@
 result<traffic_request> ReadTrafficRequest(front_request& request,
                                            const traffic_context& context) {
   traffic_request read;
-  read.arrived = request.arrived();
+  read.arrived = context.clock.now();
   read.manifest = context.state.manifest();
   if (!read.manifest || !context.state.targets())
     return MakeError(result_code::kNoConfiguration);
@@ -124,8 +124,6 @@
       read.arrived +
       std::min(std::max(milliseconds{1}, caller_timeout - kResponseMargin),
                read.route->timeout);
-  if (context.clock.now() >= read.deadline)
-    return MakeError(result_code::kQueueExpired, read.route->name);
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
   read.fingerprint = FingerprintOf(
       request.getHost(), read.team == nullptr ? "" : read.team->name,
