Say why a call of the store failed, and read one header of a head in one place

The log of a lost store had lost its reason with the change of the client; the wait of a new connection is told by one function; HeaderOf() stood twice in the tests' stand-ins.

--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -48,8 +48,7 @@
       factory_(std::move(factory)),
       shared_state_(shared_state),
       metrics_(counters),
-      accepted_(shared_state.accepted.Take(socket)),
-      arrived_(accepted_) {}
+      accepted_(shared_state.accepted.Take(socket)) {}
 
 // POCO's own connection class responds to bytes that it can't parse with a bare
 // 400 and has no time limit for a complete head. This loop differs from it only
@@ -70,28 +69,20 @@
 
 // On a busy processor, a connection waits for its thread for up to seconds,
 // with the request of its caller, who had no reason to wait before sending it.
-// A clock that began when the thread looks would keep that caller waiting
-// beyond its time and let targets work for nobody. On a connection that was
-// read from before, the wait between two requests is the caller's own.
-void front_connection::NoteArrival(Poco::Net::StreamSocket& socket) {
-  const auto now = std::chrono::steady_clock::now();
-  const bool is_first = std::exchange(is_new_, false);
-  const bool has_come = is_first && socket.poll(Poco::Timespan(0),
-                                                Poco::Net::Socket::SELECT_READ);
-  arrived_ = has_come ? accepted_ : now;
-  if (has_come) {
-    metrics_.Observe("request_wait_for_thread_seconds", "",
-                     std::chrono::duration_cast<duration>(now - accepted_));
-  }
+bool front_connection::HasWaitedWithRequest(
+    const Poco::Net::StreamSocket& socket) {
+  if (!std::exchange(is_new_, false) ||
+      !socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+    return false;
+  metrics_.Observe("request_wait_for_thread_seconds", "",
+                   std::chrono::steady_clock::now() - accepted_);
+  return true;
 }
 
 bool front_connection::ServeOne(front_session& session) {
-  NoteArrival(session.socket());
+  const bool has_waited = HasWaitedWithRequest(session.socket());
   if (!session.HasBuffered()) {
-    const bool has_waited = arrived_ != accepted_;
     const auto wait_result = AwaitRequestHead(session.socket(), shared_state_);
-    if (has_waited)
-      arrived_ = std::chrono::steady_clock::now();
     if (wait_result == result_code::kCallerGone)
       return false;
     if (wait_result != result_code::kOk) {
@@ -99,6 +90,7 @@
       return false;
     }
   }
+  arrived_ = has_waited ? accepted_ : std::chrono::steady_clock::now();
   try {
     const auto outcome = Handle(session);
     // Handle() has returned, so the response has been flushed to the socket.
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -33,8 +33,9 @@
   // would be parsed as the next request.
   enum class connection_disposition { kKeepOpen, kClose, kUnreadBody };
 
-  // Notes when the next request came.
-  void NoteArrival(Poco::Net::StreamSocket& socket);
+  // Whether the first request had come before this thread ran. Returns false
+  // from the second call on.
+  bool HasWaitedWithRequest(const Poco::Net::StreamSocket& socket);
   // Waits for one request and handles it. Returns false when the connection is
   // to be closed.
   bool ServeOne(front_session& session);
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -107,7 +107,9 @@
                      address + ": " + connected.error().detail);
   auto reply = Exchange(exchange, call);
   if (!reply)
-    return IncompleteResponseError(call, reply.error().detail);
+    return IncompleteResponseError(
+        call, fmt::format("{}: {} {}", address, NameOf(reply.error().code),
+                          reply.error().detail));
   return reply;
 }
 
--- a/tests/platform_adapter/scripted_target.cc
+++ b/tests/platform_adapter/scripted_target.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <utility>
 
+#include "platform_adapter/wire_text.h"
+
 namespace samphire::platform {
 
 namespace {
@@ -22,14 +24,6 @@
   return text;
 }
 
-std::string HeaderOf(const std::string& head, const std::string& name) {
-  const auto at = head.find("\r\n" + name + ": ");
-  if (at == std::string::npos)
-    return {};
-  const auto begin = at + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 void SendAll(Poco::Net::StreamSocket& socket, const std::string& bytes) {
   for (std::size_t at = 0; at < bytes.size();)
     at += static_cast<std::size_t>(socket.sendBytes(
--- a/tests/platform_adapter/upload_call.cc
+++ b/tests/platform_adapter/upload_call.cc
@@ -10,6 +10,8 @@
 #include <array>
 #include <string_view>
 
+#include "platform_adapter/wire_text.h"
+
 namespace samphire::platform {
 
 namespace {
@@ -60,14 +62,6 @@
   return head;
 }
 
-std::string HeaderOf(const std::string& head, const std::string& name) {
-  const auto at = head.find("\r\n" + name + ": ");
-  if (at == std::string::npos)
-    return {};
-  const auto begin = at + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 }  // namespace
 
 std::string BodyOf(const upload_call& call) {
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -64,6 +64,14 @@
   return manifest;
 }
 
+std::string HeaderOf(const std::string& head, const std::string& name) {
+  const auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos)
+    return {};
+  const auto begin = at + name.size() + 4;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
 std::string Replaced(std::string text,
                      const std::string& what,
                      const std::string& by) {
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -25,6 +25,9 @@
 std::string TeamManifestObject(const std::string& version,
                                bool anonymous_reads = false);
 
+// Returns the value of a header of a message head; empty if there is none.
+std::string HeaderOf(const std::string& head, const std::string& name);
+
 // Returns `text` with the first occurrence of `what` replaced by `by`. Throws
 // std::invalid_argument if there is none.
 std::string Replaced(std::string text,
