--- a/tests/platform_adapter/broken_upload_test.cc
+++ b/tests/platform_adapter/broken_upload_test.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <functional>
 #include <mutex>
 #include <sstream>
 #include <string>
@@ -51,9 +52,12 @@
     "0 5\r\n\r\n",
 };
 
-void CutIf(upload_fleet& fleet, bool relayed) {
-  if (relayed)
-    fleet.CutLinks(link_cut::kRefuseNew);
+// Calls `check` while the entry reaches targets itself, and again while others
+// pass its requests on.
+void BothWays(upload_fleet& fleet, const std::function<void()>& check) {
+  check();
+  fleet.CutLinks(link_cut::kRefuseNew);
+  check();
 }
 
 int CutBodies(const upload_fleet& fleet) {
@@ -133,24 +137,24 @@
 // Guards against bytes of a caller that are no chunk and are taken for the end
 // of its body: the upload would run cut short.
 TEST_CASE("an upload with a malformed chunk does not run") {
-  const bool relayed = GENERATE(false, true);
   upload_fleet fleet;
-  CutIf(fleet, relayed);
-  for (const int at : kPlaces) {
-    for (const auto& chunk : kBrokenChunks) {
-      for (const bool waits : {false, true}) {
-        const bool ends = chunk.ends_with("\r\n\r\n") || !waits;
-        if (!ends)
-          continue;
-        INFO("'" << chunk << "' after " << at << " bytes");
-        CHECK(fleet.Upload({.framing = upload_framing::kChunks,
-                            .bytes = kLong,
-                            .leaves_after = at,
-                            .breaks_off_with = chunk,
-                            .waits = waits}) != upload_fleet::kOk);
+  BothWays(fleet, [&] {
+    for (const int at : kPlaces) {
+      for (const auto& chunk : kBrokenChunks) {
+        for (const bool waits : {false, true}) {
+          const bool ends = chunk.ends_with("\r\n\r\n") || !waits;
+          if (!ends)
+            continue;
+          INFO("'" << chunk << "' after " << at << " bytes");
+          CHECK(fleet.Upload({.framing = upload_framing::kChunks,
+                              .bytes = kLong,
+                              .leaves_after = at,
+                              .breaks_off_with = chunk,
+                              .waits = waits}) != upload_fleet::kOk);
+        }
       }
     }
-  }
+  });
   CHECK(CutBodies(fleet) > 0);
   fleet.CheckRuns();
 }
@@ -158,13 +162,13 @@
 // Guards against an upload that is longer than allowed and runs with the part
 // that is allowed.
 TEST_CASE("an upload that is too long does not run") {
-  const bool relayed = GENERATE(false, true);
   upload_fleet fleet;
-  CutIf(fleet, relayed);
-  for (const auto framing : kUploadFramings) {
-    const int status = fleet.Upload({.framing = framing, .bytes = kTooLong});
-    CHECK((status == kTooLongStatus || status == 0));
-  }
+  BothWays(fleet, [&] {
+    for (const auto framing : kUploadFramings) {
+      const int status = fleet.Upload({.framing = framing, .bytes = kTooLong});
+      CHECK((status == kTooLongStatus || status == 0));
+    }
+  });
   fleet.CheckRuns();
   CHECK(fleet.first.runs().size() + fleet.second.runs().size() > 0);
 }
@@ -172,18 +176,18 @@
 // Guards against an upload whose time is over while the caller sends it, and
 // that ends there for its target.
 TEST_CASE("an upload that does not arrive in its time does not run") {
-  const bool relayed = GENERATE(false, true);
   upload_fleet fleet;
-  CutIf(fleet, relayed);
-  for (const auto framing : kUploadFramings) {
-    for (const int at : {0, 131'072, 200'000}) {
-      CHECK(fleet.Upload({.framing = framing,
-                          .bytes = kLong,
-                          .leaves_after = at,
-                          .waits = true,
-                          .deadline_ms = 500}) != upload_fleet::kOk);
+  BothWays(fleet, [&] {
+    for (const auto framing : kUploadFramings) {
+      for (const int at : {0, 131'072, 200'000}) {
+        CHECK(fleet.Upload({.framing = framing,
+                            .bytes = kLong,
+                            .leaves_after = at,
+                            .waits = true,
+                            .deadline_ms = 500}) != upload_fleet::kOk);
+      }
     }
-  }
+  });
   CHECK(CutBodies(fleet) > 0);
   fleet.CheckRuns();
 }
@@ -193,7 +197,8 @@
 TEST_CASE("an upload whose entry is stopped does not run cut short") {
   const bool relayed = GENERATE(false, true);
   upload_fleet fleet;
-  CutIf(fleet, relayed);
+  if (relayed)
+    fleet.CutLinks(link_cut::kRefuseNew);
   std::vector<std::jthread> callers;
   std::vector<upload_call> calls;
   for (const auto framing : kUploadFramings) {
@@ -229,25 +234,25 @@
 // Guards against an entry that asks for the rest of a body when nobody waits
 // any more, and takes the start that it has for the whole.
 TEST_CASE("an upload whose rest is never given does not run") {
-  const bool until_asked = GENERATE(false, true);
   upload_fleet fleet;
-  for (const auto framing : kUploadFramings) {
-    for (const std::size_t start : {std::size_t{0}, std::size_t{131'072}}) {
-      for (const auto* target : {&fleet.first, &fleet.second}) {
-        upload_call call{.id = "u" + std::to_string(++fleet.uploads),
-                         .framing = framing,
-                         .bytes = kLong};
-        if (start == 0 && framing == upload_framing::kChunks)
-          continue;  // An empty chunk would be the last one.
-        fleet.sent[call.id] = call;
-        asking_entry asking(fleet.settings[1], *target);
-        asking.Offer(call, start, until_asked);
+  for (const bool until_asked : {false, true}) {
+    for (const auto framing : kUploadFramings) {
+      for (const std::size_t start : {std::size_t{0}, std::size_t{131'072}}) {
+        for (const auto* target : {&fleet.first, &fleet.second}) {
+          upload_call call{.id = "u" + std::to_string(++fleet.uploads),
+                           .framing = framing,
+                           .bytes = kLong};
+          if (start == 0 && framing == upload_framing::kChunks)
+            continue;  // An empty chunk would be the last one.
+          fleet.sent[call.id] = call;
+          asking_entry asking(fleet.settings[1], *target);
+          asking.Offer(call, start, until_asked);
+        }
       }
     }
   }
   // One that has left before is not asked.
-  if (until_asked)
-    CHECK(Eventually([&] { return CutBodies(fleet) > 0; }));
+  CHECK(Eventually([&] { return CutBodies(fleet) > 0; }));
   std::this_thread::sleep_for(300ms);
   fleet.CheckRuns();
 }
