Ask in one place whether a head declares a body

The check of responses without content and that of the kept connection each looked at the length headers in their own way; both call DeclaresBody() now. Of several lengths the second looked at the first alone; a connection whose 304 names two, one of them not 0, is no longer kept.

--- a/src/libsamphire/proxy/body_framing.cc
+++ b/src/libsamphire/proxy/body_framing.cc
@@ -97,15 +97,19 @@
          status == HTTPResponse::HTTP_NOT_MODIFIED;
 }
 
+bool DeclaresBody(const HTTPResponse& head) {
+  const auto lengths = ValuesOf(head, HTTPMessage::CONTENT_LENGTH);
+  return head.has(HTTPMessage::TRANSFER_ENCODING) ||
+         std::ranges::any_of(
+             lengths, [](const auto& length) { return length != kNoBytes; });
+}
+
 result<body_framing> ParseResponseFraming(const HTTPResponse& head,
                                           bool is_response_to_head) {
   const auto codings = ValuesOf(head, HTTPMessage::TRANSFER_ENCODING);
   const auto lengths = ValuesOf(head, HTTPMessage::CONTENT_LENGTH);
   // The status of a response with a body may have been spoilt into this one.
-  if (head.getStatus() == HTTPResponse::HTTP_NO_CONTENT &&
-      (!codings.empty() || std::ranges::any_of(lengths, [](const auto& length) {
-        return length != kNoBytes;
-      })))
+  if (head.getStatus() == HTTPResponse::HTTP_NO_CONTENT && DeclaresBody(head))
     return Unreliable("response without content declares a body");
   if (is_response_to_head || HasNoBody(head))
     return body_framing(no_body{});
--- a/src/libsamphire/proxy/body_framing.h
+++ b/src/libsamphire/proxy/body_framing.h
@@ -26,6 +26,8 @@
 
 // Whether responses with the status of `head` never have a body.
 bool HasNoBody(const Poco::Net::HTTPResponse& head);
+// Whether the headers announce a body that is not empty, whatever the status.
+bool DeclaresBody(const Poco::Net::HTTPResponse& head);
 
 // Determines the framing of a response's body from its head.
 // `is_response_to_head` means that the request's method was HEAD. Fails with
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -52,12 +52,6 @@
          head.getStatus() != Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS;
 }
 
-// Whether a body may follow all the same, as the status may be spoilt.
-bool DeclaresBody(const Poco::Net::HTTPResponse& head) {
-  return head.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING) ||
-         head.get(Poco::Net::HTTPMessage::CONTENT_LENGTH, "0") != "0";
-}
-
 void SendAll(Poco::Net::StreamSocket& socket, std::string_view bytes) {
   while (!bytes.empty()) {
     const int sent =
