Divide a route by the place of its keys, not by what was sent before

Callers saw a part of a split route get all of its requests for minutes after its weights were turned. The division kept a window of 100 requests of one entry over a change of weights, so that what was sent by the old weights was held against the new ones; with 90 entries that is 9,000 requests. Besides, each entry began with the key's own part, so that a fleet of many entries followed the hash of a few popular keys.

A request now gets a place on the line of the entry's recent keys, evenly distributed whatever the demand is, from the first request on, and the parts divide that line by their weights. Nothing in it depends on former weights.

What each part got is logged when weights are replaced (split-replaced) and shown as metrics meanwhile. Splits of routes without requests are forgotten; unsplit routes keep none. A metric whose name a replacement had spoiled is attempts_total again.

--- a/src/libsamphire/routing/weighted_split.cc
+++ b/src/libsamphire/routing/weighted_split.cc
@@ -1,69 +1,88 @@
 #include "routing/weighted_split.h"
 
+#include <algorithm>
+#include <cmath>
 #include <numeric>
+#include <random>
 
 namespace samphire {
 
 namespace {
 
-// The share of a part may exceed its weight by this much before a request is
-// sent to another part than its key's. Operators accept a deviation of 0.1 from
-// a weight; less than half of it is used here, which leaves a margin for the
-// sums over several entries.
-constexpr double kMaxDrift = 0.03;
-// The number of requests over which shares are measured. At tens of requests
-// per second, these are some seconds: few enough to follow a change of weights.
-constexpr double kWindowRequests = 100;
+// The share that a part gets in addition for each request that it lacks. Larger
+// values keep a single entry nearer to the weights and move more keys.
+constexpr double kCorrection = 0.05;
+// The fractions of its multiples are spread evenly over any number of requests.
+constexpr double kGoldenRatio = 0.6180339887498949;
 
-double Total(const std::vector<route_part>& parts) {
-  return std::accumulate(
-      parts.begin(), parts.end(), 0.0,
-      [](double sum, const route_part& part) { return sum + part.weight; });
-}
+}  // namespace
 
-// Maps the key's hash to an offset in the concatenation of all weights, and
-// returns the part that contains it.
-std::size_t PartOfKey(const std::vector<route_part>& parts,
-                      std::uint64_t key_hash,
-                      double total) {
-  constexpr double kHashCount = 18446744073709551616.0;
-  double offset = static_cast<double>(key_hash) / kHashCount * total;
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    offset -= parts[i].weight;
-    if (offset < 0)
-      return i;
-  }
-  return 0;
+weighted_split::weighted_split(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  offset_ = std::uniform_real_distribution<double>()(random);
 }
 
-}  // namespace
-
 // The hash alone can't divide a handful of popular keys in a proportion of,
-// say, 90 to 10. The key's own part is used as long as that keeps each share
-// near its weight; otherwise the part whose share is furthest below its weight.
+// say, 90 to 10, and an entry that gets one in some hundred requests can't
+// correct it in time. The parts therefore divide the line of keys, on which a
+// key takes as much space as it has requests: a popular key is divided as far
+// as it has to, and most keys are not. The line doesn't depend on the weights;
+// what was sent by earlier weights says nothing about the present ones and is
+// forgotten with them.
 std::size_t weighted_split::Choose(const std::vector<route_part>& parts,
-                                   std::uint64_t key_hash) {
+                                   std::uint64_t key_hash,
+                                   time_point now) {
   if (parts.size() < 2)
     return 0;
-  counts_.resize(parts.size());
-  const double total = Total(parts);
-  const double sent = std::accumulate(counts_.begin(), counts_.end(), 1.0);
-  std::size_t chosen = PartOfKey(parts, key_hash, total);
-  const auto excess = [&](std::size_t i) {
-    return (counts_[i] + 1) / sent - parts[i].weight / total;
-  };
-  if (excess(chosen) > kMaxDrift + 1 / sent) {
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-      if (excess(i) < excess(chosen))
-        chosen = i;
-    }
-  }
-  counts_[chosen] += 1;
-  if (sent > kWindowRequests) {
-    for (auto& count : counts_)
-      count *= 1 - 1 / kWindowRequests;
+  if (IsChangedBy(parts))
+    StartCounting(parts);
+  offset_ = std::fmod(offset_ + kGoldenRatio, 1.0);
+  const double place = sample_.Add(key_hash, offset_, now);
+  const auto shares = CorrectedShares();
+  double end = 0;
+  std::size_t chosen = 0;
+  for (std::size_t i = 0; i < shares.size(); ++i) {
+    if (shares[i] <= 0)
+      continue;
+    chosen = i;
+    end += shares[i];
+    if (place < end)
+      break;
   }
+  ++counts_[chosen].requests;
+  for (std::size_t i = 0; i < lacks_.size(); ++i)
+    lacks_[i] += parts[i].weight / total_weight_ - (i == chosen ? 1 : 0);
   return chosen;
 }
 
+bool weighted_split::IsChangedBy(const std::vector<route_part>& parts) const {
+  return !std::ranges::equal(
+      parts, counts_, [](const route_part& part, const part_count& counted) {
+        return part.service == counted.part.service &&
+               part.weight == counted.part.weight;
+      });
+}
+
+void weighted_split::StartCounting(const std::vector<route_part>& parts) {
+  counts_.clear();
+  total_weight_ = 0;
+  for (const auto& part : parts) {
+    counts_.push_back({part, 0});
+    total_weight_ += part.weight;
+  }
+  lacks_.assign(parts.size(), 0);
+}
+
+std::vector<double> weighted_split::CorrectedShares() const {
+  std::vector<double> shares;
+  for (std::size_t i = 0; i < counts_.size(); ++i) {
+    const double share = counts_[i].part.weight / total_weight_;
+    shares.push_back(std::max(0.0, share + kCorrection * lacks_[i]));
+  }
+  const double total = std::accumulate(shares.begin(), shares.end(), 0.0);
+  for (auto& share : shares)
+    share /= total;
+  return shares;
+}
+
 }  // namespace samphire
--- a/src/libsamphire/traffic/service_shards.h
+++ b/src/libsamphire/traffic/service_shards.h
@@ -1,7 +1,10 @@
 #ifndef TRAFFIC_SERVICE_SHARDS_H_
 #define TRAFFIC_SERVICE_SHARDS_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -48,15 +51,37 @@
           services.try_emplace(service, disabled_mechanisms_).first->second);
     });
   }
-  // Calls `use` with the split of the route, likewise.
+  // Calls `use` with the split of the route, likewise. Forgets the splits of
+  // other routes that have had no requests for a while: they may be gone.
   template <typename F>
-  auto WithSplit(const std::string& route, F use) {
-    return splits_.With(route,
-                        [&](auto& splits) { return use(splits[route]); });
+  auto WithSplit(const std::string& route, time_point now, F use) {
+    return splits_.With(route, [&](auto& splits) {
+      if (!splits.contains(route)) {
+        std::erase_if(splits, [now](const auto& each) {
+          return each.second.IsOutdated(now);
+        });
+      }
+      return use(splits.try_emplace(route, SplitSeed(route)).first->second);
+    });
+  }
+  // Calls `visit` with the name and the split of each route.
+  template <typename F>
+  void ForEachSplit(F visit) {
+    splits_.ForEach([&](auto& splits) {
+      for (const auto& [route, split] : splits)
+        visit(route, split);
+    });
   }
 
  private:
+  std::uint64_t SplitSeed(const std::string& route) const {
+    return split_seed_ ^ std::hash<std::string>{}(route);
+  }
+
   const mechanism_set disabled_mechanisms_;
+  // Differs between entries, and between runs of one.
+  const std::uint64_t split_seed_ =
+      (std::uint64_t{std::random_device{}()} << 32U) | std::random_device{}();
   sharded<std::map<std::string, service_shard>> services_;
   sharded<std::map<std::string, weighted_split>> splits_;
 };
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "gateway/response_relay.h"
 #include "routing/arrival_cause.h"
+#include "traffic/split_report.h"
 #include "traffic/target_sender.h"
 
 namespace samphire {
@@ -86,9 +87,15 @@
 
 std::string traffic_dispatcher::ChooseService() const {
   const auto& route = *request_.route;
-  const auto part = context_.shards.WithSplit(route.name, [&](auto& split) {
-    return split.Choose(route.parts, request_.key_hash);
-  });
+  if (route.parts.size() < 2)
+    return route.parts.front().service;
+  const auto now = context_.clock.now();
+  const auto part =
+      context_.shards.WithSplit(route.name, now, [&](weighted_split& split) {
+        if (split.IsChangedBy(route.parts))
+          LogReplacedSplit(route.name, request_.manifest->version(), split);
+        return split.Choose(route.parts, request_.key_hash, now);
+      });
   return route.parts[part].service;
 }
 
@@ -223,7 +230,7 @@
                                           const target_exchange_end& end) {
   const auto pause = placer_.OnAttemptEnd(placed, EvidenceOf(placed, end));
   context_.counters.Count(
-      "progress_.attemptstotal",
+      "attempts_total",
       fmt::format("result=\"{}\"",
                   NameOf(kAttemptResultNames, end.attempt.result)));
   log_.Attempt(placed, end, progress_);
--- a/tests/routing/weighted_split_test.cc
+++ b/tests/routing/weighted_split_test.cc
@@ -8,6 +8,12 @@
 
 using namespace samphire;
 
+namespace {
+
+const time_point kNow{std::chrono::hours{1}};
+
+}  // namespace
+
 // Guards against a division by key alone when one key has far more requests
 // than the others. Its part would get far more than its weight: an operator who
 // sends one in ten requests to a new service would see half of the traffic
@@ -20,7 +26,8 @@
   constexpr int kRequests = 4000;
   for (int i = 0; i < kRequests; ++i) {
     const auto key = random() % 2 == 0 ? 0 : random() % 24;
-    to_b += split.Choose(parts, KeyHash(std::to_string(key))) == 1 ? 1 : 0;
+    to_b +=
+        split.Choose(parts, KeyHash(std::to_string(key)), kNow) == 1 ? 1 : 0;
   }
   CHECK(std::abs(to_b / double{kRequests} - 0.1) < 0.04);
 }
@@ -34,7 +41,7 @@
   for (int i = 0; i < kRequests; ++i) {
     const auto hash = KeyHash(std::to_string(random() % 400));
     const std::size_t own = hash < (1ULL << 63) ? 0 : 1;
-    kept += split.Choose(parts, hash) == own ? 1 : 0;
+    kept += split.Choose(parts, hash, kNow) == own ? 1 : 0;
   }
   CHECK(kept > kRequests * 0.85);
 }
@@ -46,7 +53,8 @@
     const std::vector<route_part> parts = {{"a", 100 - weight}, {"b", weight}};
     int to_b = 0;
     for (int i = 0; i < requests; ++i)
-      to_b += split.Choose(parts, KeyHash(std::to_string(random() % 24))) == 1;
+      to_b += split.Choose(parts, KeyHash(std::to_string(random() % 24)),
+                           kNow) == 1;
     return to_b / double(requests);
   };
   run(10, 1000);
