--- /dev/null
+++ b/src/libsamphire/base/json_cursor.cc
@@ -0,0 +1,172 @@
+#include "base/json_cursor.h"
+
+#include <bitset>
+
+namespace samphire {
+
+namespace {
+
+// Maximum depth of nested objects and arrays in a skipped value.
+constexpr std::size_t kMaxDepth = 128;
+
+bool IsSpace(char c) {
+  return c == ' ' || c == '\n' || c == '\t' || c == '\r';
+}
+
+bool IsNumberCharacter(char c) {
+  return (c >= '0' && c <= '9') || c == '-' || c == '+' || c == '.' ||
+         c == 'e' || c == 'E';
+}
+
+}  // namespace
+
+std::size_t json_cursor::SkipSpace() {
+  while (position_ < text_.size() && IsSpace(text_[position_]))
+    ++position_;
+  return position_;
+}
+
+bool json_cursor::Fail() {
+  failed_ = true;
+  return false;
+}
+
+bool json_cursor::Take(char c) {
+  SkipSpace();
+  if (failed_ || position_ >= text_.size() || text_[position_] != c)
+    return false;
+  ++position_;
+  return true;
+}
+
+bool json_cursor::Enter(char bracket) {
+  if (!Take(bracket))
+    return Fail();
+  after_value_ = false;
+  return true;
+}
+
+bool json_cursor::ContinuesBefore(char end) {
+  if (Take(end)) {
+    after_value_ = true;
+    return false;
+  }
+  return !after_value_ || Take(',') || Fail();
+}
+
+std::optional<std::string_view> json_cursor::NextMember() {
+  if (!ContinuesBefore('}'))
+    return std::nullopt;
+  const auto start = SkipSpace() + 1;
+  if (!SkipString())
+    return std::nullopt;
+  const auto name = text_.substr(start, position_ - start - 1);
+  if (!Take(':')) {
+    Fail();
+    return std::nullopt;
+  }
+  return name;
+}
+
+bool json_cursor::NextElement() {
+  return ContinuesBefore(']');
+}
+
+std::string_view json_cursor::SkipValue() {
+  const auto start = SkipSpace();
+  if (failed_ || start >= text_.size()) {
+    Fail();
+    return {};
+  }
+  const char c = text_[start];
+  const bool skipped = c == '"'               ? SkipString()
+                       : c == '{' || c == '[' ? SkipContainer()
+                                              : SkipLiteral();
+  if (!skipped)
+    return {};
+  after_value_ = true;
+  return TextFrom(start);
+}
+
+bool json_cursor::SkipIfEqual(std::string_view text) {
+  SkipSpace();
+  if (failed_ || text.empty() || !text_.substr(position_).starts_with(text))
+    return false;
+  position_ += text.size();
+  after_value_ = true;
+  return true;
+}
+
+bool json_cursor::AtEnd() {
+  return !failed_ && SkipSpace() == text_.size();
+}
+
+bool json_cursor::SkipString() {
+  if (!Take('"'))
+    return Fail();
+  while (position_ < text_.size()) {
+    const char c = text_[position_++];
+    if (c == '"')
+      return true;
+    if (c == '\\')
+      ++position_;
+  }
+  return Fail();
+}
+
+bool json_cursor::SkipLiteral() {
+  for (const std::string_view literal : {"true", "false", "null"}) {
+    if (text_.substr(position_).starts_with(literal)) {
+      position_ += literal.size();
+      return true;
+    }
+  }
+  const auto start = position_;
+  while (position_ < text_.size() && IsNumberCharacter(text_[position_]))
+    ++position_;
+  return position_ > start || Fail();
+}
+
+// Commas and colons are not checked here: a value whose inside matters is
+// entered or parsed.
+bool json_cursor::SkipContainer() {
+  std::bitset<kMaxDepth> is_array;
+  std::size_t depth = 0;
+  while (position_ < text_.size()) {
+    const char c = text_[position_];
+    if (c == '"') {
+      if (!SkipString())
+        return false;
+      continue;
+    }
+    ++position_;
+    if (c == '{' || c == '[') {
+      if (depth == kMaxDepth)
+        return Fail();
+      is_array[depth++] = c == '[';
+    } else if (c == '}' || c == ']') {
+      if (is_array[depth - 1] != (c == ']'))
+        return Fail();
+      if (--depth == 0)
+        return true;
+    }
+  }
+  return Fail();
+}
+
+std::optional<std::string_view> FindJsonMember(std::string_view object,
+                                               std::string_view name) {
+  json_cursor cursor(object);
+  if (!cursor.EnterObject())
+    return std::nullopt;
+  while (const auto member = cursor.NextMember()) {
+    const auto value = cursor.SkipValue();
+    if (cursor.failed())
+      return std::nullopt;
+    if (*member == name)
+      return value;
+  }
+  return std::nullopt;
+}
+
+}  // namespace samphire
--- a/src/libsamphire/routing/traffic_manifest.cc
+++ b/src/libsamphire/routing/traffic_manifest.cc
@@ -6,18 +6,13 @@
 
 traffic_manifest::traffic_manifest(std::uint64_t version,
                                    traffic_limits limits,
-                                   std::vector<traffic_route> routes,
+                                   route_table routes,
                                    std::vector<traffic_service> services,
                                    std::vector<traffic_team> teams)
     : version_(version),
       limits_(limits),
-      route_count_(routes.size()),
+      routes_(std::move(routes)),
       teams_(std::move(teams)) {
-  for (auto& route : routes) {
-    auto& prefixes = hosts_[route.host];
-    const auto prefix = route.path_prefix;
-    prefixes.insert_or_assign(prefix, std::move(route));
-  }
   for (auto& service : services) {
     const auto name = service.name;
     services_.insert_or_assign(name, std::move(service));
@@ -30,25 +25,6 @@
   }
 }
 
-const traffic_route* traffic_manifest::FindRoute(std::string_view host,
-                                                 std::string_view path) const {
-  const auto found = hosts_.find(host.substr(0, host.find(':')));
-  if (found == hosts_.end())
-    return nullptr;
-  path = path.substr(0, path.find('?'));
-  // Prefixes end with a slash, so only positions of slashes in the path can be
-  // the end of a prefix.
-  for (auto end = path.rfind('/'); end != std::string_view::npos;
-       end = path.rfind('/', end - 1)) {
-    const auto route = found->second.find(path.substr(0, end + 1));
-    if (route != found->second.end())
-      return &route->second;
-    if (end == 0)
-      break;
-  }
-  return nullptr;
-}
-
 const traffic_service* traffic_manifest::FindService(
     std::string_view name) const {
   const auto found = services_.find(name);
--- a/src/libsamphire/routing/traffic_manifest.h
+++ b/src/libsamphire/routing/traffic_manifest.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "routing/route_table.h"
 #include "routing/traffic_limits.h"
-#include "routing/traffic_route.h"
 #include "routing/traffic_service.h"
 #include "routing/traffic_team.h"
 
@@ -26,18 +26,19 @@
  public:
   traffic_manifest(std::uint64_t version,
                    traffic_limits limits,
-                   std::vector<traffic_route> routes,
+                   route_table routes,
                    std::vector<traffic_service> services,
                    std::vector<traffic_team> teams = {});
-
   std::uint64_t version() const { return version_; }
   const traffic_limits& limits() const { return limits_; }
-  std::size_t route_count() const { return route_count_; }
+  const route_table& routes() const { return routes_; }
 
   // Returns the route of `host` with the longest prefix of `path`, or null if
   // there is none. Ignores a port in `host` and a query in `path`.
   const traffic_route* FindRoute(std::string_view host,
-                                 std::string_view path) const;
+                                 std::string_view path) const {
+    return routes_.Find(host, path);
+  }
   // Returns null if the manifest does not declare the service.
   const traffic_service* FindService(std::string_view name) const;
   // Returns whether requests need an API key, except on routes that allow
@@ -51,15 +52,9 @@
   const traffic_team* FindTeamByApiKey(const std::string& api_key) const;
 
  private:
-  // Routes of a host by prefix. A lookup tries the path's own prefixes from the
-  // longest on, so its time depends on the path and not on the number of
-  // routes.
-  using prefix_map = std::map<std::string, traffic_route, std::less<>>;
-
   std::uint64_t version_;
   traffic_limits limits_;
-  std::size_t route_count_;
-  std::map<std::string, prefix_map, std::less<>> hosts_;
+  route_table routes_;
   std::map<std::string, traffic_service, std::less<>> services_;
   std::vector<traffic_team> teams_;
   double total_team_rate_ = 0;
--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -54,6 +54,8 @@
   if (!batch)
     return OnFailure(batch.error());
   OnSuccess();
+  if (!batch.value().events.empty())
+    source_ = batch.value().source;
   bool changed = mirror_.Apply(batch.value(), clock_.now());
   changed |= mirror_.Expire(clock_.now());
   changed |= redelivery_requested_.exchange(false);
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -40,6 +40,8 @@
   // The position of the objects that are being passed to the handler. To be
   // called by the handler only.
   store_cursor position() const { return mirror_.position(); }
+  // Who told of the last change of these objects, likewise.
+  const std::string& source() const { return source_; }
 
  private:
   // Makes one watch and processes its result. Returns the delay before the next
@@ -58,6 +60,7 @@
   const std::string prefix_;
   const change_handler on_change_;
   object_mirror mirror_;
+  std::string source_;
   // Whether the handler has been called.
   bool delivered_once_ = false;
   std::atomic<bool> redelivery_requested_ = false;
--- a/src/libsamphire/store/object_relay.cc
+++ b/src/libsamphire/store/object_relay.cc
@@ -6,6 +6,9 @@
 #include <string_view>
 #include <utility>
 
+#include "base/log.h"
+#include "base/thread_processor_time.h"
+
 namespace samphire {
 
 namespace {
@@ -87,7 +90,7 @@
   if (!batch.cursor.IsSet())
     return;
   const auto latest = WithoutSuperseded(batch);
-  auto patches = confirmed ? MakePatches(prefix, latest) : patch_map{};
+  auto patches = confirmed ? MakePatches(prefix, latest) : PatchesOf(latest);
   std::lock_guard guard(lock_);
   auto& replica = replicas_[prefix];
   // The batch comes from a peer that is behind this replica.
@@ -118,7 +121,29 @@
     const auto& base = bases[event.key];
     if (base.version == event.version)
       continue;
-    patches[event.key] = MakePatch(base.version, base.value, *event.value);
+    const auto start = ThreadProcessorTime();
+    auto& patch = patches[event.key];
+    patch = MakePatch(base.version, base.value, *event.value);
+    const auto used = ThreadProcessorTime() - start;
+    Log(log_level::kInfo, "patch-made",
+        {{"key", event.key},
+         {"revision", event.version},
+         {"value_bytes", event.value->size()},
+         {"patch_bytes", patch.bytes.size()},
+         {"processor_ms",
+          std::chrono::duration<double, std::milli>(used).count()}});
+  }
+  return patches;
+}
+
+// An entry that follows others passes their patches on. If it logged the whole
+// values, they would take its memory, and what asks it while its watchers are
+// gone would get them one after the other.
+object_relay::patch_map object_relay::PatchesOf(const watch_batch& batch) {
+  patch_map patches;
+  for (const auto& event : batch.events) {
+    if (event.patch)
+      patches[event.key] = *event.patch;
   }
   return patches;
 }
@@ -312,6 +337,8 @@
     whole.events.push_back({event.key, event.version, std::nullopt});
     if (event.version != 0)
       whole.events.back().value = object.value;
+    if (patch != nullptr)
+      whole.events.back().patch = *patch;
   }
   return WithoutSuperseded(whole);
 }
--- a/src/libsamphire/store/object_relay.h
+++ b/src/libsamphire/store/object_relay.h
@@ -134,6 +134,8 @@
                          const std::set<std::string>& keys);
   // Returns the patches from the replica's values to the large ones of `batch`.
   patch_map MakePatches(const std::string& prefix, const watch_batch& batch);
+  // Returns the patches with which the events of `batch` came.
+  static patch_map PatchesOf(const watch_batch& batch);
   // Applies a batch to the objects and the log.
   static void ApplyBatch(prefix_replica& replica,
                          const watch_batch& batch,
--- a/src/libsamphire/store/store_event.h
+++ b/src/libsamphire/store/store_event.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "store/value_patch.h"
+
 namespace samphire {
 
 // One write reported by a watch. `version` is the object's new version; 0 means
@@ -14,6 +16,8 @@
   std::uint64_t version = 0;
   // The new value, if the source includes values in its events.
   std::optional<std::string> value;
+  // How the value differs from an earlier version, if the source told it so.
+  std::optional<value_patch> patch = std::nullopt;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/store/value_patch.cc
+++ b/src/libsamphire/store/value_patch.cc
@@ -74,6 +74,15 @@
 
 using block_index = std::unordered_map<std::uint32_t, std::uint32_t>;
 
+// Number of bytes, after a difference, in which what follows is searched for
+// first. Most changes are shorter, and the search costs far less than an index
+// of the whole base.
+constexpr std::size_t kNearbyBytes = 2048;
+// Number of common bytes from which a place is used without looking further.
+constexpr std::size_t kSureBytes = 4096;
+// Number of these searches after which all differences are found by the index.
+constexpr int kMaxNearbySearches = 16;
+
 // Returns the offsets of the blocks of `base` by their hash.
 block_index IndexBlocks(std::string_view base) {
   block_index index;
@@ -85,34 +94,75 @@
   return index;
 }
 
+// Returns the number of bytes with which both texts begin. Compares blocks
+// first, which takes a fraction of the time.
 std::size_t CommonPrefix(std::string_view a, std::string_view b) {
+  constexpr std::size_t kCompared = 1024;
   const auto end = std::min(a.size(), b.size());
-  return static_cast<std::size_t>(
-      std::mismatch(a.begin(), a.begin() + static_cast<std::ptrdiff_t>(end),
-                    b.begin())
-          .first -
-      a.begin());
+  std::size_t at = 0;
+  while (at + kCompared <= end &&
+         a.substr(at, kCompared) == b.substr(at, kCompared))
+    at += kCompared;
+  while (at < end && a[at] == b[at])
+    ++at;
+  return at;
 }
 
 // Builds the steps for `value` front to back.
 class patch_builder {
  public:
   patch_builder(std::string_view base, std::string_view value)
-      : base_(base), value_(value), blocks_(IndexBlocks(base)) {}
+      : base_(base), value_(value) {}
 
   std::vector<patch_step> Build() {
     // Most values begin as their base does, at any offset of a block.
     Copy(0, CommonPrefix(base_, value_));
-    while (at_ + kBlockBytes <= value_.size())
-      FindNextMatch();
+    while (at_ + kBlockBytes <= value_.size()) {
+      if (!FindNearbyMatch())
+        FindNextMatch();
+    }
     AddLiteral(value_.size());
     return std::move(steps_);
   }
 
  private:
+  // Moves past a short difference, after which the value goes on as the base
+  // does near where it was copied last. Returns false if there is none. Values
+  // repeat themselves, so the place from which most is common is used.
+  bool FindNearbyMatch() {
+    if (++nearby_searches_ > kMaxNearbySearches)
+      return false;
+    const auto nearby = value_.substr(at_, kNearbyBytes);
+    std::size_t longest = 0;
+    std::size_t offset = 0;
+    std::size_t position = 0;
+    for (std::size_t skipped = 0;
+         skipped < kNearbyBytes && longest < kSureBytes;
+         skipped += kBlockBytes) {
+      const auto block = base_.substr(
+          std::min(base_end_ + skipped, base_.size()), kBlockBytes);
+      const auto found = nearby.find(block);
+      if (block.size() < kBlockBytes || found == std::string_view::npos)
+        continue;
+      const auto common =
+          CommonPrefix(base_.substr(base_end_ + skipped, kSureBytes),
+                       value_.substr(at_ + found, kSureBytes));
+      if (common <= longest)
+        continue;
+      longest = common;
+      offset = base_end_ + skipped;
+      position = at_ + found;
+    }
+    if (longest < kBlockBytes)
+      return false;
+    CopyFrom(offset, position);
+    return true;
+  }
   // Moves to the next block of the base that occurs in the value, or to the
   // end.
   void FindNextMatch() {
+    if (blocks_.empty())
+      blocks_ = IndexBlocks(base_);
     rolling_hash hash(value_.substr(at_, kBlockBytes));
     for (auto next = at_;; ++next) {
       const auto found = blocks_.find(hash.value());
@@ -144,6 +194,7 @@
     steps_.push_back({static_cast<std::uint32_t>(offset),
                       static_cast<std::uint32_t>(length), ""});
     at_ += length;
+    base_end_ = offset + length;
   }
   // Appends the value's bytes up to `end` to the last step.
   void AddLiteral(std::size_t end) {
@@ -157,10 +208,14 @@
 
   const std::string_view base_;
   const std::string_view value_;
-  const block_index blocks_;
+  // Made when it is needed first.
+  block_index blocks_;
   std::vector<patch_step> steps_;
   // Everything before this position of the value is covered by the steps.
   std::size_t at_ = 0;
+  // The end of what was copied last from the base.
+  std::size_t base_end_ = 0;
+  int nearby_searches_ = 0;
 };
 
 }  // namespace
--- a/src/libsamphire/store/watch_batch.h
+++ b/src/libsamphire/store/watch_batch.h
@@ -1,6 +1,7 @@
 #ifndef STORE_WATCH_BATCH_H_
 #define STORE_WATCH_BATCH_H_
 
+#include <string>
 #include <vector>
 
 #include "store/store_cursor.h"
@@ -15,6 +16,8 @@
   store_cursor cursor;
   bool reset = false;
   std::vector<store_event> events;
+  // Who returned it: the address of a peer, or "platform"; for logs.
+  std::string source = {};
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -47,6 +47,9 @@
 // region queries the watchers that it knows so far.
 constexpr milliseconds kDiscoveryPollInterval{250};
 
+// Names the platform as the source of a batch.
+constexpr const char* kPlatformSource = "platform";
+
 milliseconds PlatformBackoff(source_role role) {
   switch (role) {
     case source_role::kWatcher:
@@ -97,8 +100,10 @@
   if (clock_.now() >= discovery_ends_at_)
     return WatchFresh(prefix, 0, kPeerWatchTime);
   auto batch = platform_.ListLagging(prefix);
-  if (batch)
+  if (batch) {
+    batch.value().source = kPlatformSource;
     relay_.Publish(prefix, batch.value(), false);
+  }
   return batch;
 }
 
@@ -191,6 +196,7 @@
          {"peer", peer},
          {"revision", batch.value().cursor.revision},
          {"objects", batch.value().events.size()}});
+    batch.value().source = peer;
     relay_.Publish(prefix, batch.value(), false);
     return batch;
   }
@@ -213,6 +219,7 @@
     LogSourceResult(request.prefix, peer, ElapsedSince(start), batch);
     if (batch) {
       responses.batch = std::move(batch);
+      responses.batch.value().source = peer;
       return responses;
     }
     const bool has_no_fresh_copy =
@@ -279,11 +286,13 @@
         "no peer has a fresh copy; platform not queried during back-off");
   const auto start = clock_.now();
   auto batch = platform_.Watch(prefix, cursor, wait);
-  LogSourceResult(prefix, "platform", ElapsedSince(start), batch);
-  if (batch)
+  LogSourceResult(prefix, kPlatformSource, ElapsedSince(start), batch);
+  if (batch) {
+    batch.value().source = kPlatformSource;
     relay_.Publish(prefix, batch.value());
-  else
+  } else {
     relay_.OnWatchFailed(prefix);
+  }
   WithFallback(prefix, [&](auto& fallback) {
     if (batch)
       fallback.OnUpdate();
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -15,6 +15,7 @@
 #include "traffic/relay_handler.h"
 #include "traffic/shared_store.h"
 #include "traffic/source_plan.h"
+#include "traffic/split_report.h"
 #include "traffic/traffic_handler.h"
 #include "traffic/traffic_membership.h"
 
@@ -190,7 +191,7 @@
   Log(log_level::kInfo, "config-in-force",
       {{"version", manifest->version()},
        {"version_before", before ? before->version() : 0},
-       {"routes", manifest->route_count()}});
+       {"routes", manifest->routes().size()}});
   AnnounceReady();
 }
 
@@ -289,6 +290,7 @@
                static_cast<double>(quarantine_.targets_lost()));
   metrics_.Set("targets_unreachable", "",
                static_cast<double>(links_.unreachable()));
+  SetSplitMetrics(shards_, metrics_);
   SetListingMetrics(state_.entries().Get()->listed, clock_.now(), metrics_);
   return metrics_.Render();
 }
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -81,4 +81,32 @@
   return text.replace(at, what.size(), by);
 }
 
+std::string CrowdedManifestObject(const crowded_manifest& content) {
+  std::string listeners;
+  for (std::size_t i = 0; i < content.routes; ++i) {
+    const auto rule = fmt::format(
+        R"({{"name":"r-{0}","kind":"safe","targetLatency":"250ms",)"
+        R"("priority":2,"noAuth":false,"sessionAffinity":true,)"
+        R"("match":{{"pathPrefix":"/r{0}/"}},"action":{{"service":"reads",)"
+        R"("timeout":"{1}ms","maxAttempts":2,"homeRegions":[]}}}})",
+        i, i < content.changed_routes ? 900 : 800);
+    if (i > 0)
+      listeners += ",";
+    if (content.one_host)
+      listeners += rule;
+    else
+      listeners +=
+          fmt::format(R"({{"host":"h{}.example","rules":[{}]}})", i, rule);
+  }
+  if (content.one_host)
+    listeners =
+        fmt::format(R"({{"host":"h.example","rules":[{}]}})", listeners);
+  return fmt::format(
+      R"({{"metadata":{{"name":"main","rev":{0}}},"spec":{{)"
+      R"("version":"{0:08x}","limits":{{"maxHeaderBytes":16384}},)"
+      R"("listeners":[{1}],"clusters":[{{"name":"reads","warmup":"3s",)"
+      R"("coldPerS":11.0}}]}},"status":null}})",
+      content.version, listeners);
+}
+
 }  // namespace samphire::platform
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
 #define TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace samphire::platform {
@@ -34,6 +36,20 @@
                      const std::string& what,
                      const std::string& by);
 
+// What a manifest of many routes holds, for CrowdedManifestObject().
+struct crowded_manifest {
+  std::uint64_t version = 1;
+  std::size_t routes = 0;
+  // The routes before this position have the time-out of the second variant.
+  std::size_t changed_routes = 0;
+  // Whether all routes are of one host; otherwise each has one of its own.
+  bool one_host = false;
+};
+
+// Returns a manifest with many routes to the service "reads". The route at
+// position N has the prefix "/rN/" and the host "hN.example", or "h.example".
+std::string CrowdedManifestObject(const crowded_manifest& content);
+
 }  // namespace samphire::platform
 
 #endif  // TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
--- /dev/null
+++ b/tests/soak/soak_configuration.h
@@ -0,0 +1,25 @@
+#ifndef TESTS_SOAK_SOAK_CONFIGURATION_H_
+#define TESTS_SOAK_SOAK_CONFIGURATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace samphire {
+
+// The configuration of a soak: routes to "reads", "writes" and "uploads", one
+// that is divided between the first two, and others that nobody calls.
+struct soak_configuration {
+  std::uint64_t version = 1;
+  // Weight, out of 100, of "reads" on the route "/split/"; "writes" has the
+  // rest.
+  int reads_weight = 50;
+  std::size_t idle_routes = 0;
+
+  // Returns the object that the store holds.
+  std::string Text() const;
+};
+
+}  // namespace samphire
+
+#endif  // TESTS_SOAK_SOAK_CONFIGURATION_H_
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -58,6 +59,14 @@
 constexpr std::chrono::milliseconds kDrain{2500};
 constexpr std::chrono::milliseconds kWatchLeaver{1500};
 
+// Routes that each version with turned weights has more than the one before.
+constexpr std::size_t kMoreRoutes = 1400;
+// Time from the confirmation of a version until calm entries go by it.
+constexpr std::chrono::milliseconds kMaxVersionAge{2500};
+// The requests over which shares are judged, and how far they may be off.
+constexpr int kSharedRequests = 200;
+constexpr double kMaxShareDeviation = 0.2;
+
 // Whether the status states that the request did not run and never will.
 bool GuaranteesNotRun(int status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -72,6 +81,7 @@
       cut_random_(seed),
       connection_random_(seed),
       absence_random_(seed),
+      weight_random_(seed),
       upload_random_(seed),
       uploads_(seed),
       lookups_(kStableWindow, kStableWindow + kUnlistingSlack),
@@ -183,8 +193,7 @@
 }
 
 void soak_world::WriteConfiguration() {
-  store_.Write("config/main",
-               platform::UploadManifestObject(fmt::format("{:08x}", version_)));
+  store_.Write("config/main", configuration_.Text());
 }
 
 // A store that comes back is away for a moment before, and its owners need up
@@ -234,6 +243,7 @@
   KeepEntriesAway();
   RemoveFaults();
   LeaveDuringListing();
+  TurnWeights();
   sending_ = false;
   for (auto& caller : callers)
     caller.join();
@@ -288,7 +298,7 @@
       store_.history_gone = random_() % 3 == 0;
       break;
     default:
-      ++version_;
+      ++configuration_.version;
       WriteConfiguration();
   }
 }
@@ -377,6 +387,63 @@
   Register(leaving, "ready");
 }
 
+void soak_world::TurnWeights() {
+  for (const int weight : {90, 20, 50}) {
+    ++configuration_.version;
+    configuration_.reads_weight = weight;
+    configuration_.idle_routes += kMoreRoutes;
+    WriteConfiguration();
+    // The small change behind it.
+    ++configuration_.version;
+    WriteConfiguration();
+    const auto written = std::chrono::steady_clock::now();
+    const auto disturbed = weight_random_() % entries_.size();
+    const bool restarts = weight_random_() % 2 == 0;
+    if (restarts) {
+      KillEntry(*entries_[disturbed]);
+      StartEntry(*entries_[disturbed]);
+    } else {
+      entries_[disturbed]->target_links->Apply(link_cut::kHang);
+    }
+    std::this_thread::sleep_until(written + kMaxVersionAge);
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if ((i != disturbed || !restarts) && !IsInForce(*entries_[i]))
+        AddFinding(
+            "versions in force in time",
+            fmt::format("{} without version {}", entries_[i]->caller_address,
+                        configuration_.version));
+    }
+    WaitUntil([&] { return IsInForce(*entries_[disturbed]); }, 10s);
+    const double share = ShareOfReads();
+    if (std::abs(share - weight / 100.0) > kMaxShareDeviation)
+      AddFinding("shares follow the weights",
+                 fmt::format("{} for a weight of {}", share, weight));
+    entries_[disturbed]->target_links->Apply(link_cut::kNone);
+  }
+}
+
+double soak_world::ShareOfReads() {
+  std::map<std::string, time_point> sent_at;
+  for (int i = 0; i < kSharedRequests; ++i) {
+    const auto id = fmt::format("s{}", split_requests_++);
+    sent_at[id] = std::chrono::steady_clock::now();
+    const auto& one = *entries_[weight_random_() % entries_.size()];
+    SendRawRequest(one.caller_address, "GET", "/split/" + id, id, "");
+  }
+  std::map<std::string, double> ran;
+  for (const auto& each : targets_) {
+    const auto runs = each.process->runs_by_id();
+    for (const auto& [id, sent] : sent_at) {
+      if (!runs.contains(id))
+        continue;
+      ran[each.service] += 1;
+      std::lock_guard guard(lock_);
+      requests_[each.service].emplace(id, sent);
+    }
+  }
+  return ran["reads"] / std::max(1.0, ran["reads"] + ran["writes"]);
+}
+
 void soak_world::InjectEntryFault(entry& one) {
   if (!one.process->running()) {
     if (std::chrono::steady_clock::now() >= one.absent_until)
@@ -640,21 +707,23 @@
 
 // The last configuration was confirmed after the last restore of the store.
 void soak_world::CheckConfiguration() {
-  const auto expected = fmt::format(R"("version":{},)", version_);
   for (const auto& each : entries_) {
-    const auto is_in_force = [&] {
-      std::ifstream file(each->settings_path + ".log");
-      std::string last;
-      for (std::string line; std::getline(file, line);) {
-        if (line.find(R"("event":"config-in-force")") != std::string::npos)
-          last = line;
-      }
-      return last.find(expected) != std::string::npos;
-    };
-    if (!WaitUntil(is_in_force, kRecoveryTimeout))
+    if (!WaitUntil([&] { return IsInForce(*each); }, kRecoveryTimeout))
       AddFinding("the last configuration is in force",
-                 fmt::format("{} without {}", each->caller_address, expected));
+                 fmt::format("{} without {}", each->caller_address,
+                             configuration_.version));
+  }
+}
+
+bool soak_world::IsInForce(const entry& one) const {
+  std::ifstream file(one.settings_path + ".log");
+  std::string last;
+  for (std::string line; std::getline(file, line);) {
+    if (line.find(R"("event":"config-in-force")") != std::string::npos)
+      last = line;
   }
+  return last.find(fmt::format(R"("version":{},)", configuration_.version)) !=
+         std::string::npos;
 }
 
 void soak_world::AddFinding(std::string guarantee, std::string detail) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -17,6 +17,7 @@
 #include "platform_adapter/wire_target.h"
 #include "soak/lookup_check.h"
 #include "soak/process_cut.h"
+#include "soak/soak_configuration.h"
 #include "soak/soak_finding.h"
 #include "soak/upload_load.h"
 #include "support/child_process.h"
@@ -122,6 +123,15 @@
   // different ages, and checks that no request reaches the target later than it
   // serves for.
   void LeaveDuringListing();
+  // Writes versions with many routes more and turned weights while entries
+  // restart and are cut from targets, and checks how old the versions are that
+  // entries go by, and the shares of the divided route.
+  void TurnWeights();
+  // Sends one window of requests by the divided route, and returns the share of
+  // those that ran which "reads" got.
+  double ShareOfReads();
+  // Returns whether the log of the entry has the version in force.
+  bool IsInForce(const entry& one) const;
   // Cuts the links of one or two entries to targets, or ends all such cuts.
   void InjectCut();
   // Ends all faults and starts the processes that have ended.
@@ -155,6 +165,10 @@
   std::mt19937_64 connection_random_;
   // The same for entries that stay away.
   std::mt19937_64 absence_random_;
+  // The same for what happens beside turned weights.
+  std::mt19937_64 weight_random_;
+  // The number of requests sent by the divided route.
+  int split_requests_ = 0;
   // The same for uploads and their targets.
   std::mt19937_64 upload_random_;
   upload_load uploads_;
@@ -168,7 +182,7 @@
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
   std::vector<target> targets_;
-  std::uint64_t version_ = 1;
+  soak_configuration configuration_;
   // Number of reports that targets have written.
   int reports_ = 0;
   std::atomic<bool> sending_{false};
--- a/tests/store/patched_relay_test.cc
+++ b/tests/store/patched_relay_test.cc
@@ -139,3 +139,23 @@
   CHECK(relays.follower.Watch("k/", 5, 0ms).value().reset);
   CHECK_FALSE(relays.follower.Watch("k/", 103, 0ms).value().reset);
 }
+
+// Guards against entries that keep each version of a large object whole for
+// followers that they may never have, and send it whole to those they get.
+TEST_CASE("an entry that follows others passes their differences on") {
+  relay_pair relays;
+  for (int version = 2; version <= 20; ++version) {
+    const auto cursor = 4 + static_cast<std::uint64_t>(version);
+    relays.watcher.Publish("k/", Change(cursor, version));
+    const auto patched = relays.watcher.WatchPatched("k/", cursor - 1, 0ms);
+    REQUIRE(patched);
+    const auto whole = relays.follower.ResolvePatches("k/", patched.value());
+    REQUIRE(whole);
+    relays.follower.Publish("k/", whole.value(), false);
+  }
+  // The platform confirms what the follower has.
+  relays.follower.Publish("k/", {.cursor = 24, .reset = false, .events = {}});
+  const auto passed_on = relays.follower.WatchPatched("k/", 5, 0ms);
+  REQUIRE(passed_on);
+  CHECK(BytesOf(passed_on.value()) < 10'000);
+}
