--- a/src/libsamphire/store/patched_batch.cc
+++ b/src/libsamphire/store/patched_batch.cc
@@ -2,6 +2,11 @@
 
 namespace samphire {
 
+bool IsComplete(const object_change& change) {
+  const auto* patch = std::get_if<value_patch>(&change);
+  return patch == nullptr || patch->base_version == 0;
+}
+
 bool IsLarge(const store_event& event) {
   return event.value && event.value->size() >= kMinPatchedBytes;
 }
--- a/src/libsamphire/store/patched_batch.h
+++ b/src/libsamphire/store/patched_batch.h
@@ -36,6 +36,9 @@
   std::vector<patched_event> events;
 };
 
+// Whether the change needs no earlier version of the object.
+bool IsComplete(const object_change& change);
+
 // Whether the event's value is large enough to be sent as a patch.
 bool IsLarge(const store_event& event);
 
