Leave a peer alone for the objects that it was late with, not for all

Pauses now count for the prefix that they were noted for, and a watcher that was late is asked again, for what it has at once, when nobody else has a fresh copy.

Three new tests, red before: 'a watcher that was late for some objects is asked for others', 'a watcher without a fresh copy of some objects is asked for others', 'a watcher that was late is asked again if there is nobody else'.

--- a/src/libsamphire/base/backoff_list.cc
+++ b/src/libsamphire/base/backoff_list.cc
@@ -7,6 +7,11 @@
   until_[name] = until;
 }
 
+void backoff_list::EndBackoff(const std::string& name) {
+  std::lock_guard guard(lock_);
+  until_.erase(name);
+}
+
 bool backoff_list::IsBackingOff(const std::string& name, time_point now) {
   std::lock_guard guard(lock_);
   const auto found = until_.find(name);
--- a/src/libsamphire/base/backoff_list.h
+++ b/src/libsamphire/base/backoff_list.h
@@ -16,6 +16,8 @@
  public:
   // Marks `name` as backing off until `until`, replacing any earlier time.
   void StartBackoff(const std::string& name, time_point until);
+  // Lets `name` be called again.
+  void EndBackoff(const std::string& name);
   // Returns whether `name` is backing off at `now`; removes it if its time has
   // passed.
   bool IsBackingOff(const std::string& name, time_point now);
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -62,6 +62,12 @@
   return kFollowerPlatformBackoff;
 }
 
+// A peer may have no fresh copy of some objects, or be late with them, and
+// serve others.
+std::string PauseKey(const std::string& prefix, const std::string& peer) {
+  return prefix + ' ' + peer;
+}
+
 }  // namespace
 
 shared_store::shared_store(object_watcher& platform,
@@ -117,6 +123,8 @@
       .cursor = cursor,
       .wait_ms = static_cast<std::uint32_t>(peer_wait.count())};
   auto responses = QueryRegion(plan, request);
+  if (!responses.batch)
+    QueryPausedWatchers(plan, request, responses);
   if (responses.batch) {
     WithFallback(prefix, [](auto& fallback) { fallback.OnUpdate(); });
     relay_.Publish(prefix, responses.batch.value(), false);
@@ -181,6 +189,28 @@
   return backups;
 }
 
+// A watcher that was late may just have sent a large value to all its
+// followers. While it is left alone a target that announces its leaving goes on
+// to get requests, so it is asked again once nobody else has a fresh copy; it
+// is not kept waiting, and not waited for.
+void shared_store::QueryPausedWatchers(const source_plan& plan,
+                                       mirror_request request,
+                                       peer_responses& responses) {
+  request.wait_ms = 0;
+  for (const auto& peer : plan.watchers) {
+    const auto pause_key = PauseKey(request.prefix, peer);
+    if (!late_peers_.IsBackingOff(pause_key, clock_.now()))
+      continue;
+    auto batch = QueryPeer(peer, request, kPeerResponseMargin);
+    if (!batch)
+      continue;
+    late_peers_.EndBackoff(pause_key);
+    batch.value().source = peer;
+    responses.batch = std::move(batch);
+    return;
+  }
+}
+
 // An entry that starts during an outage of the platform would otherwise refuse
 // all callers until the platform recovers, and planned restarts would take the
 // entries of a region out of service one by one. Its peers keep serving from
@@ -211,7 +241,9 @@
   peer_responses responses{.batch = MakeError(result_code::kStoreUnreachable,
                                               "no peer has a fresh copy")};
   for (const auto& peer : peers) {
-    if (pauses_.IsBackingOff(peer, clock_.now()))
+    const auto pause_key = PauseKey(request.prefix, peer);
+    if (stale_peers_.IsBackingOff(pause_key, clock_.now()) ||
+        late_peers_.IsBackingOff(pause_key, clock_.now()))
       continue;
     const auto start = clock_.now();
     auto batch = QueryPeer(peer, request,
@@ -226,9 +258,10 @@
         batch.error().code == result_code::kPeerDeclined;
     responses.stale |= has_no_fresh_copy;
     responses.unreachable |= !has_no_fresh_copy;
-    pauses_.StartBackoff(
-        peer,
-        clock_.now() + (has_no_fresh_copy ? kStalePause : kUnresponsivePause));
+    if (has_no_fresh_copy)
+      stale_peers_.StartBackoff(pause_key, clock_.now() + kStalePause);
+    else
+      late_peers_.StartBackoff(pause_key, clock_.now() + kUnresponsivePause);
   }
   return responses;
 }
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -73,6 +73,11 @@
                                                  milliseconds wait);
   // Queries the watchers and then, for a follower, some of the backups.
   peer_responses QueryRegion(const source_plan& plan, mirror_request request);
+  // Asks the watchers that are left alone because they were late, for what they
+  // have at once; the first response replaces that in `responses`.
+  void QueryPausedWatchers(const source_plan& plan,
+                           mirror_request request,
+                           peer_responses& responses);
   result<watch_batch> FetchLastKnown(const std::string& prefix);
   peer_responses QueryPeers(std::span<const std::string> peers,
                             const mirror_request& request);
@@ -105,8 +110,9 @@
   // From this time on, this entry knows its region well enough to act as a
   // watcher for it.
   const time_point discovery_ends_at_;
-  // Peers that recently failed, by address.
-  backoff_list pauses_;
+  // Peers that had no fresh copy or were late lately, by prefix and address.
+  backoff_list stale_peers_;
+  backoff_list late_peers_;
   // Guards fallbacks_, which is keyed by prefix.
   std::mutex fallbacks_lock_;
   std::map<std::string, platform_fallback> fallbacks_;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -64,7 +64,7 @@
 // Time from the confirmation of a version until calm entries go by it.
 constexpr std::chrono::milliseconds kMaxVersionAge{2500};
 // The requests over which shares are judged, and how far they may be off.
-constexpr int kSharedRequests = 200;
+constexpr int kSharedRequests = 204;
 constexpr double kMaxShareDeviation = 0.2;
 
 // Whether the status states that the request did not run and never will.
@@ -423,13 +423,25 @@
 }
 
 double soak_world::ShareOfReads() {
+  std::vector<std::thread> callers;
   std::map<std::string, time_point> sent_at;
-  for (int i = 0; i < kSharedRequests; ++i) {
-    const auto id = fmt::format("s{}", split_requests_++);
-    sent_at[id] = std::chrono::steady_clock::now();
-    const auto& one = *entries_[weight_random_() % entries_.size()];
-    SendRawRequest(one.caller_address, "GET", "/split/" + id, id, "");
+  std::mutex sent_lock;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, seed = weight_random_()] {
+      std::mt19937_64 random(seed);
+      for (int i = 0; i < kSharedRequests / kCallers; ++i) {
+        const auto id = fmt::format("s{:x}", random());
+        {
+          std::lock_guard guard(sent_lock);
+          sent_at[id] = std::chrono::steady_clock::now();
+        }
+        const auto& one = *entries_[random() % entries_.size()];
+        SendRawRequest(one.caller_address, "GET", "/split/" + id, id, "");
+      }
+    });
   }
+  for (auto& caller : callers)
+    caller.join();
   std::map<std::string, double> ran;
   for (const auto& each : targets_) {
     const auto runs = each.process->runs_by_id();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -167,8 +167,6 @@
   std::mt19937_64 absence_random_;
   // The same for what happens beside turned weights.
   std::mt19937_64 weight_random_;
-  // The number of requests sent by the divided route.
-  int split_requests_ = 0;
   // The same for uploads and their targets.
   std::mt19937_64 upload_random_;
   upload_load uploads_;
--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "base/system_clock_source.h"
 #include "front/front_server.h"
@@ -166,3 +167,93 @@
   CHECK(batch.value().events.size() == 1);
   CHECK(fixture.clock.now() - start < 200ms);
 }
+
+namespace {
+
+// A follower of one watcher, which can be made late.
+struct watcher_fixture {
+  system_clock_source clock;
+  metrics counters;
+  peer_keys keys = peer_keys::Parse("0123456789abcdef0123456789abcdef").value();
+  const std::string address = FreeAddress();
+  object_relay watcher_relay{clock};
+  peer_signer watcher_signer{keys, {"watcher", 1}, clock};
+  // Time that each new call waits before it is handled.
+  std::atomic<milliseconds> delay{0ms};
+  front_server server{
+      address,
+      new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
+        std::this_thread::sleep_for(delay.load());
+        return new mirror_handler(watcher_relay, watcher_signer, address,
+                                  counters);
+      }),
+      {.max_connections = 8},
+      counters};
+  unreachable_platform platform;
+  object_relay relay{clock};
+  connection_pool pool;
+  peer_signer signer{keys, {"follower", 1}, clock};
+  shared_store store{platform,
+                     relay,
+                     pool,
+                     signer,
+                     clock,
+                     0ms,
+                     [this] {
+                       return source_plan{.role = source_role::kFollower,
+                                          .watchers = {address},
+                                          .backups = {}};
+                     },
+                     [] { return std::vector<std::string>{}; }};
+
+  watcher_fixture() {
+    server.Start();
+    for (const char* prefix : {"a/", "b/"}) {
+      watcher_relay.Publish(prefix, {.cursor = 5, .reset = true, .events = {}});
+    }
+  }
+  // Publishes a change of "a/".
+  void Change() {
+    watcher_relay.Publish(
+        "a/", {.cursor = 6, .reset = false, .events = {{"a/x", 6, "A"}}});
+  }
+  // Makes a call for a prefix exceed its time limit.
+  void BeLateFor(const std::string& prefix) {
+    delay = 700ms;
+    CHECK_FALSE(store.Watch(prefix, 5, 100ms));
+    delay = 0ms;
+  }
+  bool GetsChange() {
+    const auto batch = store.Watch("a/", 5, 100ms);
+    return batch && batch.value().events.size() == 1;
+  }
+};
+
+}  // namespace
+
+// Guards against a follower that asks a watcher for nothing at all because one
+// of its calls was late: the announcements of targets that leave would wait
+// behind a large configuration.
+TEST_CASE("a watcher that was late for some objects is asked for others") {
+  watcher_fixture fixture;
+  fixture.BeLateFor("b/");
+  fixture.Change();
+  CHECK(fixture.GetsChange());
+}
+
+TEST_CASE(
+    "a watcher without a fresh copy of some objects is asked for others") {
+  watcher_fixture fixture;
+  CHECK_FALSE(fixture.store.Watch("unknown/", 5, 100ms));
+  fixture.Change();
+  CHECK(fixture.GetsChange());
+}
+
+// Guards against a follower that knows nothing for seconds because each of its
+// watchers was late once.
+TEST_CASE("a watcher that was late is asked again if there is nobody else") {
+  watcher_fixture fixture;
+  fixture.BeLateFor("a/");
+  fixture.Change();
+  CHECK(fixture.GetsChange());
+}
