--- a/tests/soak/soak_configuration.cc
+++ b/tests/platform_adapter/divided_configuration.cc
@@ -1,10 +1,10 @@
-#include "soak/soak_configuration.h"
+#include "platform_adapter/divided_configuration.h"
 
 #include <fmt/format.h>
 
 #include "platform_adapter/wire_text.h"
 
-namespace samphire {
+namespace samphire::platform {
 
 namespace {
 
@@ -27,17 +27,15 @@
 
 }  // namespace
 
-std::string soak_configuration::Text() const {
+std::string divided_configuration::Text() const {
   const std::string rules = R"("rules":[)";
   const std::string listeners = R"("listeners":[)";
   std::string idle;
   for (std::size_t i = 0; i < idle_routes; ++i)
     idle += IdleListener(i);
-  const auto routes =
-      platform::UploadManifestObject(fmt::format("{:08x}", version));
-  const auto split =
-      platform::Replaced(routes, rules, rules + SplitRule(reads_weight));
-  return platform::Replaced(split, listeners, listeners + idle);
+  const auto routes = UploadManifestObject(fmt::format("{:08x}", version));
+  const auto split = Replaced(routes, rules, rules + SplitRule(reads_weight));
+  return Replaced(split, listeners, listeners + idle);
 }
 
-}  // namespace samphire
+}  // namespace samphire::platform
--- a/tests/soak/soak_configuration.h
+++ b/tests/platform_adapter/divided_configuration.h
@@ -1,15 +1,15 @@
-#ifndef TESTS_SOAK_SOAK_CONFIGURATION_H_
-#define TESTS_SOAK_SOAK_CONFIGURATION_H_
+#ifndef TESTS_PLATFORM_ADAPTER_DIVIDED_CONFIGURATION_H_
+#define TESTS_PLATFORM_ADAPTER_DIVIDED_CONFIGURATION_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
 
-namespace samphire {
+namespace samphire::platform {
 
-// The configuration of a soak: routes to "reads", "writes" and "uploads", one
+// A configuration with routes to "reads", "writes" and "uploads", one
 // that is divided between the first two, and others that nobody calls.
-struct soak_configuration {
+struct divided_configuration {
   std::uint64_t version = 1;
   // Weight, out of 100, of "reads" on the route "/split/"; "writes" has the
   // rest.
@@ -20,6 +20,6 @@
   std::string Text() const;
 };
 
-}  // namespace samphire
+}  // namespace samphire::platform
 
-#endif  // TESTS_SOAK_SOAK_CONFIGURATION_H_
+#endif  // TESTS_PLATFORM_ADAPTER_DIVIDED_CONFIGURATION_H_
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -13,11 +13,11 @@
 #include <thread>
 #include <vector>
 
+#include "platform_adapter/divided_configuration.h"
 #include "platform_adapter/stand_in_platform.h"
 #include "platform_adapter/wire_target.h"
 #include "soak/lookup_check.h"
 #include "soak/process_cut.h"
-#include "soak/soak_configuration.h"
 #include "soak/soak_finding.h"
 #include "soak/upload_load.h"
 #include "support/child_process.h"
@@ -180,7 +180,7 @@
   platform::stand_in_platform store_;
   std::vector<std::unique_ptr<entry>> entries_;
   std::vector<target> targets_;
-  soak_configuration configuration_;
+  platform::divided_configuration configuration_;
   // Number of reports that targets have written.
   int reports_ = 0;
   std::atomic<bool> sending_{false};
