Close connections that rested, also those that nobody asks for again

The pool now closes once a second what has rested for longer than it may be reused, and forgets addresses without connections.

'connections to targets that nobody asks for again are closed' guards against it; the former pool has nothing that could pass it.

--- a/src/libsamphire/gateway/entry_node_ticks.cc
+++ b/src/libsamphire/gateway/entry_node_ticks.cc
@@ -87,6 +87,7 @@
   }
   fleet_.Refresh(membership_, regions);
   quarantine_.Tick();
+  pool_.CloseRested();
   deployment_manager_.Tick();
   partition_distributor_.Tick();
   UpdateMembers();
--- a/src/libsamphire/proxy/connection_pool.cc
+++ b/src/libsamphire/proxy/connection_pool.cc
@@ -73,6 +73,26 @@
   });
 }
 
+// Nobody asks any more for a connection to a target that is gone, nor do
+// requests that need a new one. What such requests leave would stay until the
+// process has no descriptor for another connection.
+void connection_pool::CloseRested() {
+  const auto now = std::chrono::steady_clock::now();
+  addresses_.ForEach([&](address_map& addresses) {
+    for (auto& [address, state] : addresses)
+      DropRested(state, now);
+    std::erase_if(addresses, [now](const auto& each) {
+      return each.second.idle.empty() && now >= each.second.max_rest_until;
+    });
+  });
+}
+
+void connection_pool::DropRested(address_state& state, time_point now) const {
+  const auto max_rest = MaxRest(state, now);
+  while (!state.idle.empty() && now - state.idle.front().idle_since > max_rest)
+    state.idle.pop_front();
+}
+
 void connection_pool::CloseIdle(const std::string& address) {
   addresses_.With(address, [&](address_map& addresses) {
     const auto found = addresses.find(address);
@@ -99,10 +119,8 @@
         const auto found = addresses.find(address);
         if (found == addresses.end())
           return std::nullopt;
+        DropRested(found->second, now);
         auto& idle = found->second.idle;
-        const auto max_rest = MaxRest(found->second, now);
-        while (!idle.empty() && now - idle.front().idle_since > max_rest)
-          idle.pop_front();
         if (idle.empty())
           return std::nullopt;
         const auto last = idle.back();
--- a/src/libsamphire/proxy/connection_pool.h
+++ b/src/libsamphire/proxy/connection_pool.h
@@ -57,6 +57,10 @@
   // Reports that a connection which had rested for `rested` turned out to be
   // closed. For a while, connections that rest for half as long are not reused.
   void OnStale(const std::string& address, duration rested);
+  // Closes all connections that have rested for too long to be reused, so that
+  // those to targets that are gone don't use up the descriptors. Must be called
+  // about once a second.
+  void CloseRested();
   // Drops all idle connections to `address`, for example after a failed
   // attempt.
   void CloseIdle(const std::string& address);
@@ -79,6 +83,8 @@
   std::optional<pooled_connection> AcquireIdle(const std::string& address,
                                                connection_use use);
   duration MaxRest(const address_state& state, time_point now) const;
+  // Drops the address's connections that have rested for too long.
+  void DropRested(address_state& state, time_point now) const;
 
   const connection_opener& opener_;
   const duration max_rest_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -171,6 +171,7 @@
 void traffic_node::Tick() {
   RefreshEntryList();
   quarantine_.Tick();
+  pool_.CloseRested();
 }
 
 void traffic_node::SetBounds(const traffic_bounds& bounds) {
