--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -55,7 +55,8 @@
   // Opens the ports and joins the fleet.
   void Start();
   // Updates the list of entries from membership, tells some of them which
-  // requests are in quarantine, and closes connections that rested. Must be called about once a second.
+  // requests are in quarantine, and closes connections that rested. Must be
+  // called about once a second.
   void Tick();
   // Performs a planned stop: reports itself as not ready, keeps serving
   // until callers know about it, then completes the requests in progress.
