--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -27,42 +27,46 @@
   }
 };
 
-// A follower that has no watchers to query and one backup.
-struct backup_fixture {
+// A follower of one peer.
+struct follower_fixture {
   system_clock_source clock;
   metrics counters;
   peer_keys keys = peer_keys::Parse("0123456789abcdef0123456789abcdef").value();
   const std::string address = FreeAddress();
-  object_relay backup_relay{clock};
-  peer_signer backup_signer{keys, {"deputy", 1}, clock};
+  object_relay peer_relay{clock};
+  peer_signer source_signer{keys, {"deputy", 1}, clock};
   std::atomic<int> request_count = 0;
+  // Time that each call waits before the peer handles it.
+  std::atomic<milliseconds> delay{0ms};
   front_server server{
       address,
       new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
         ++request_count;
-        return new mirror_handler(backup_relay, backup_signer, address,
-                                  counters);
+        std::this_thread::sleep_for(delay.load());
+        return new mirror_handler(peer_relay, source_signer, address, counters);
       }),
-      {.max_connections = 4},
+      {.max_connections = 8},
       counters};
   unreachable_platform platform;
   object_relay relay{clock};
   connection_pool pool;
   peer_signer signer{keys, {"follower", 1}, clock};
+  source_plan plan{.role = source_role::kFollower};
   shared_store store{platform,
                      relay,
                      pool,
                      signer,
                      clock,
                      0ms,
-                     [this] {
-                       return source_plan{.role = source_role::kFollower,
-                                          .watchers = {},
-                                          .backups = {address}};
-                     },
+                     [this] { return plan; },
                      [] { return std::vector<std::string>{}; }};
 
-  backup_fixture() { server.Start(); }
+  follower_fixture() { server.Start(); }
+};
+
+// A follower that has no watchers to query and one backup.
+struct backup_fixture : follower_fixture {
+  backup_fixture() { plan.backups = {address}; }
 };
 
 // Responds to each request as an entry does that knows no patches.
@@ -88,7 +92,7 @@
 // follow each other.
 TEST_CASE("a peer that accepts no patches gets complete values") {
   backup_fixture fixture;
-  fixture.backup_relay.Publish(
+  fixture.peer_relay.Publish(
       "k/", {.cursor = 6, .reset = true, .events = {{"k/a", 6, kLargeValue}}});
   const mirror_request request{.prefix = "k/", .cursor = 0, .wait_ms = 10};
   const auto response = PostToPeer(
@@ -133,9 +137,9 @@
 // that the difference was made from.
 TEST_CASE("a follower without the base of a patch gets a listing") {
   backup_fixture fixture;
-  fixture.backup_relay.Publish(
+  fixture.peer_relay.Publish(
       "k/", {.cursor = 5, .reset = true, .events = {{"k/a", 5, kLargeValue}}});
-  fixture.backup_relay.Publish(
+  fixture.peer_relay.Publish(
       "k/",
       {.cursor = 6, .reset = false, .events = {{"k/a", 6, kLargeValue + "2"}}});
   const auto batch = fixture.store.Watch("k/", 5, 1s);
@@ -149,7 +153,7 @@
 // cannot reach the platform.
 TEST_CASE("a follower pauses before it queries an idle backup again") {
   backup_fixture fixture;
-  fixture.backup_relay.Publish(
+  fixture.peer_relay.Publish(
       "k/", {.cursor = 5, .reset = true, .events = {{"k/a", 3, "A"}}});
   const auto deadline = fixture.clock.now() + 1s;
   while (fixture.clock.now() < deadline)
@@ -159,7 +163,7 @@
 
 TEST_CASE("a follower receives a change from a backup without delay") {
   backup_fixture fixture;
-  fixture.backup_relay.Publish(
+  fixture.peer_relay.Publish(
       "k/", {.cursor = 6, .reset = true, .events = {{"k/a", 6, "A"}}});
   const auto start = fixture.clock.now();
   const auto batch = fixture.store.Watch("k/", 5, 1s);
@@ -171,50 +175,15 @@
 namespace {
 
 // A follower of one watcher, which can be made late.
-struct watcher_fixture {
-  system_clock_source clock;
-  metrics counters;
-  peer_keys keys = peer_keys::Parse("0123456789abcdef0123456789abcdef").value();
-  const std::string address = FreeAddress();
-  object_relay watcher_relay{clock};
-  peer_signer watcher_signer{keys, {"watcher", 1}, clock};
-  // Time that each new call waits before it is handled.
-  std::atomic<milliseconds> delay{0ms};
-  front_server server{
-      address,
-      new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
-        std::this_thread::sleep_for(delay.load());
-        return new mirror_handler(watcher_relay, watcher_signer, address,
-                                  counters);
-      }),
-      {.max_connections = 8},
-      counters};
-  unreachable_platform platform;
-  object_relay relay{clock};
-  connection_pool pool;
-  peer_signer signer{keys, {"follower", 1}, clock};
-  shared_store store{platform,
-                     relay,
-                     pool,
-                     signer,
-                     clock,
-                     0ms,
-                     [this] {
-                       return source_plan{.role = source_role::kFollower,
-                                          .watchers = {address},
-                                          .backups = {}};
-                     },
-                     [] { return std::vector<std::string>{}; }};
-
+struct watcher_fixture : follower_fixture {
   watcher_fixture() {
-    server.Start();
-    for (const char* prefix : {"a/", "b/"}) {
-      watcher_relay.Publish(prefix, {.cursor = 5, .reset = true, .events = {}});
-    }
+    plan.watchers = {address};
+    for (const char* prefix : {"a/", "b/"})
+      peer_relay.Publish(prefix, {.cursor = 5, .reset = true, .events = {}});
   }
   // Publishes a change of "a/".
   void Change() {
-    watcher_relay.Publish(
+    peer_relay.Publish(
         "a/", {.cursor = 6, .reset = false, .events = {{"a/x", 6, "A"}}});
   }
   // Makes a call for a prefix exceed its time limit.
