--- a/src/libsamphire/routing/route_table.cc
+++ b/src/libsamphire/routing/route_table.cc
@@ -35,10 +35,11 @@
 std::vector<route_ptr> Sorted(std::vector<route_ptr> routes) {
   std::ranges::reverse(routes);
   std::ranges::stable_sort(routes, IsBefore);
-  const auto duplicates = std::ranges::unique(
-      routes,
-      [](const route_ptr& a, const route_ptr& b) { return !IsBefore(a, b); });
-  routes.erase(duplicates.begin(), duplicates.end());
+  routes.erase(std::unique(routes.begin(), routes.end(),
+                           [](const route_ptr& a, const route_ptr& b) {
+                             return !IsBefore(a, b);
+                           }),
+               routes.end());
   return routes;
 }
 
--- a/tests/platform_adapter/manifest_reader_test.cc
+++ b/tests/platform_adapter/manifest_reader_test.cc
@@ -32,9 +32,9 @@
       std::string list;
       for (const auto& [prefix, timeout] : rules)
         list += (list.empty() ? "" : ",") + RuleText(prefix, timeout);
-      listeners += (listeners.empty() ? "" : ",") +
-                   std::string(R"({"host":")") + host + R"(","rules":[)" +
-                   list + "]}";
+      listeners += listeners.empty() ? "" : ",";
+      listeners += R"({"host":")";
+      listeners.append(host).append(R"(","rules":[)").append(list).append("]}");
     }
     return R"({"spec":{"listeners":[)" + listeners + R"(],"version":")" +
            std::to_string(version) + R"("},"status":null})";
@@ -86,10 +86,13 @@
   return a.routes().size() == b.routes().size();
 }
 
-std::chrono::nanoseconds TimeToRead(manifest_reader& reader, std::string text) {
+std::chrono::nanoseconds TimeToRead(manifest_reader& reader,
+                                    const std::string& text) {
   const auto start = ThreadProcessorTime();
-  REQUIRE(reader.Read(std::move(text)));
-  return ThreadProcessorTime() - start;
+  const bool read = reader.Read(text).has_value();
+  const auto time = ThreadProcessorTime() - start;
+  REQUIRE(read);
+  return time;
 }
 
 }  // namespace
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -424,6 +424,7 @@
 
 double soak_world::ShareOfReads() {
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::map<std::string, time_point> sent_at;
   std::mutex sent_lock;
   for (int caller = 0; caller < kCallers; ++caller) {
