Stop at malformed JSON, and skip no value with commas or colons missing

Found on reading the change again, not seen by callers. json_cursor promised that every call returns false once the text has failed, but NextElement() went on to return true when the failure came at the first element: whoever walks over an array, such as the answers of the store or a route's home regions, would have read without end and filled the memory. And a skipped value was checked for its brackets only, so that a list was used up to the first error in it, where the former parser refused the whole version.

Containers are now skipped by the same steps that enter them, and nothing follows a failure.

--- a/src/libsamphire/base/json_cursor.cc
+++ b/src/libsamphire/base/json_cursor.cc
@@ -1,7 +1,5 @@
 #include "base/json_cursor.h"
 
-#include <bitset>
-
 namespace samphire {
 
 namespace {
@@ -47,6 +45,8 @@
 }
 
 bool json_cursor::ContinuesBefore(char end) {
+  if (failed_)
+    return false;
   if (Take(end)) {
     after_value_ = true;
     return false;
@@ -127,31 +127,20 @@
   return position_ > start || Fail();
 }
 
-// Commas and colons are not checked here: a value whose inside matters is
-// entered or parsed.
 bool json_cursor::SkipContainer() {
-  std::bitset<kMaxDepth> is_array;
-  std::size_t depth = 0;
-  while (position_ < text_.size()) {
-    const char c = text_[position_];
-    if (c == '"') {
-      if (!SkipString())
-        return false;
-      continue;
-    }
-    ++position_;
-    if (c == '{' || c == '[') {
-      if (depth == kMaxDepth)
-        return Fail();
-      is_array[depth++] = c == '[';
-    } else if (c == '}' || c == ']') {
-      if (is_array[depth - 1] != (c == ']'))
-        return Fail();
-      if (--depth == 0)
-        return true;
-    }
+  if (++depth_ > kMaxDepth)
+    return Fail();
+  if (text_[position_] == '{') {
+    EnterObject();
+    while (NextMember())
+      SkipValue();
+  } else {
+    EnterArray();
+    while (NextElement())
+      SkipValue();
   }
-  return Fail();
+  --depth_;
+  return !failed_;
 }
 
 std::optional<std::string_view> FindJsonMember(std::string_view object,
--- a/src/libsamphire/base/json_cursor.h
+++ b/src/libsamphire/base/json_cursor.h
@@ -9,9 +9,10 @@
 
 // Reads JSON text front to back without building a tree of it, so that a large
 // value costs little where only a part of it matters. Skipped values are
-// checked for balanced brackets and complete literals, not for valid numbers
-// and escapes. Any malformed text sets failed(), after which every call returns
-// false or nothing. Refers to the text, which must outlive it. Not thread-safe.
+// checked for brackets, commas, colons and complete literals, not for valid
+// numbers and escapes. Any malformed text sets failed(), after which every call
+// returns false or nothing. Refers to the text, which must outlive it. Not
+// thread-safe.
 class json_cursor {
  public:
   explicit json_cursor(std::string_view text) : text_(text) {}
@@ -60,6 +61,8 @@
   std::size_t position_ = 0;
   // Whether a value of the current object or array was read.
   bool after_value_ = false;
+  // Number of containers that are being skipped.
+  std::size_t depth_ = 0;
   bool failed_ = false;
 };
 
--- a/tests/base/json_cursor_test.cc
+++ b/tests/base/json_cursor_test.cc
@@ -74,3 +74,30 @@
   CHECK_FALSE(cursor.NextElement());
   CHECK(cursor.AtEnd());
 }
+
+// Guards against a malformed array that is read without end, until the memory
+// is used up: whoever walks over it stops at the first call that returns false.
+TEST_CASE("nothing follows once the text has failed") {
+  for (const char* text : {"[x]", "7", "[", "[{]"}) {
+    json_cursor cursor(text);
+    cursor.EnterArray();
+    int elements = 0;
+    while (elements < 10 && cursor.NextElement()) {
+      cursor.SkipValue();
+      ++elements;
+    }
+    CAPTURE(text);
+    CHECK(cursor.failed());
+    CHECK(elements <= 1);
+    CHECK_FALSE(cursor.NextElement());
+    CHECK_FALSE(cursor.NextMember());
+  }
+}
+
+// Guards against a list of which only the part before an error is used, such as
+// the home regions of a route.
+TEST_CASE("a skipped value with missing commas or colons fails") {
+  for (const char* text : {R"(["a" "b"])", R"({"a" 1})", R"({"a":1 "b":2})",
+                           R"([{"a":[1,]}])", R"([1,,2])", "{1:2}"})
+    CHECK_FALSE(IsOneValue(text));
+}
