Tell every caller whose connection a stopping entry closes

Cause: a port that began to refuse closed idle connections and those whose request was on its way without a word; the server dropped what waited for a thread; the kernel's queue was emptied one connection at a time, each for up to 0.5 s, without an end, while callers reconnected. A response that had begun before the stop promised to keep its connection. A close with unread input reset the connection, and could take the response with it.

Now each of these gets a refusal that says that its request did not run. One thread (lingering_closer) waits for all connections whose last response was sent, so that neither the accepting thread nor the one that stops waits for a caller; Close() has a deadline. A full port is refused the same way: one caller that did not close kept all others waiting for 50 to 500 ms. Connections over the length of the server's own queue are refused, where they were dropped.

--- a/src/libsamphire/front/connection_limiter.cc
+++ b/src/libsamphire/front/connection_limiter.cc
@@ -2,6 +2,8 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
+
 #include "front/refuse_connection.h"
 
 namespace samphire {
@@ -10,29 +12,45 @@
 
 // Retry time for callers that are refused while the entry is full. Without it,
 // all of them would reconnect at once.
-constexpr milliseconds kRetryAfter{1000};
+constexpr milliseconds kFullRetryAfter{1000};
 
 }  // namespace
 
 connection_limiter::connection_limiter(std::uint32_t limit,
                                        samphire::metrics& counters,
-                                       accept_times& accepted)
-    : limit_(limit), metrics_(counters), accepted_(accepted) {}
+                                       front_shared_state& shared_state)
+    : limit_(limit), metrics_(counters), shared_state_(shared_state) {}
+
+// The server drops connections over the length of its own queue without a word.
+bool connection_limiter::IsFull() const {
+  const auto* server = server_.load();
+  if (server == nullptr)
+    return false;
+  const auto limit = static_cast<int>(limit_);
+  return server->currentConnections() >= limit ||
+         server->queuedConnections() >= std::min(limit, kMaxQueued);
+}
 
 // When all threads are busy, another connection would wait in the queue behind
 // long downloads, and be closed without a response once the queue is full. A
 // caller can't distinguish that from a crash and retries immediately. A result
 // code and a retry time make it use another entry instead.
 bool connection_limiter::accept(const Poco::Net::StreamSocket& socket) {
-  accepted_.OnAccepted(socket);
-  const auto* server = server_.load();
-  if (server == nullptr ||
-      server->currentConnections() < static_cast<int>(limit_))
-    return true;
-  metrics_.CountRefusal(result_code::kTooManyConnections);
-  auto caller = socket;
-  RefuseConnection(caller, result_code::kTooManyConnections, kRetryAfter);
-  return false;
+  if (shared_state_.refusing.is_cancelled()) {
+    ++shared_state_.refused_while_leaving;
+    metrics_.CountRefusal(result_code::kEntryLeaving);
+    RefuseConnection(socket, result_code::kEntryLeaving, kLeavingRetryAfter,
+                     shared_state_.closer);
+    return false;
+  }
+  if (IsFull()) {
+    metrics_.CountRefusal(result_code::kTooManyConnections);
+    RefuseConnection(socket, result_code::kTooManyConnections, kFullRetryAfter,
+                     shared_state_.closer);
+    return false;
+  }
+  shared_state_.accepted.OnAccepted(socket);
+  return true;
 }
 
 }  // namespace samphire
--- a/src/libsamphire/front/connection_limiter.h
+++ b/src/libsamphire/front/connection_limiter.h
@@ -6,24 +6,23 @@
 #include <atomic>
 #include <cstdint>
 
-#include "front/accept_times.h"
+#include "front/front_shared_state.h"
 #include "metrics/metrics.h"
 
 namespace samphire {
 
-// Admission control for one port: refuses connections over `limit` with the
-// result code kTooManyConnections and a retry time. accept() runs in the
-// server's accepting thread.
+// Admission control for one port: refuses connections with a result code and a
+// retry time, with kTooManyConnections over `limit` and with kEntryLeaving
+// while the port refuses requests. accept() runs in the server's accepting
+// thread.
 class connection_limiter final : public Poco::Net::TCPServerConnectionFilter {
  public:
-  // `accepted` is told of each connection that is accepted, and must outlive
-  // this object.
+  // `shared_state` must outlive this object.
   connection_limiter(std::uint32_t limit,
                      samphire::metrics& counters,
-                     accept_times& accepted);
+                     front_shared_state& shared_state);
 
-  // Returns false after refusing the connection, which blocks for a bounded
-  // time, see RefuseConnection(); no other connection is accepted meanwhile.
+  // Returns false after refusing the connection, see RefuseConnection().
   // Accepts every connection until set_server() is called.
   bool accept(const Poco::Net::StreamSocket& socket) override;
   // Sets the server whose open connections are counted. It must outlive the
@@ -31,9 +30,13 @@
   void set_server(const Poco::Net::TCPServer* server) { server_ = server; }
 
  private:
+  // Whether the port serves as many connections as it may, or as many wait for
+  // a thread.
+  bool IsFull() const;
+
   std::uint32_t limit_;
   samphire::metrics& metrics_;
-  accept_times& accepted_;
+  front_shared_state& shared_state_;
   std::atomic<const Poco::Net::TCPServer*> server_{nullptr};
 };
 
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Timestamp.h>
 
@@ -13,9 +12,9 @@
 
 #include "base/log.h"
 #include "front/front_request.h"
+#include "front/front_response.h"
 #include "front/refuse_connection.h"
 #include "front/request_head_wait.h"
-#include "front/response_writer.h"
 
 namespace samphire {
 
@@ -56,7 +55,7 @@
 // head first.
 void front_connection::run() {
   socket().setNoDelay(true);
-  front_session session(socket(), params_);
+  front_session session(socket(), params_, shared_state_.cutting);
   try {
     while (ServeOne(session)) {
     }
@@ -94,8 +93,8 @@
   try {
     const auto outcome = Handle(session);
     // Handle() has returned, so the response has been flushed to the socket.
-    if (outcome == connection_disposition::kUnreadBody)
-      DrainAndShutDown(session.socket());
+    if (outcome == connection_disposition::kClose)
+      shared_state_.closer.Add(session.detachSocket());
     return outcome == connection_disposition::kKeepOpen;
   } catch (const Poco::Net::NoMessageException&) {
     return false;
@@ -115,32 +114,31 @@
 front_connection::connection_disposition front_connection::Handle(
     front_session& session) {
   const active_request_guard guard(shared_state_.active_requests);
-  if (shared_state_.phase == front_phase::kRefusing) {
+  if (shared_state_.refusing.is_cancelled()) {
     Refuse(session, result_code::kEntryLeaving);
-    return connection_disposition::kClose;
+    return connection_disposition::kCloseNow;
   }
-  Poco::Net::HTTPServerResponseImpl response(session);
+  front_response response(session, shared_state_);
   front_request request(response, session, params_.get(), arrived_);
   response.setDate(Poco::Timestamp());
   response.setVersion(request.getVersion());
-  response.setKeepAlive(request.getKeepAlive() &&
-                        shared_state_.phase == front_phase::kOpen);
+  response.setKeepAlive(request.getKeepAlive());
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
       factory_->createRequestHandler(request));
   handler->handleRequest(request, response);
-  if (!request.IsFullyRead())
-    return connection_disposition::kUnreadBody;
-  return response.sent() && response.getKeepAlive()
+  if (!response.sent())
+    return connection_disposition::kCloseNow;
+  return request.IsFullyRead() && response.getKeepAlive()
              ? connection_disposition::kKeepOpen
              : connection_disposition::kClose;
 }
 
 void front_connection::Refuse(front_session& session, result_code code) {
   metrics_.CountRefusal(code);
-  const auto response_bytes = RenderRefusal(response_status{.code = code});
-  session.socket().sendBytes(response_bytes.data(),
-                             static_cast<int>(response_bytes.size()));
-  DrainAndShutDown(session.socket());
+  if (code == result_code::kEntryLeaving)
+    ++shared_state_.refused_while_leaving;
+  RefuseConnection(session.detachSocket(), code, kLeavingRetryAfter,
+                   shared_state_.closer);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -28,10 +28,10 @@
   void run() override;
 
  private:
-  // What to do with the connection after a request. kUnreadBody: close it after
-  // discarding input, because part of the request body has not been read and
-  // would be parsed as the next request.
-  enum class connection_disposition { kKeepOpen, kClose, kUnreadBody };
+  // What to do with the connection after a request. kClose: close it after
+  // discarding input, such as an unread part of the body or another request.
+  // kCloseNow: nothing was sent, or the connection is shut down already.
+  enum class connection_disposition { kKeepOpen, kClose, kCloseNow };
 
   // Whether the first request had come before this thread ran. Returns false
   // from the second call on.
@@ -41,7 +41,7 @@
   bool ServeOne(front_session& session);
   // Parses one request and runs its handler, or refuses it in kRefusing.
   connection_disposition Handle(front_session& session);
-  // Sends a refusal and shuts the connection down.
+  // Sends a refusal and leaves the connection to the closer.
   void Refuse(front_session& session, result_code code);
 
   Poco::Net::HTTPServerParams::Ptr params_;
--- a/src/libsamphire/front/front_limits.h
+++ b/src/libsamphire/front/front_limits.h
@@ -7,6 +7,13 @@
 
 namespace samphire {
 
+// Bounds the connections that wait in the kernel's accept queue, and separately
+// those that wait in the server's own queue for a thread.
+inline constexpr int kMaxQueued = 512;
+// Retry time given to callers that are refused because the entry stops. Another
+// entry can serve them at once.
+inline constexpr milliseconds kLeavingRetryAfter{100};
+
 // Limits on the resources that callers can use before a request has been
 // parsed, for one port.
 struct front_limits {
--- a/src/libsamphire/front/front_phase.h
+++ b/src/libsamphire/front/front_phase.h
@@ -10,8 +10,11 @@
   // Serves requests, but closes each connection after its response, so that
   // callers reconnect to other entries.
   kNoKeepAlive,
-  // Refuses new requests; requests that are already active run to completion.
+  // Refuses new requests and connections; requests that are already active run
+  // to completion.
   kRefusing,
+  // Also breaks off the requests whose bodies are still being received.
+  kCutting,
 };
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -6,6 +6,9 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Net/TCPServerParams.h>
 
+#include <algorithm>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -19,11 +22,10 @@
 
 // Threads beyond the connection limit.
 constexpr int kSpareThreads = 4;
-// Retry time for connections that are refused while the port closes.
-constexpr milliseconds kClosingRetryAfter{100};
-// Bounds the connections that wait in the kernel's accept queue, and separately
-// those that wait in the server's own queue for a thread.
-constexpr int kListenBacklog = 512;
+// Interval at which a closing port checks whether connections are left.
+constexpr milliseconds kClosePollInterval{5};
+// Bounds the time for which connections that wait for a thread are waited for.
+constexpr milliseconds kMaxQueueTime{200};
 // Idle threads end after this time.
 constexpr int kThreadIdleSeconds = 30;
 // Stack size of a connection's thread. The threads mostly wait; half a megabyte
@@ -76,33 +78,36 @@
                kThreadIdleSeconds,
                kStackBytes) {
   socket_.bind(Poco::Net::SocketAddress(address), true, false);
-  socket_.listen(kListenBacklog);
+  socket_.listen(kMaxQueued);
   Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
   params->setMaxThreads(static_cast<int>(limits.max_connections) +
                         kSpareThreads);
-  params->setMaxQueued(kListenBacklog);
+  params->setMaxQueued(kMaxQueued);
   server_ = std::make_unique<Poco::Net::TCPServer>(
       new connection_factory(std::move(factory), shared_state_, counters),
       threads_, socket_, params);
-  Poco::AutoPtr<connection_limiter> limit(new connection_limiter(
-      limits.max_connections, counters, shared_state_.accepted));
+  Poco::AutoPtr<connection_limiter> limit(
+      new connection_limiter(limits.max_connections, counters, shared_state_));
   limit->set_server(server_.get());
   server_->setConnectionFilter(limit);
 }
 
 front_server::~front_server() {
-  Close();
+  Close(std::chrono::steady_clock::now());
   threads_.stopAll();
 }
 
 void front_server::Start() {
+  is_accepting_ = true;
   server_->start();
 }
 
 void front_server::SetPhase(front_phase phase) {
   shared_state_.phase = phase;
-  if (phase == front_phase::kRefusing)
-    shared_state_.refusing_pipe.close(Poco::Pipe::CLOSE_WRITE);
+  if (phase >= front_phase::kRefusing)
+    shared_state_.refusing.Cancel();
+  if (phase >= front_phase::kCutting)
+    shared_state_.cutting.Cancel();
 }
 
 void front_server::SetTimeouts(milliseconds header, milliseconds idle) {
@@ -114,24 +119,50 @@
   return shared_state_.active_requests;
 }
 
-// Connections that the kernel has completed but the server has not accepted are
-// reset when the socket closes. Their callers may have sent a request and could
-// not tell whether it ran. So these connections are accepted and refused, which
-// states that the request did not run.
-void front_server::Close() {
-  SetPhase(front_phase::kRefusing);
+// The server drops connections that wait for a thread when it stops. Their
+// callers may have sent a request and could not tell whether it ran.
+void front_server::StopAccepting() {
+  SetPhase(std::max(shared_state_.phase.load(), front_phase::kRefusing));
+  if (!std::exchange(is_accepting_, false))
+    return;
+  const auto queue_until = std::chrono::steady_clock::now() + kMaxQueueTime;
+  while (server_->queuedConnections() > 0 &&
+         std::chrono::steady_clock::now() < queue_until)
+    std::this_thread::sleep_for(kClosePollInterval);
   server_->stop();
+  RefuseWaiting();
+}
+
+// Connections that the kernel has completed but nobody has accepted are reset
+// when the socket closes. So they are accepted and refused, which states that
+// the request did not run.
+void front_server::RefuseWaiting() {
   try {
     while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      auto pending = socket_.acceptConnection();
-      RefuseConnection(pending, result_code::kEntryLeaving, kClosingRetryAfter);
+      ++shared_state_.refused_while_leaving;
+      RefuseConnection(socket_.acceptConnection(), result_code::kEntryLeaving,
+                       kLeavingRetryAfter, shared_state_.closer);
     }
-    socket_.close();
   } catch (const Poco::Exception& e) {
-    Log(log_level::kDebug, "port-closed", {{"detail", e.displayText()}});
+    Log(log_level::kInfo, "connection-lost", {{"detail", e.displayText()}});
   }
 }
 
+void front_server::Close(time_point deadline) {
+  StopAccepting();
+  if (!std::exchange(is_closed_, true)) {
+    RefuseWaiting();
+    socket_.close();
+  }
+  while ((connections() > 0 || shared_state_.closer.open() > 0) &&
+         std::chrono::steady_clock::now() < deadline)
+    std::this_thread::sleep_for(kClosePollInterval);
+}
+
+int front_server::refused_while_leaving() const {
+  return shared_state_.refused_while_leaving;
+}
+
 int front_server::connections() const {
   return server_->currentConnections();
 }
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -15,9 +15,9 @@
 namespace samphire {
 
 // HTTP server on one listening port: accepts connections up to a limit and
-// serves each in a thread of its own. SetTimeouts(), active_requests() and
-// connections() may be called from any thread; Start(), SetPhase() and Close()
-// from one thread at a time.
+// serves each in a thread of its own. SetTimeouts(), active_requests(),
+// connections() and refused_while_leaving() may be called from any thread, the
+// other functions from one thread at a time.
 class front_server {
  public:
   // Binds to `address` ("host:port"; port 0 picks a free one). Throws
@@ -26,7 +26,7 @@
                Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
                const front_limits& limits,
                samphire::metrics& counters);
-  // Calls Close() and stops the threads.
+  // Calls Close() without waiting, and stops the threads.
   ~front_server();
 
   // Starts accepting connections.
@@ -38,11 +38,22 @@
   void SetTimeouts(milliseconds header, milliseconds idle);
   // Returns the number of requests being handled.
   int active_requests() const;
-  // Enters kRefusing and closes the port. Connections that were not accepted
-  // yet are refused with kEntryLeaving. Doesn't wait for active requests.
-  void Close();
+  // Enters kRefusing: connections that are idle, wait for a thread or come
+  // later are refused with kEntryLeaving. Ends the accepting thread, so that
+  // RefuseWaiting() must be called from time to time until Close(). Blocks for
+  // up to about half a second.
+  void StopAccepting();
+  // Refuses the connections that wait to be accepted.
+  void RefuseWaiting();
+  // Calls StopAccepting() unless that was done, and closes the port. Blocks
+  // until all connections are closed, at most until `deadline`; requests that
+  // are active then go on.
+  void Close(time_point deadline);
   // Returns the number of connections being served.
   int connections() const;
+  // Returns the number of requests and connections that were refused with
+  // kEntryLeaving.
+  int refused_while_leaving() const;
   // Returns the bound address with its actual port.
   std::string address() const;
 
@@ -51,6 +62,8 @@
   Poco::Net::ServerSocket socket_;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::TCPServer> server_;
+  bool is_accepting_ = false;
+  bool is_closed_ = false;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_session.cc
+++ b/src/libsamphire/front/front_session.cc
@@ -5,8 +5,9 @@
 namespace samphire {
 
 front_session::front_session(const Poco::Net::StreamSocket& socket,
-                             Poco::Net::HTTPServerParams::Ptr params)
-    : HTTPServerSession(socket, std::move(params)) {}
+                             Poco::Net::HTTPServerParams::Ptr params,
+                             const cancel_signal& cutting)
+    : HTTPServerSession(socket, std::move(params)), cutting_(cutting) {}
 
 int front_session::ReadRaw(char* buffer, std::streamsize length) {
   return read(buffer, length);
--- a/src/libsamphire/front/front_shared_state.h
+++ b/src/libsamphire/front/front_shared_state.h
@@ -1,20 +1,19 @@
 #ifndef FRONT_FRONT_SHARED_STATE_H_
 #define FRONT_FRONT_SHARED_STATE_H_
 
-#include <Poco/Pipe.h>
-
 #include <atomic>
 #include <cstdint>
 
+#include "base/cancel_signal.h"
 #include "front/accept_times.h"
 #include "front/front_limits.h"
 #include "front/front_phase.h"
+#include "front/lingering_closer.h"
 
 namespace samphire {
 
 // State shared by the connections of one port: limits, phase and the number of
-// active requests. The atomic members may be used from any thread; the pipe is
-// closed by the thread that sets the phase kRefusing.
+// active requests. May be used from any thread.
 struct front_shared_state {
   explicit front_shared_state(const front_limits& limits)
       : max_header_bytes(limits.max_header_bytes),
@@ -30,10 +29,17 @@
   std::atomic<front_phase> phase = front_phase::kOpen;
   // Number of requests being handled.
   std::atomic<int> active_requests = 0;
+  // Number of requests and connections that were refused since the port entered
+  // kRefusing.
+  std::atomic<int> refused_while_leaving = 0;
   accept_times accepted;
-  // Carries no data. Its write end is closed when the port enters kRefusing,
-  // which wakes every connection that waits for its next request.
-  Poco::Pipe refusing_pipe;
+  // Happens when the port enters kRefusing, and wakes every connection that
+  // waits for its next request.
+  cancel_signal refusing;
+  // Happens when the port enters kCutting, and wakes every request that waits
+  // for the rest of its body.
+  cancel_signal cutting;
+  lingering_closer closer;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/front/refuse_connection.h
+++ b/src/libsamphire/front/refuse_connection.h
@@ -5,20 +5,18 @@
 
 #include "base/clock_source.h"
 #include "base/result_code.h"
+#include "front/lingering_closer.h"
 
 namespace samphire {
 
-// Refuses a connection from which nothing was read: sends `reason` with the
-// retry time, then drains and shuts down the connection so that the refusal
-// arrives. Blocks for a bounded time; errors of the connection are ignored.
-void RefuseConnection(Poco::Net::StreamSocket& caller,
+// Refuses the next request of a connection, whether or not it has arrived:
+// sends `reason` with the retry time, and leaves the connection to `closer`.
+// Blocks for 100 ms at most, and only while the caller doesn't read; errors of
+// the connection are ignored.
+void RefuseConnection(Poco::Net::StreamSocket caller,
                       result_code reason,
-                      milliseconds retry_after);
-
-// Shuts down the sending side, then reads and discards input for a bounded time
-// so that the caller receives the response sent before. Ignores errors of the
-// connection.
-void DrainAndShutDown(Poco::Net::StreamSocket& caller);
+                      milliseconds retry_after,
+                      lingering_closer& closer);
 
 }  // namespace samphire
 
--- a/src/libsamphire/front/request_body.cc
+++ b/src/libsamphire/front/request_body.cc
@@ -34,10 +34,7 @@
     return MakeError(result_code::kBodyTooLarge);
   const auto read_result = reader_.Read(buffer);
   if (!read_result) {
-    return MakeError(buffer_.deadline_exceeded()
-                         ? result_code::kRequestTooSlow
-                         : result_code::kMalformedRequest,
-                     "request body incomplete");
+    return MakeError(buffer_.failure(), "request body incomplete");
   }
   bytes_read_ += read_result.value();
   if (bytes_read_ > limit_)
--- a/src/libsamphire/front/request_body.h
+++ b/src/libsamphire/front/request_body.h
@@ -25,8 +25,8 @@
                time_point deadline);
 
   // Fails with kBodyTooLarge over the limit, kRequestTooSlow after the
-  // deadline, and kMalformedRequest if the body breaks off or its framing is
-  // invalid.
+  // deadline, kEntryLeaving if the entry ends before, and kMalformedRequest if
+  // the body breaks off or its framing is invalid.
   result<std::size_t> Read(std::span<char> buffer) override;
 
   void set_deadline(time_point deadline) { buffer_.set_deadline(deadline); }
--- a/src/libsamphire/front/request_head_wait.cc
+++ b/src/libsamphire/front/request_head_wait.cc
@@ -38,30 +38,31 @@
          last != std::string_view::npos && last > first + 1;
 }
 
-// Waits for the caller and for the port's refusing pipe in one poll(). Checking
-// the phase periodically instead would wake each of hundreds of idle
-// connections many times a second. Returns false on idle timeout and when the
-// port starts refusing.
-bool AwaitFirstByte(Poco::Net::StreamSocket& socket,
-                    const front_shared_state& shared_state) {
+// Waits for the caller and for the port to refuse in one poll(). Checking the
+// phase periodically instead would wake each of hundreds of idle connections
+// many times a second. A caller whose request is on its way when the port
+// starts refusing could not tell whether it ran, if the connection were just
+// closed.
+result_code AwaitFirstByte(Poco::Net::StreamSocket& socket,
+                           const front_shared_state& shared_state) {
   const auto deadline =
       std::chrono::steady_clock::now() + shared_state.idle_timeout.load();
   while (true) {
     const auto time_left = std::chrono::ceil<milliseconds>(
         deadline - std::chrono::steady_clock::now());
     if (time_left.count() <= 0)
-      return false;
+      return result_code::kCallerGone;
     std::array<pollfd, 2> entries{{
         {socket.impl()->sockfd(), POLLIN, 0},
-        {shared_state.refusing_pipe.readHandle(), POLLIN, 0},
+        {shared_state.refusing.descriptor(), POLLIN, 0},
     }};
     if (poll(entries.data(), entries.size(),
              static_cast<int>(time_left.count())) <= 0)
       continue;
     if (entries[0].revents != 0)
-      return true;
+      return result_code::kOk;
     if (entries[1].revents != 0)
-      return false;
+      return result_code::kEntryLeaving;
   }
 }
 
@@ -75,8 +76,9 @@
                              const front_shared_state& shared_state) {
   std::vector<char> buffer(shared_state.max_header_bytes + 1);
   try {
-    if (!AwaitFirstByte(socket, shared_state))
-      return result_code::kCallerGone;
+    const auto first = AwaitFirstByte(socket, shared_state);
+    if (first != result_code::kOk)
+      return first;
     const auto deadline =
         std::chrono::steady_clock::now() + shared_state.header_timeout.load();
     while (true) {
@@ -92,6 +94,8 @@
       }
       if (count > shared_state.max_header_bytes)
         return result_code::kHeaderTooLarge;
+      if (shared_state.refusing.is_cancelled())
+        return result_code::kEntryLeaving;
       if (std::chrono::steady_clock::now() >= deadline)
         return result_code::kRequestTooSlow;
       std::this_thread::sleep_for(kPeekInterval);
--- a/src/libsamphire/front/request_head_wait.h
+++ b/src/libsamphire/front/request_head_wait.h
@@ -15,8 +15,9 @@
 // - kMalformedRequest when it has none;
 // - kHeaderTooLarge or kRequestTooSlow when a limit of `shared_state` is
 //   exceeded before the head is complete;
-// - kCallerGone when the connection was closed, exceeded the idle timeout, or
-//   was idle when the port entered kRefusing.
+// - kEntryLeaving when the port refuses requests and no complete head has
+//   arrived;
+// - kCallerGone when the connection was closed or exceeded the idle timeout.
 result_code AwaitRequestHead(Poco::Net::StreamSocket& socket,
                              const front_shared_state& shared_state);
 
--- a/src/libsamphire/gateway/entry_node.cc
+++ b/src/libsamphire/gateway/entry_node.cc
@@ -17,6 +17,9 @@
 // Bounds how long a stopping entry waits for its slot partitions to be
 // released.
 constexpr milliseconds kPartitionReleaseTimeout{5000};
+// Bounds how long a stopping entry waits for callers to close connections on
+// which their last response was sent.
+constexpr milliseconds kCloseTimeout{500};
 // How long other entries may still name this entry in look-ups after it
 // announced that it is leaving: the time that gossip takes to reach all of
 // them.
@@ -219,8 +222,9 @@
   while (caller_front_.active_requests() + peer_front_.active_requests() > 0)
     std::this_thread::sleep_for(kDrainPollInterval);
   ReleasePartitions();
-  caller_front_.Close();
-  peer_front_.Close();
+  const auto close_until = clock_.now() + kCloseTimeout;
+  caller_front_.Close(close_until);
+  peer_front_.Close(close_until);
   Log(log_level::kInfo, "drained",
       {{"seconds",
         std::chrono::duration<double>(clock_.now() - started).count()},
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -322,7 +322,7 @@
       {{"requests_cut", cut},
        {"seconds",
         std::chrono::duration<double>(clock_.now() - requested_at).count()}});
-  caller_front_.Close();
+  caller_front_.Close(deadline);
   // Requests on connections that were accepted but not read yet are being
   // refused. The end of the process would reset these connections, and their
   // callers could not tell whether the requests ran.
--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -5,9 +5,15 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "front/front_request.h"
 #include "front/response_writer.h"
@@ -32,6 +38,35 @@
   }
 };
 
+// Counts as a request in progress until `release` is set, then responds.
+class held_handler final : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit held_handler(const std::atomic<bool>& release) : release_(release) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest& /*request*/,
+                     Poco::Net::HTTPServerResponse& response) override {
+    while (!release_)
+      std::this_thread::sleep_for(1ms);
+    WriteBody(response, "text/plain", "held");
+  }
+
+ private:
+  const std::atomic<bool>& release_;
+};
+
+class held_factory final : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit held_factory(const std::atomic<bool>& release) : release_(release) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const Poco::Net::HTTPServerRequest& /*request*/) override {
+    return new held_handler(release_);
+  }
+
+ private:
+  const std::atomic<bool>& release_;
+};
+
 class echo_factory final : public Poco::Net::HTTPRequestHandlerFactory {
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const Poco::Net::HTTPServerRequest& /*request*/) override {
@@ -52,10 +87,8 @@
   }
 };
 
-// Sends the bytes and returns everything received until the server closes.
-std::string SendAndReadToClose(Poco::Net::StreamSocket socket,
-                               const std::string& bytes) {
-  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+// Returns everything received until the server closes.
+std::string ReadToClose(Poco::Net::StreamSocket socket) {
   std::string response_text;
   std::array<char, 4096> buffer{};
   try {
@@ -70,6 +103,13 @@
   return response_text;
 }
 
+// Sends the bytes and returns everything received until the server closes.
+std::string SendAndReadToClose(Poco::Net::StreamSocket socket,
+                               const std::string& bytes) {
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  return ReadToClose(std::move(socket));
+}
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -164,3 +204,138 @@
     CHECK_FALSE(Contains(response_text, "/hidden"));
   }
 }
+
+namespace {
+
+const std::string kGet = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+
+void Send(Poco::Net::StreamSocket& socket, const std::string& bytes) {
+  socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+}  // namespace
+
+// Guards against a port that closes idle connections without a word when it
+// begins to refuse: a request that crosses the close may have run, for all its
+// caller can tell.
+TEST_CASE("connections that are idle when the port refuses are told") {
+  running_server running{front_limits{}};
+  auto used = running.Connect();
+  Send(used, kGet);
+  std::array<char, 4096> buffer{};
+  REQUIRE(used.receiveBytes(buffer.data(), buffer.size()) > 0);
+  auto unused = running.Connect();
+  auto begun = running.Connect();
+  Send(begun, "GET /x HTTP/1.1\r\nHost:");
+  std::this_thread::sleep_for(20ms);
+  running.server.SetPhase(front_phase::kRefusing);
+  for (auto* each : {&used, &unused, &begun})
+    CHECK(Contains(ReadToClose(*each), "2108 entry-leaving"));
+  CHECK(running.server.refused_while_leaving() == 3);
+}
+
+// Guards against connections that wait in a queue and are dropped when the
+// port closes.
+TEST_CASE("connections that come while the port closes are refused") {
+  running_server running{front_limits{}};
+  running.server.StopAccepting();
+  std::vector<Poco::Net::StreamSocket> waiting;
+  for (int i = 0; i < 50; ++i) {
+    waiting.push_back(running.Connect());
+    Send(waiting.back(), kGet);
+  }
+  running.server.RefuseWaiting();
+  for (int i = 0; i < 50; ++i)
+    waiting.push_back(running.Connect());
+  std::thread close(
+      [&] { running.server.Close(std::chrono::steady_clock::now() + 5s); });
+  for (auto& each : waiting)
+    CHECK(Contains(ReadToClose(each), "2108 entry-leaving"));
+  close.join();
+}
+
+// Guards against a close that lasts as long as callers reconnect, or for as
+// long as a refused one neither reads nor closes.
+TEST_CASE("closing a port ends by its deadline") {
+  std::atomic<bool> release = false;
+  metrics counters;
+  front_server server("127.0.0.1:0", new held_factory(release), front_limits{},
+                      counters);
+  server.Start();
+  const Poco::Net::SocketAddress address(server.address());
+  Poco::Net::StreamSocket held(address);
+  Send(held, kGet);
+  while (server.active_requests() == 0)
+    std::this_thread::sleep_for(1ms);
+  std::atomic<bool> calling = true;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      std::vector<Poco::Net::StreamSocket> left_open;
+      while (calling) {
+        try {
+          left_open.emplace_back(address);
+          Send(left_open.back(), kGet);
+        } catch (const Poco::Exception&) {
+          std::this_thread::sleep_for(1ms);
+        }
+        if (left_open.size() > 20)
+          left_open.erase(left_open.begin());
+      }
+    });
+  }
+  const auto began = std::chrono::steady_clock::now();
+  server.Close(began + 700ms);
+  const auto took = std::chrono::steady_clock::now() - began;
+  CHECK(took >= 700ms);
+  CHECK(took < 1500ms);
+  release = true;
+  calling = false;
+  for (auto& each : callers)
+    each.join();
+  CHECK(Contains(ReadToClose(held), "held"));
+}
+
+// Guards against a close with unread input, which resets the connection and may
+// take the response with it.
+TEST_CASE("a response before a close survives requests that come behind it") {
+  running_server running{front_limits{}};
+  running.server.SetPhase(front_phase::kNoKeepAlive);
+  for (int i = 0; i < 20; ++i) {
+    auto caller = running.Connect();
+    std::string bytes = kGet;
+    for (int k = 0; k < 200; ++k)
+      bytes += kGet;
+    Send(caller, bytes);
+    std::this_thread::sleep_for(5ms);
+    CHECK(Contains(ReadToClose(caller), "/x"));
+  }
+}
+
+// Guards against an upload that waits for the rest of its body when the process
+// is to end, and gets no answer.
+TEST_CASE("an upload that is not complete when the port cuts is told") {
+  running_server running{front_limits{}};
+  auto caller = running.Connect();
+  Send(caller, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf");
+  while (running.server.active_requests() == 0)
+    std::this_thread::sleep_for(1ms);
+  running.server.SetPhase(front_phase::kCutting);
+  CHECK(Contains(ReadToClose(caller), "2108 entry-leaving"));
+}
+
+// Guards against one caller that does not read its refusal and keeps all others
+// waiting.
+TEST_CASE("refusing a full port's connections keeps nobody waiting") {
+  running_server running{front_limits{.max_connections = 1}};
+  auto first = running.Connect();
+  Send(first, kGet);
+  std::array<char, 4096> buffer{};
+  REQUIRE(first.receiveBytes(buffer.data(), buffer.size()) > 0);
+  std::vector<Poco::Net::StreamSocket> silent;
+  for (int i = 0; i < 20; ++i)
+    silent.push_back(running.Connect());
+  const auto began = std::chrono::steady_clock::now();
+  CHECK(Contains(ReadToClose(running.Connect()), "2107 too-many-connections"));
+  CHECK(std::chrono::steady_clock::now() - began < 900ms);
+}
