Count a planned stop from the signal, and end before the kill

Cause: SIGKILL counts from the signal, the stop counted from the moment at which the main loop came to it, after a tick or a reload and the scheduler; its margin of half a second had nothing to do with that delay. And the stop had no end: its last steps waited for callers.

PlanStop() has all times of a stop and is pure: they are parts of the grace, with a lower bound, since a busy processor is as late in a short grace as in a long one. A reload that shortens the grace moves them. The log tells each step, when it was planned, and what was running, waiting and refused; steps are warnings, as the lines of single requests crowded them out.

Evidence: stop_schedule_test; test_stop ends before its grace of 3 s and 0.9 s, beside 24 busy threads too.

--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -174,7 +174,7 @@
 result<live_target> relay_handler::FindTarget(
     const Poco::Net::HTTPServerRequest& request) const {
   const auto targets = context_.state.targets();
-  if (!targets || context_.state.leaving)
+  if (!targets || context_.state.stop.begun())
     return MakeError(result_code::kNoPathToTarget);
   const auto& known = targets->OfService(request.get(kHeaderRelayService, ""));
   const auto found = std::ranges::find(known, request.get(kHeaderRelayTarget),
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -25,13 +25,9 @@
 
 // Interval at which Drain() checks whether requests or connections remain.
 constexpr milliseconds kDrainPollInterval{20};
-// Time in which gossip tells the region that this entry leaves, about a second.
-// After the request to stop, connections of callers are served for this time
-// and the lifetime of their look-ups.
-constexpr milliseconds kLeavingPropagationTime{1200};
-// Part of the time until the process is killed that is reserved for sending the
-// last responses.
-constexpr milliseconds kStopMargin{500};
+// Bounds the time for which connections of peers are waited for at the end.
+// Most of them are watches that last longer than that.
+constexpr milliseconds kPeerCloseTime{100};
 // Upper bound on connections of peers: three watches for each entry of a region
 // of eighty, and as many for requests that this entry passes on to targets.
 constexpr std::uint32_t kPeerConnections = 512;
@@ -176,6 +172,9 @@
 
 void traffic_node::SetBounds(const traffic_bounds& bounds) {
   state_.SetBounds(bounds);
+  if (const auto before = state_.stop.schedule())
+    state_.stop.Plan(
+        PlanStop(before->requested, bounds.stop_grace, bounds.lookup_ttl));
 }
 
 void traffic_node::AddSeeds(const std::vector<std::string>& seeds) {
@@ -246,8 +245,8 @@
   const auto before = state_.entries().Get();
   const auto members = membership_.members();
   const auto now = clock_.now();
-  const auto after = entry_list_builder_.Build(members, membership_.regions(),
-                                               IsReady(), state_.leaving, now);
+  const auto after = entry_list_builder_.Build(
+      members, membership_.regions(), IsReady(), state_.stop.begun(), now);
   state_.entries().Replace(after);
   LogListingChanges(before->listed, after->listed, members, now, metrics_);
   if (after->names != before->names) {
@@ -296,38 +295,78 @@
   return metrics_.Render();
 }
 
+int traffic_node::RunningRequests() const {
+  return caller_front_.active_requests() + state_.relayed_requests;
+}
+
+void traffic_node::AwaitRequests(time_point deadline) {
+  while (RunningRequests() > 0 && clock_.now() < deadline) {
+    caller_front_.RefuseWaiting();
+    peer_front_.RefuseWaiting();
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+}
+
+// Steps are warnings, so that the lines of the requests that are refused
+// meanwhile don't crowd them out.
+void traffic_node::LogStopStep(const char* event) const {
+  const auto schedule = state_.stop.schedule();
+  const auto since = [&](time_point at) {
+    return std::chrono::duration<double>(at - schedule->requested).count();
+  };
+  Log(log_level::kWarning, event,
+      {{"seconds", since(clock_.now())},
+       {"keep_seconds", since(schedule->keep_until)},
+       {"serve_seconds", since(schedule->serve_until)},
+       {"cut_seconds", since(schedule->cut_at)},
+       {"end_seconds", since(schedule->end_by)},
+       {"requests", caller_front_.active_requests()},
+       {"relayed_requests", state_.relayed_requests.load()},
+       {"connections", caller_front_.connections()},
+       {"refused", caller_front_.refused_while_leaving()}});
+}
+
+// Everything that follows from the stop for requests holds from here on, also
+// while another thread is busy with something that takes long.
+time_point traffic_node::BeginStop(time_point requested) {
+  const auto bounds = state_.bounds();
+  state_.stop.Plan(PlanStop(requested, bounds->stop_grace, bounds->lookup_ttl));
+  caller_front_.SetPhase(front_phase::kNoKeepAlive);
+  LogStopStep("leaving");
+  RefreshEntryList();
+  membership_.AnnounceLeaving();
+  return state_.stop.schedule()->end_by;
+}
+
 // Callers use their connections until the process ends, so requests are served
 // for as long as their responses can be sent before the kill. Later requests
-// are refused immediately, with the statement that they did not run.
+// are refused immediately, with the statement that they did not run. The end of
+// the process would reset connections whose requests were not read or answered,
+// and their callers could not tell whether these ran: so whoever is left at the
+// end is told as well.
 void traffic_node::Drain() {
-  const auto requested_at = clock_.now();
-  Log(log_level::kInfo, "leaving");
-  state_.leaving = true;
-  RefreshEntryList();
-  membership_.AnnounceLeaving();
-  caller_front_.SetPhase(front_phase::kNoKeepAlive);
-  const auto bounds = state_.bounds();
-  const auto deadline = requested_at + bounds->stop_grace - kStopMargin;
-  const auto serve_until = std::min(
-      requested_at + bounds->lookup_ttl + kLeavingPropagationTime, deadline);
-  std::this_thread::sleep_until(serve_until);
-  caller_front_.SetPhase(front_phase::kRefusing);
-  const auto running = [this] {
-    return caller_front_.active_requests() + state_.relayed_requests;
-  };
-  while (running() > 0 && clock_.now() < deadline)
-    std::this_thread::sleep_for(kDrainPollInterval);
-  const int cut = running();
-  Log(cut > 0 ? log_level::kWarning : log_level::kInfo, "drained",
+  std::this_thread::sleep_until(state_.stop.schedule()->serve_until);
+  LogStopStep("refusing");
+  caller_front_.StopAccepting();
+  peer_front_.StopAccepting();
+  AwaitRequests(state_.stop.schedule()->cut_at);
+  const auto end_by = state_.stop.schedule()->end_by;
+  const int cut = RunningRequests();
+  if (cut > 0) {
+    LogStopStep("cutting");
+    caller_front_.SetPhase(front_phase::kCutting);
+    state_.stop.Cut();
+    AwaitRequests(end_by);
+  }
+  caller_front_.Close(end_by);
+  peer_front_.Close(std::min(end_by, clock_.now() + kPeerCloseTime));
+  Log(log_level::kWarning, "drained",
       {{"requests_cut", cut},
-       {"seconds",
-        std::chrono::duration<double>(clock_.now() - requested_at).count()}});
-  caller_front_.Close(deadline);
-  // Requests on connections that were accepted but not read yet are being
-  // refused. The end of the process would reset these connections, and their
-  // callers could not tell whether the requests ran.
-  while (caller_front_.connections() > 0 && clock_.now() < deadline)
-    std::this_thread::sleep_for(kDrainPollInterval);
+       {"requests_left", RunningRequests()},
+       {"refused", caller_front_.refused_while_leaving()},
+       {"seconds", std::chrono::duration<double>(
+                       clock_.now() - state_.stop.schedule()->requested)
+                       .count()}});
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -40,7 +40,8 @@
 // One entry that serves requests by host and path: owns and connects all of its
 // components. The manifest, the targets and the bounds are set from outside, by
 // the code that follows the platform's objects. Thread-safe once started,
-// except for Start() and Drain(), which are called once each.
+// except for Start() and Drain(), which are called once each, and Drain() after
+// BeginStop().
 class traffic_node {
  public:
   // `opener` opens the connections to targets and peers; it must outlive this
@@ -58,9 +59,14 @@
   // requests are in quarantine, and closes connections that rested. Must be
   // called about once a second.
   void Tick();
-  // Performs a planned stop: reports itself as not ready, keeps serving
-  // until callers know about it, then completes the requests in progress.
-  // Blocks until done, at most for `traffic_bounds::stop_grace`.
+  // Begins a planned stop that was requested at `requested`: reports itself as
+  // not ready, and refuses requests that may not be answered before the process
+  // ends. Returns when the process must have ended. May be called from any
+  // thread, and once.
+  time_point BeginStop(time_point requested);
+  // Performs the stop that has begun: keeps serving until callers know about
+  // it, then completes the requests in progress. Blocks until done, and returns
+  // before `traffic_bounds::stop_grace` has passed since the request.
   void Drain();
 
   // The setters take effect immediately, without a restart.
@@ -99,6 +105,13 @@
   Poco::Net::HTTPRequestHandler* MakePeerHandler(
       const Poco::Net::HTTPServerRequest& request);
   std::string MetricsText();
+  // Requests of callers and peers that are in progress.
+  int RunningRequests() const;
+  // Waits until no request is in progress, at most until `deadline`, and
+  // refuses the connections that come meanwhile.
+  void AwaitRequests(time_point deadline);
+  // Logs a step of the stop, with what is in progress.
+  void LogStopStep(const char* event) const;
 
   const traffic_settings settings_;
   const traffic_headers headers_;
--- a/src/libsamphire/traffic/traffic_state.cc
+++ b/src/libsamphire/traffic/traffic_state.cc
@@ -39,7 +39,7 @@
 }
 
 bool traffic_state::IsReady() const {
-  return !leaving && manifest() && targets();
+  return !stop.begun() && manifest() && targets();
 }
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -11,6 +11,7 @@
 #include "routing/traffic_manifest.h"
 #include "steering/shared_snapshot.h"
 #include "traffic/entry_list.h"
+#include "traffic/entry_stop.h"
 #include "traffic/traffic_bounds.h"
 
 namespace samphire {
@@ -41,8 +42,8 @@
   }
   void SetBounds(const traffic_bounds& bounds);
 
-  // Whether this entry is being stopped.
-  std::atomic<bool> leaving = false;
+  // The planned stop of this entry, once it has begun.
+  entry_stop stop;
   // Number of requests that this entry is passing on to targets for peers.
   std::atomic<int> relayed_requests = 0;
 
