Take no request that a planned stop can't keep

Cause: requests were taken for as long as callers may use a look-up and 1.2 s, but cut by the grace. Nothing compared the time that a request may take with the time that the process has, and what waited was treated like what ran.

When that is broken off, callers whose response had not begun are told (2210, cut-by-stop), where their connection was closed; other entries take that for no evidence against the target, and may try again. Requests that are passed on for peers end the same way.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -136,6 +136,8 @@
     {kBodySpent, "body-spent", 503, true,
      "The body was read for an earlier attempt, so that none can send it whole "
      "any more."},
+    {kCutByStop, "cut-by-stop", 502, true,
+     "The entry had to end while a target may have run the request."},
 
     {kLedgerUnavailable, "ledger-unavailable", 503, true,
      "The platform can't take the reservation, so the request is not run."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -83,6 +83,7 @@
   kTargetShedding = 2207,
   kTargetClosed = 2208,
   kBodySpent = 2209,
+  kCutByStop = 2210,
 
   // 23xx: requests with at-most-once semantics.
   kLedgerUnavailable = 2301,
--- a/src/libsamphire/proxy/caller_watch.cc
+++ b/src/libsamphire/proxy/caller_watch.cc
@@ -7,6 +7,10 @@
 caller_watch::caller_watch(const Poco::Net::StreamSocket& socket)
     : socket_(socket) {}
 
+caller_watch::caller_watch(const Poco::Net::StreamSocket& socket,
+                           const cancel_signal& cut)
+    : socket_(socket), cut_(&cut) {}
+
 int caller_watch::descriptor() const {
   return socket_ ? socket_->impl()->sockfd() : -1;
 }
--- a/src/libsamphire/proxy/socket_input_buf.cc
+++ b/src/libsamphire/proxy/socket_input_buf.cc
@@ -22,7 +22,8 @@
       deadline_(deadline),
       caller_(caller) {}
 
-// Waits for the target and for a disconnect of the caller in one poll().
+// Waits for the target, for a disconnect of the caller and for the end of the
+// entry in one poll().
 // Without the second, work for a caller that has disconnected would run to its
 // end; targets would be busy with requests that are never counted as completed.
 // Without the deadline, a target that stalls in the middle of a response would
@@ -35,9 +36,10 @@
       failure_ = result_code::kDeadlineExceeded;
       return -1;
     }
-    std::array<pollfd, 2> entries{{
+    std::array<pollfd, 3> entries{{
         {socket_.impl()->sockfd(), POLLIN, 0},
         {caller_.descriptor(), POLLRDHUP, 0},
+        {caller_.cut_descriptor(), POLLIN, 0},
     }};
     const int ready = poll(
         entries.data(), entries.size(),
@@ -48,6 +50,10 @@
       failure_ = result_code::kCallerGone;
       return -1;
     }
+    if (entries[0].revents == 0 && entries[2].revents != 0) {
+      failure_ = result_code::kCutByStop;
+      return -1;
+    }
     if (entries[0].revents == 0)
       continue;
     try {
--- a/src/libsamphire/proxy/socket_input_buf.h
+++ b/src/libsamphire/proxy/socket_input_buf.h
@@ -10,18 +10,18 @@
 
 namespace samphire {
 
-// Input stream buffer over a socket that is read until a deadline and for as
-// long as the caller stays connected. A read that ends early appears as the end
-// of the stream; failure() returns the reason. Not thread-safe; `caller` must
-// outlive the buffer.
+// Input stream buffer over a socket that is read until a deadline, for as long
+// as the caller stays connected and until the entry breaks it off. A read that
+// ends early appears as the end of the stream; failure() returns the reason.
+// Not thread-safe; `caller` must outlive the buffer.
 class socket_input_buf final : public Poco::BufferedStreamBuf {
  public:
   socket_input_buf(const Poco::Net::StreamSocket& socket,
                    time_point deadline,
                    const caller_watch& caller);
 
-  // kDeadlineExceeded, kCallerGone, kTargetFailed after a connection error, or
-  // kOk after an orderly end of the stream.
+  // kDeadlineExceeded, kCallerGone, kCutByStop, kTargetFailed after a
+  // connection error, or kOk after an orderly end of the stream.
   result_code failure() const { return failure_; }
   // Whether any byte was received.
   bool has_received() const { return has_received_; }
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -118,7 +118,7 @@
     read.value().body.SetPermission(
         [socket = sink.socket()] { return AskForRest(socket); });
   }
-  const caller_watch peer(sink.socket());
+  const caller_watch peer(sink.socket(), context_.state.stop.cut());
   const auto sent_at = context_.clock.now();
   const auto end = target_exchange(context_, read.value(), peer, sink)
                        .Run(target.value(), connection_use::kNew);
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -30,9 +30,10 @@
 constexpr milliseconds kMaxAskTime{1000};
 
 // Whether `code` is no evidence against the target: the caller disconnected or
-// sent an incomplete or invalid body.
-bool IsCallerFault(result_code code) {
-  return code == result_code::kCallerGone ||
+// sent an incomplete or invalid body, or this entry has to end.
+bool IsNoEvidence(result_code code) {
+  return code == result_code::kCallerGone || code == result_code::kCutByStop ||
+         code == result_code::kEntryLeaving ||
          code == result_code::kMalformedRequest ||
          code == result_code::kBodyTooLarge ||
          code == result_code::kRequestTooSlow;
@@ -304,7 +305,7 @@
 
 void target_exchange::Fail(result_code code, target_exchange_end& end) const {
   end.reason = code;
-  if (IsCallerFault(code))
+  if (IsNoEvidence(code))
     end.attempt.result = attempt_result::kCallerGone;
   else if (code == result_code::kDeadlineExceeded)
     end.attempt.result = attempt_result::kTimedOut;
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "front/front_limits.h"
 #include "gateway/response_relay.h"
 #include "routing/arrival_cause.h"
 #include "traffic/split_report.h"
@@ -111,6 +112,10 @@
     FinishWithoutAttempt(result_code::kUnknownApiKey, milliseconds{0});
     return false;
   }
+  if (!CanKeep()) {
+    FinishWithoutAttempt(result_code::kEntryLeaving, kLeavingRetryAfter);
+    return false;
+  }
   if (!PassesQuarantine() || !TakePermit())
     return false;
   auto placed = placer_.Place();
@@ -195,6 +200,12 @@
   return false;
 }
 
+// The target's response to a request that is sent now may come as late as the
+// request's deadline, which the process must live to see.
+bool traffic_dispatcher::CanKeep() const {
+  return context_.state.stop.CanKeep(request_.deadline);
+}
+
 // The key may be revoked while a long body arrives or an attempt runs.
 bool traffic_dispatcher::IsApiKeyValid() const {
   if (request_.team == nullptr)
@@ -267,7 +278,7 @@
 // target or a failure to connect proves that it did not run. Whatever may reach
 // a target once more is paid for from a budget that all entries share.
 bool traffic_dispatcher::MayRetry(const target_exchange_end& end) {
-  if (end.streamed || !request_.body.CanBeSent() ||
+  if (end.streamed || !request_.body.CanBeSent() || !CanKeep() ||
       end.reason == result_code::kCallerGone ||
       end.reason == result_code::kDeadlineExceeded)
     return false;
@@ -334,6 +345,8 @@
 void traffic_dispatcher::Refuse(result_code code, milliseconds retry_after) {
   if (arrivals_.may_have_run() && code == result_code::kRequestTooSlow)
     code = result_code::kDeadlineExceeded;
+  else if (arrivals_.may_have_run() && code == result_code::kEntryLeaving)
+    code = result_code::kCutByStop;
   else if (arrivals_.may_have_run() && ImpliesNotRun(code))
     code = result_code::kTargetFailed;
   else if (!arrivals_.may_have_run() && code == result_code::kDeadlineExceeded)
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/traffic_dispatcher.h
@@ -46,6 +46,8 @@
   // Takes a permit if the team has a limit and none is held. Finishes the
   // request and returns false if it is refused.
   bool TakePermit();
+  // Whether the response would come before the entry ends.
+  bool CanKeep() const;
   // Whether the API key still belongs to the same team in the current manifest.
   bool IsApiKeyValid() const;
   // Counts the attempt if it reached its target, and logs that unless it was
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -34,7 +34,7 @@
   // connection can't be reused.
   if (read.value().body.state() != body_state::kBuffered)
     response.setKeepAlive(false);
-  const caller_watch caller(sink.socket());
+  const caller_watch caller(sink.socket(), context_.state.stop.cut());
   traffic_dispatcher(context_, read.value(), caller, sink).Run();
 }
 
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -124,6 +124,8 @@
       read.arrived +
       std::min(std::max(milliseconds{1}, caller_timeout - kResponseMargin),
                read.route->timeout);
+  if (!context.state.stop.CanKeep(read.deadline))
+    return MakeError(result_code::kEntryLeaving, read.route->name);
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
   read.fingerprint = FingerprintOf(
       request.getHost(), read.team == nullptr ? "" : read.team->name,
--- a/tests/platform_adapter/kept_callers.cc
+++ b/tests/platform_adapter/kept_callers.cc
@@ -53,14 +53,25 @@
   }
 }
 
-// Reads one response. Returns whether the connection can be used again.
+// Returns the length of the response that begins `got`; npos while its head is
+// not complete.
+std::size_t ResponseLength(const std::string& got) {
+  const auto head_end = got.find("\r\n\r\n");
+  if (head_end == std::string::npos)
+    return std::string::npos;
+  const auto length = HeaderOf(got.substr(0, head_end + 2), "Content-Length");
+  return head_end + 4 + (length.empty() ? 0 : std::stoul(length));
+}
+
+// Reads one response. `got` holds the bytes of the connection that belong to no
+// earlier response. Returns whether the connection can be used again.
 bool Receive(Poco::Net::StreamSocket& socket,
              milliseconds timeout,
+             std::string& got,
              kept_call& call) {
   const auto until = std::chrono::steady_clock::now() + timeout;
-  std::string got;
   std::array<char, 16384> bytes;
-  std::size_t needed = std::string::npos;
+  std::size_t needed = ResponseLength(got);
   try {
     while (got.size() < needed) {
       const auto left = std::chrono::ceil<milliseconds>(
@@ -75,24 +86,22 @@
       if (count <= 0)
         break;
       got.append(bytes.data(), static_cast<std::size_t>(count));
-      const auto head_end = got.find("\r\n\r\n");
-      if (needed == std::string::npos && head_end != std::string::npos) {
-        constexpr std::size_t kStatusAt = 9;
-        call.status = std::stoi(got.substr(kStatusAt, 3));
-        const auto length =
-            HeaderOf(got.substr(0, head_end + 2), "Content-Length");
-        needed = head_end + 4 + (length.empty() ? 0 : std::stoul(length));
-      }
+      needed = ResponseLength(got);
     }
   } catch (const Poco::Exception&) {
     // A reset ends the response as well.
   }
+  if (needed != std::string::npos) {
+    constexpr std::size_t kStatusAt = 9;
+    call.status = std::stoi(got.substr(kStatusAt, 3));
+  }
   if (got.size() < needed) {
     call.end = got.empty() ? call_end::kClosedUnanswered : call_end::kBrokenOff;
     return false;
   }
   call.end = call_end::kAnswered;
   const auto head = got.substr(0, got.find("\r\n\r\n") + 2);
+  got.erase(0, needed);
   return Poco::icompare(HeaderOf(head, "Connection"), "close") != 0;
 }
 
@@ -129,6 +138,7 @@
   std::mt19937_64 random(plan_.seed * 1000 +
                          static_cast<std::uint64_t>(caller));
   std::optional<Poco::Net::StreamSocket> socket;
+  std::string received;
   const auto entry = entry_of_(caller);
   for (int number = 0; !finishing_; ++number) {
     if (!socket)
@@ -144,8 +154,10 @@
     call.repeatable = caller % 2 == 0;
     call.sent = std::chrono::steady_clock::now();
     Send(*socket, RequestOf(call, plan_.deadline));
-    if (!Receive(*socket, plan_.deadline + kAnswerTolerance, call))
+    if (!Receive(*socket, plan_.deadline + kAnswerTolerance, received, call)) {
       socket.reset();
+      received.clear();
+    }
     call.ended = std::chrono::steady_clock::now();
     {
       std::lock_guard guard(lock_);
