Let an odd entry of the store cost itself alone

What operators saw: another writer left one odd entry among those of the workers (nested very deeply, a number too large, a port out of range); entries that read the list ended, or stopped following it.

Cause: a listing or a batch was read with one limit of nesting for the whole text, so that an item with 127 or more levels made it malformed: no target, leaver or version came through for any entry while it was there. The class: one bad item that spoils a batch.

The bound of nesting in json_cursor_test guarded the stack; in its place stand texts of a million levels, which are skipped if they match and fail if they don't.

--- a/src/libsamphire/base/json_cursor.cc
+++ b/src/libsamphire/base/json_cursor.cc
@@ -4,9 +4,6 @@
 
 namespace {
 
-// Maximum depth of nested objects and arrays in a skipped value.
-constexpr std::size_t kMaxDepth = 128;
-
 bool IsSpace(char c) {
   return c == ' ' || c == '\n' || c == '\t' || c == '\r';
 }
@@ -127,20 +124,35 @@
   return position_ > start || Fail();
 }
 
+// One value that is nested deeply must not make the whole text unreadable, nor
+// use up the stack, so that the open brackets are kept here.
 bool json_cursor::SkipContainer() {
-  if (++depth_ > kMaxDepth)
-    return Fail();
-  if (text_[position_] == '{') {
-    EnterObject();
-    while (NextMember())
-      SkipValue();
-  } else {
-    EnterArray();
-    while (NextElement())
-      SkipValue();
+  std::string open;
+  do {
+    const char c = text_[position_];
+    if (c == '{' || c == '[') {
+      Enter(c);
+      open.push_back(c);
+    } else if (c == '"' ? SkipString() : SkipLiteral()) {
+      after_value_ = true;
+    }
+    if (failed_ || !SkipToValue(open))
+      return false;
+  } while (!open.empty());
+  return true;
+}
+
+bool json_cursor::SkipToValue(std::string& open) {
+  while (!open.empty()) {
+    const bool more =
+        open.back() == '{' ? NextMember().has_value() : NextElement();
+    if (failed_)
+      return false;
+    if (more)
+      return SkipSpace() < text_.size() || Fail();
+    open.pop_back();
   }
-  --depth_;
-  return !failed_;
+  return true;
 }
 
 std::optional<std::string_view> FindJsonMember(std::string_view object,
--- a/src/libsamphire/base/json_cursor.h
+++ b/src/libsamphire/base/json_cursor.h
@@ -3,12 +3,14 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace samphire {
 
 // Reads JSON text front to back without building a tree of it, so that a large
-// value costs little where only a part of it matters. Skipped values are
+// value costs little where only a part of it matters. Skipped values may be
+// nested to any depth, and are
 // checked for brackets, commas, colons and complete literals, not for valid
 // numbers and escapes. Any malformed text sets failed(), after which every call
 // returns false or nothing. Refers to the text, which must outlive it. Not
@@ -55,14 +57,15 @@
   bool SkipString();
   bool SkipLiteral();
   bool SkipContainer();
+  // Skips what comes before the next value within `open`, the brackets that are
+  // open, or the bracket that closes the last of them.
+  bool SkipToValue(std::string& open);
   bool Fail();
 
   std::string_view text_;
   std::size_t position_ = 0;
   // Whether a value of the current object or array was read.
   bool after_value_ = false;
-  // Number of containers that are being skipped.
-  std::size_t depth_ = 0;
   bool failed_ = false;
 };
 
--- a/src/libsamphire/store/http_object_store.cc
+++ b/src/libsamphire/store/http_object_store.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
 #include "store/store_json.h"
 #include "store/store_metrics.h"
 
@@ -107,12 +108,19 @@
 }
 
 result<std::vector<instance_info>> http_object_store::Instances() {
-  return Read({store_call::kInstances,
-               "/v1/instances",
-               {},
-               0,
-               caller_.options().response_timeout},
-              ReadInstances);
+  BOOST_OUTCOME_TRY(listing, Read({store_call::kInstances,
+                                   "/v1/instances",
+                                   {},
+                                   0,
+                                   caller_.options().response_timeout},
+                                  ReadInstances));
+  if (listing.unreadable > 0) {
+    metrics_.Count("instances_unreadable_total", "", listing.unreadable);
+    Log(log_level::kWarning, "instances-unreadable",
+        {{"code", static_cast<int>(result_code::kStoreCorrupt)},
+         {"instances", listing.unreadable}});
+  }
+  return std::move(listing.instances);
 }
 
 template <typename T>
--- a/src/libsamphire/store/instance_info.h
+++ b/src/libsamphire/store/instance_info.h
@@ -2,6 +2,7 @@
 #define STORE_INSTANCE_INFO_H_
 
 #include <string>
+#include <vector>
 
 #include "store/instance_state.h"
 
@@ -22,6 +23,13 @@
   instance_state state = instance_state::kLive;
 };
 
+// The platform's instance list as it was read.
+struct instance_listing {
+  std::vector<instance_info> instances;
+  // Number of elements that could not be read.
+  int unreadable = 0;
+};
+
 }  // namespace samphire
 
 #endif  // STORE_INSTANCE_INFO_H_
--- a/src/libsamphire/store/store_json.cc
+++ b/src/libsamphire/store/store_json.cc
@@ -5,7 +5,9 @@
 #include <fmt/format.h>
 
 #include <functional>
+#include <utility>
 
+#include "base/json_cursor.h"
 #include "base/log.h"
 
 namespace samphire {
@@ -146,10 +148,23 @@
   return "{\"instances\":[" + JoinWithCommas(instances, WriteInstance) + "]}";
 }
 
-result<std::vector<instance_info>> ReadInstances(const std::string& text) {
-  return CatchParseErrors<std::vector<instance_info>>([&] {
-    return ReadArray(ParseObject(text), "instances", ParseInstanceInfo);
-  });
+// Instances register themselves, so that one of them may be anything; each is
+// parsed on its own.
+result<instance_listing> ReadInstances(const std::string& text) {
+  instance_listing listing;
+  json_cursor cursor(FindJsonMember(text, "instances").value_or(""));
+  if (!cursor.EnterArray())
+    return CorruptError("instances");
+  while (cursor.NextElement()) {
+    auto read = ReadInstance(std::string(cursor.SkipValue()));
+    if (read && !read.value().name.empty())
+      listing.instances.push_back(std::move(read.value()));
+    else
+      ++listing.unreadable;
+  }
+  if (cursor.failed())
+    return CorruptError("instances");
+  return listing;
 }
 
 result<instance_info> ReadInstance(const std::string& text) {
--- a/src/libsamphire/store/store_json.h
+++ b/src/libsamphire/store/store_json.h
@@ -27,7 +27,9 @@
 result<watch_batch> ReadBatch(const std::string& text);
 
 std::string WriteInstances(const std::vector<instance_info>& instances);
-result<std::vector<instance_info>> ReadInstances(const std::string& text);
+// Fails with kStoreCorrupt if there is no list; an instance that can't be read
+// is left out and counted.
+result<instance_listing> ReadInstances(const std::string& text);
 result<instance_info> ReadInstance(const std::string& text);
 std::string WriteInstance(const instance_info& instance);
 
--- a/src/libsamphire/traffic/mirror_messages.h
+++ b/src/libsamphire/traffic/mirror_messages.h
@@ -12,6 +12,7 @@
 
 #include "base/bounded_codec.h"
 #include "store/patched_batch.h"
+#include "store/store_object.h"
 #include "store/watch_batch.h"
 
 namespace samphire {
@@ -19,11 +20,8 @@
 // HTTP path at which an entry serves its copy of the platform's objects.
 inline const std::string kMirrorPath = "/v1/peer/mirror";
 
-// Bounds on decoded messages. Keys and values have the platform's own bounds,
-// in bytes; the number of events allows a listing of all targets of the largest
+// Bound on decoded messages: allows a listing of all targets of the largest
 // fleet.
-inline constexpr std::size_t kMaxMirrorKeyBytes = 1024;
-inline constexpr std::size_t kMaxMirrorValueBytes = 2U << 20U;
 inline constexpr std::size_t kMaxMirrorEvents = 200'000;
 
 // Media type of an encoded patched_batch. A peer that does not accept it gets a
@@ -49,7 +47,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(Bounded<kMaxMirrorKeyBytes>(prefix), cursor, wait_ms, last_known,
+    archive(Bounded<kMaxObjectKeyBytes>(prefix), cursor, wait_ms, last_known,
             await_fresh);
   }
 };
@@ -58,8 +56,8 @@
 void serialize(Archive& archive, store_event& event) {
   bool has_value = event.value.has_value();
   std::string value = event.value.value_or("");
-  archive(Bounded<kMaxMirrorKeyBytes>(event.key), event.version, has_value,
-          Bounded<kMaxMirrorValueBytes>(value));
+  archive(Bounded<kMaxObjectKeyBytes>(event.key), event.version, has_value,
+          Bounded<kMaxObjectValueBytes>(value));
   if (has_value)
     event.value = std::move(value);
 }
@@ -74,12 +72,12 @@
 
 template <typename Archive>
 void serialize(Archive& archive, value_patch& patch) {
-  archive(patch.base_version, Bounded<kMaxMirrorValueBytes>(patch.bytes));
+  archive(patch.base_version, Bounded<kMaxObjectValueBytes>(patch.bytes));
 }
 
 template <typename Archive>
 void serialize(Archive& archive, patched_event& event) {
-  archive(Bounded<kMaxMirrorKeyBytes>(event.key), event.version, event.change,
+  archive(Bounded<kMaxObjectKeyBytes>(event.key), event.version, event.change,
           event.era);
 }
 
--- a/tests/base/json_cursor_test.cc
+++ b/tests/base/json_cursor_test.cc
@@ -47,7 +47,39 @@
   for (const char* text : {"[}", "{]", "[1]]", "{\"a\":1}}", "tru", "nope",
                            "\"", "\"\\", "]", "}", ","})
     CHECK_FALSE(IsOneValue(text));
-  CHECK_FALSE(IsOneValue(std::string(1000, '[') + std::string(1000, ']')));
+  for (const std::size_t depth : {1000, 1'000'000}) {
+    CHECK_FALSE(
+        IsOneValue(std::string(depth, '[') + std::string(depth - 1, ']')));
+    CHECK_FALSE(
+        IsOneValue(std::string(depth, '[') + std::string(depth + 1, ']')));
+    CHECK_FALSE(IsOneValue(std::string(depth, '[') + '}' +
+                           std::string(depth - 1, ']')));
+  }
+}
+
+// Guards against a deeply nested value that makes everything around it
+// unreadable, or uses up the stack.
+TEST_CASE("a value of any depth is skipped, and what follows it is read") {
+  for (const std::size_t depth : {1, 126, 127, 128, 129, 1000, 1'000'000}) {
+    CAPTURE(depth);
+    std::string deep;
+    for (std::size_t i = 0; i < depth; ++i)
+      deep += i % 2 == 0 ? "[" : R"({"a":)";
+    deep += "7";
+    for (std::size_t i = depth; i > 0; --i)
+      deep += i % 2 == 1 ? "]" : "}";
+    const auto list = R"([{"x":1},)" + deep + R"(,"last"])";
+    json_cursor cursor(list);
+    REQUIRE(cursor.EnterArray());
+    REQUIRE(cursor.NextElement());
+    CHECK(cursor.SkipValue() == R"({"x":1})");
+    REQUIRE(cursor.NextElement());
+    CHECK(cursor.SkipValue() == deep);
+    REQUIRE(cursor.NextElement());
+    CHECK(cursor.SkipValue() == R"("last")");
+    CHECK_FALSE(cursor.NextElement());
+    CHECK(cursor.AtEnd());
+  }
 }
 
 TEST_CASE("missing commas and colons fail where members are entered") {
--- a/tests/platform_adapter/cut_store_answer_test.cc
+++ b/tests/platform_adapter/cut_store_answer_test.cc
@@ -1,18 +1,11 @@
-#include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
-#include <Poco/Timespan.h>
 #include <fmt/format.h>
 
-#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
-#include <mutex>
 #include <string>
-#include <thread>
-#include <utility>
 
 #include "base/system_clock_source.h"
+#include "platform_adapter/raw_store.h"
 #include "platform_store.h"
 #include "store/http_object_store.h"
 
@@ -22,41 +15,6 @@
 
 namespace {
 
-// Answers each connection with the bytes that a test sets, and closes it.
-class cut_store {
- public:
-  cut_store()
-      : listener_(Poco::Net::SocketAddress("127.0.0.1:0")),
-        thread_([this](const std::stop_token& stop) { ServeAll(stop); }) {}
-
-  std::string address() const { return listener_.address().toString(); }
-  void SetAnswer(std::string answer) {
-    std::lock_guard guard(lock_);
-    answer_ = std::move(answer);
-  }
-
- private:
-  void ServeAll(const std::stop_token& stop) {
-    while (!stop.stop_requested()) {
-      if (!listener_.poll(Poco::Timespan(20'000),
-                          Poco::Net::Socket::SELECT_READ))
-        continue;
-      auto socket = listener_.acceptConnection();
-      std::array<char, 4096> request{};
-      if (socket.receiveBytes(request.data(), request.size()) <= 0)
-        continue;
-      std::lock_guard guard(lock_);
-      if (!answer_.empty())
-        socket.sendBytes(answer_.data(), static_cast<int>(answer_.size()));
-    }
-  }
-
-  Poco::Net::ServerSocket listener_;
-  std::mutex lock_;
-  std::string answer_;
-  std::jthread thread_;
-};
-
 // A call and the whole answer to it.
 struct store_case {
   std::string name;
@@ -86,7 +44,7 @@
       chunk);
 }
 
-void CheckCuts(cut_store& store, const store_case& one) {
+void CheckCuts(raw_store& store, const store_case& one) {
   const auto expected = one.writes ? result_code::kStoreOutcomeUnknown
                                    : result_code::kStoreUnreachable;
   for (const auto& whole :
@@ -117,7 +75,7 @@
 // without its era, its version or a part of a listing, mirrors and leases would
 // act on what the store never said.
 TEST_CASE("answers of the platform's store that are cut count as none") {
-  cut_store peer;
+  raw_store peer;
   const system_clock_source clock;
   metrics counters;
   http_store_options options{.addresses = {peer.address()},
@@ -145,7 +103,7 @@
 
 // Guards against the same on the product's own path.
 TEST_CASE("answers of the own path's store that are cut count as none") {
-  cut_store peer;
+  raw_store peer;
   const system_clock_source clock;
   metrics counters;
   http_object_store store({.addresses = {peer.address()}}, clock, counters);
--- a/tests/platform_adapter/readers_test.cc
+++ b/tests/platform_adapter/readers_test.cc
@@ -258,7 +258,8 @@
 // again whenever another target appears or disappears, which must not restart
 // that time.
 TEST_CASE("a target's cold time does not restart when other targets change") {
-  target_cache cache(kRegions);
+  metrics counters;
+  target_cache cache(kRegions, counters);
   const auto cold =
       Replaced(TargetObject("10.0.0.1:80", "reads"), R"("0ms")", R"("2s")");
   object_mirror::object_map entries = {{"servers/a", cold}};
@@ -270,7 +271,8 @@
 }
 
 TEST_CASE("an invalid target object does not hide others") {
-  target_cache cache(kRegions);
+  metrics counters;
+  target_cache cache(kRegions, counters);
   const object_mirror::object_map entries = {
       {"servers/a", "junk"}, {"servers/b", TargetObject("10.0.0.2:80", "s")}};
   CHECK(cache.Read(entries, kNow).size() == 1);
