--- a/tests/platform_adapter/framed_answer_test.cc
+++ b/tests/platform_adapter/framed_answer_test.cc
@@ -99,12 +99,13 @@
   // Returns what a caller gets for the answer. The target has been asked, and
   // serves another request before, so that it does not count as failing.
   caller_view Get(const scripted_answer& answer,
-                  const std::string& version = "1.1") {
+                  const std::string& version = "1.1",
+                  const std::string& method = "GET") {
     CHECK(Ask(address_, "/write/sound", NextId()).IsSuccess());
     target_.SetAnswer(answer);
     const int asked = target_.faulty_answers();
     id_ = NextId();
-    auto view = Ask(address_, "/write/faulty/" + id_, id_, version);
+    auto view = Ask(address_, "/write/faulty/" + id_, id_, version, method);
     CHECK(target_.faulty_answers() == asked + 1);
     return view;
   }
@@ -490,6 +491,62 @@
   });
 }
 
+// Guards against a head that breaks off and passes for that of a whole answer:
+// one that has no body, one behind interim answers, or one to HEAD.
+TEST_CASE("callers get no success from a head that is cut at any byte") {
+  const std::string length = "Content-Length: 9\r\n\r\n";
+  const std::string rest = kStart.substr(15);
+  AllWays([&](caller& by) {
+    for (const auto& [method, bytes] :
+         {std::pair<std::string, std::string>{"GET", kStart + length},
+          {"HEAD", kStart + length},
+          {"HEAD", kStart + "Transfer-Encoding: chunked\r\n\r\n"},
+          {"GET", "HTTP/1.1 204 No Content" + rest + "\r\n"},
+          {"GET", "HTTP/1.1 304 Not Modified" + rest + "\r\n"},
+          {"GET", "HTTP/1.1 100 Continue\r\n\r\n" + kStart + length},
+          {"HEAD",
+           "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+           "HTTP/1.1 100 Continue\r\n\r\n" +
+               kStart + length}}) {
+      for (const auto end : {connection_end::kClose, connection_end::kReset}) {
+        for (std::size_t at = 0; at < bytes.size(); ++at) {
+          INFO(method << " " << bytes << ", cut after " << at);
+          const auto view = by.Get(Cut({bytes}, at, end), "1.1", method);
+          CHECK_FALSE(view.IsSuccess());
+          CHECK((!view.whole || view.answer.stamp.empty()));
+        }
+      }
+    }
+  });
+}
+
+// Guards against the same where the connection has carried a request before,
+// and the request may be sent again.
+TEST_CASE("a head that is cut on a kept connection is no success") {
+  one_entry entry;
+  for (const auto* other : {&entry.setup.read_1, &entry.setup.read_2})
+    entry.setup.stand_in.Remove("servers/" + other->id());
+  entry.setup.stand_in.Write("servers/i-reads",
+                             TargetObject(entry.target.address(), "reads"));
+  const auto& address = entry.setup.settings.traffic.caller_address;
+  const auto get = [&](const std::string& path, int id) {
+    return Ask(address, path, std::to_string(id));
+  };
+  REQUIRE(Eventually([&] {
+    return get("/read/sound", 1).answer.stamp == entry.target.stamp();
+  }));
+  int id = 1000;
+  const auto whole = WithLength(kSmall).bytes;
+  for (const auto end : {connection_end::kClose, connection_end::kReset}) {
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+      INFO("cut after " << at);
+      CHECK(Eventually([&] { return get("/read/sound", ++id).IsSuccess(); }));
+      entry.target.SetAnswer(Cut({whole}, at, end));
+      CHECK_FALSE(get("/read/faulty/" + std::to_string(at), ++id).IsSuccess());
+    }
+  }
+}
+
 // Guards against any other answer than the one that was sent when a byte of it
 // is spoilt, and against a cut body that passes for a whole one as the head was
 // spoilt as well. More seeds by SAMPHIRE_FUZZ_SEED and SAMPHIRE_FUZZ_COUNT.
--- a/tests/platform_adapter/raw_answer.cc
+++ b/tests/platform_adapter/raw_answer.cc
@@ -145,7 +145,7 @@
 }
 
 // Reads until the response is whole or the connection ends.
-caller_view ReadView(Poco::Net::StreamSocket& socket) {
+caller_view ReadView(Poco::Net::StreamSocket& socket, bool has_body) {
   caller_view view;
   std::string received;
   std::array<char, 65'536> buffer{};
@@ -161,7 +161,8 @@
       continue;
     view.answer.status = head->status;
     view.answer.stamp = head->Get("server-stamp");
-    const auto body = TakeBody(rest, *head, closed);
+    const auto body = has_body ? TakeBody(rest, *head, closed)
+                               : std::optional<std::string>("");
     view.whole = body.has_value();
     view.answer.body = body.value_or(std::string(rest));
     view.excess = view.whole ? rest.size() : 0;
@@ -195,15 +196,16 @@
 caller_view Ask(const std::string& address,
                 const std::string& path,
                 const std::string& id,
-                const std::string& version) {
+                const std::string& version,
+                const std::string& method) {
   try {
     Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
     socket.setReceiveTimeout(Poco::Timespan(kAnswerSeconds, 0));
     Send(socket,
-         fmt::format("GET {} HTTP/{}\r\nHost: h.example\r\nRequest-Id: {}\r\n"
+         fmt::format("{} {} HTTP/{}\r\nHost: h.example\r\nRequest-Id: {}\r\n"
                      "Affinity-Key: 17\r\nRequest-Deadline: 2000\r\n\r\n",
-                     path, version, id));
-    return ReadView(socket);
+                     method, path, version, id));
+    return ReadView(socket, method != "HEAD");
   } catch (const Poco::Exception&) {
     // A reset or no answer: a failure that the caller can tell.
     return {};
--- a/tests/platform_adapter/raw_answer.h
+++ b/tests/platform_adapter/raw_answer.h
@@ -40,12 +40,13 @@
   }
 };
 
-// Sends a GET for `path` with `id` to IP:PORT on a new connection and reads
-// the response. `version` is that of HTTP, such as "1.1".
+// Sends a request without a body for `path` with `id` to IP:PORT on a new
+// connection and reads the response. `version` is that of HTTP, such as "1.1".
 caller_view Ask(const std::string& address,
                 const std::string& path,
                 const std::string& id,
-                const std::string& version = "1.1");
+                const std::string& version = "1.1",
+                const std::string& method = "GET");
 
 }  // namespace samphire::platform
 
