--- a/src/libsamphire/front/accept_times.cc
+++ b/src/libsamphire/front/accept_times.cc
@@ -10,6 +10,11 @@
   accepted_[socket.impl()->sockfd()] = now;
 }
 
+std::size_t accept_times::waiting() const {
+  std::lock_guard guard(lock_);
+  return accepted_.size();
+}
+
 time_point accept_times::Take(const Poco::Net::StreamSocket& socket) {
   std::lock_guard guard(lock_);
   const auto node = accepted_.extract(socket.impl()->sockfd());
--- a/src/libsamphire/front/connection_limiter.cc
+++ b/src/libsamphire/front/connection_limiter.cc
@@ -34,23 +34,30 @@
 // When all threads are busy, another connection would wait in the queue behind
 // long downloads, and be closed without a response once the queue is full. A
 // caller can't distinguish that from a crash and retries immediately. A result
-// code and a retry time make it use another entry instead.
+// code and a retry time make it use another entry instead. The connection
+// counts as waiting before the phase is read here, while the thread that closes
+// the port sets the phase before it reads that count. So none is taken to a
+// queue that is dropped.
 bool connection_limiter::accept(const Poco::Net::StreamSocket& socket) {
+  shared_state_.accepted.OnAccepted(socket);
   if (shared_state_.refusing.is_cancelled()) {
     ++shared_state_.refused_while_leaving;
-    metrics_.CountRefusal(result_code::kEntryLeaving);
-    RefuseConnection(socket, result_code::kEntryLeaving, kLeavingRetryAfter,
-                     shared_state_.closer);
+    Refuse(socket, result_code::kEntryLeaving, kLeavingRetryAfter);
     return false;
   }
   if (IsFull()) {
-    metrics_.CountRefusal(result_code::kTooManyConnections);
-    RefuseConnection(socket, result_code::kTooManyConnections, kFullRetryAfter,
-                     shared_state_.closer);
+    Refuse(socket, result_code::kTooManyConnections, kFullRetryAfter);
     return false;
   }
-  shared_state_.accepted.OnAccepted(socket);
   return true;
 }
 
+void connection_limiter::Refuse(const Poco::Net::StreamSocket& socket,
+                                result_code reason,
+                                milliseconds retry_after) {
+  metrics_.CountRefusal(reason);
+  RefuseConnection(socket, reason, retry_after, shared_state_.closer);
+  shared_state_.accepted.Take(socket);
+}
+
 }  // namespace samphire
--- a/src/libsamphire/front/connection_limiter.h
+++ b/src/libsamphire/front/connection_limiter.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdint>
 
+#include "base/result_code.h"
 #include "front/front_shared_state.h"
 #include "metrics/metrics.h"
 
@@ -33,6 +34,9 @@
   // Whether the port serves as many connections as it may, or as many wait for
   // a thread.
   bool IsFull() const;
+  void Refuse(const Poco::Net::StreamSocket& socket,
+              result_code reason,
+              milliseconds retry_after);
 
   std::uint32_t limit_;
   samphire::metrics& metrics_;
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -126,7 +126,7 @@
   if (!std::exchange(is_accepting_, false))
     return;
   const auto queue_until = std::chrono::steady_clock::now() + kMaxQueueTime;
-  while (server_->queuedConnections() > 0 &&
+  while (shared_state_.accepted.waiting() > 0 &&
          std::chrono::steady_clock::now() < queue_until)
     std::this_thread::sleep_for(kClosePollInterval);
   server_->stop();
--- a/tests/soak/stop_soak.h
+++ b/tests/soak/stop_soak.h
@@ -56,6 +56,7 @@
     // process that was killed was.
     std::vector<time> stops;
     std::vector<time> kills;
+    time started;
     bool stopping = false;
   };
 
