Judge calls of the stop soak by the life of their connection

The soak looked only for kills within 50 ms of the request. The trace shows the case allowed: a killed process can't tell its callers. In its place stands the time at which the connection was opened; kills before that excuse nothing, where 50 ms of them did.

--- a/tests/platform_adapter/kept_callers.h
+++ b/tests/platform_adapter/kept_callers.h
@@ -38,6 +38,8 @@
   std::string id;
   std::string entry;
   bool repeatable = false;
+  // When its connection was opened.
+  std::chrono::steady_clock::time_point connected;
   std::chrono::steady_clock::time_point sent;
   std::chrono::steady_clock::time_point ended;
   call_end end = call_end::kAnswered;
