--- a/tests/soak/stop_soak.cc
+++ b/tests/soak/stop_soak.cc
@@ -28,9 +28,6 @@
 constexpr int kTargetsOfService = 2;
 constexpr platform::answer_pace kPace{.max_time = milliseconds{700},
                                       .pieces = 4};
-// A call that ends so shortly before a kill may have been cut by it: the kill
-// is noted before it is sent.
-constexpr milliseconds kKillTolerance{50};
 constexpr auto kStartTimeout = 20s;
 // A program that was just executed has not set up its signals yet.
 constexpr milliseconds kStartTime{500};
@@ -149,8 +146,9 @@
 }
 
 void stop_soak::Kill(entry& one) {
-  one.kills.push_back(std::chrono::steady_clock::now());
+  const auto begin = std::chrono::steady_clock::now();
   one.process->Kill();
+  one.kills.push_back({begin, std::chrono::steady_clock::now()});
   one.stopping = false;
 }
 
@@ -295,8 +293,8 @@
     Add("once at most", detail());
   if (!call.repeatable && GuaranteesNotRun(call.status) && ran > 0)
     Add("not run is true", detail());
-  const bool killed = std::ranges::any_of(one.kills, [&](time at) {
-    return call.connected <= at && at <= call.ended + kKillTolerance;
+  const bool killed = std::ranges::any_of(one.kills, [&](const auto& each) {
+    return call.connected <= each.end && each.begin <= call.ended;
   });
   if (killed)
     return;
--- a/tests/soak/stop_soak.h
+++ b/tests/soak/stop_soak.h
@@ -46,16 +46,20 @@
  private:
   using time = std::chrono::steady_clock::time_point;
 
+  // The time before a process was killed, and that at which it was gone.
+  struct kill_time {
+    time begin;
+    time end;
+  };
   // What happened to one entry, and its process.
   struct entry {
     std::string address;
     std::string readiness_address;
     std::string settings_path;
     std::unique_ptr<child_process> process;
-    // When SIGTERM was sent to each process that was stopped, and when each
-    // process that was killed was.
+    // When SIGTERM was sent to each process that was stopped.
     std::vector<time> stops;
-    std::vector<time> kills;
+    std::vector<kill_time> kills;
     time started;
     bool stopping = false;
   };
