Begin a stop that nobody has begun when it is performed

Two tests of the adapter stop an entry by Drain() alone, as all callers did before; one was adapted and is as it was again, the other waited for a time that was never planned, found as test_platform_adapter did not end. Drain() now begins the stop itself where that wasn't done.

--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -345,6 +345,8 @@
 // and their callers could not tell whether these ran: so whoever is left at the
 // end is told as well.
 void traffic_node::Drain() {
+  if (!state_.stop.begun())
+    BeginStop(clock_.now());
   std::this_thread::sleep_until(state_.stop.schedule()->serve_until);
   LogStopStep("refusing");
   caller_front_.StopAccepting();
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -467,7 +467,6 @@
   r.settings.traffic.bounds.lookup_ttl = 100ms;
   r.settings.traffic.bounds.stop_grace = 3000ms;
   r.StartReady();
-  r.entry->BeginStop(std::chrono::steady_clock::now());
   std::thread stop([&] { r.entry->Drain(); });
   CHECK(Eventually([&] { return !r.Ready(); }));
   CHECK(r.Request().status == 200);
