--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -40,8 +40,7 @@
 // One entry that serves requests by host and path: owns and connects all of its
 // components. The manifest, the targets and the bounds are set from outside, by
 // the code that follows the platform's objects. Thread-safe once started,
-// except for Start() and Drain(), which are called once each, and Drain() after
-// BeginStop().
+// except for Start() and Drain(), which are called once each.
 class traffic_node {
  public:
   // `opener` opens the connections to targets and peers; it must outlive this
@@ -64,9 +63,10 @@
   // ends. Returns when the process must have ended. May be called from any
   // thread, and once.
   time_point BeginStop(time_point requested);
-  // Performs the stop that has begun: keeps serving until callers know about
-  // it, then completes the requests in progress. Blocks until done, and returns
-  // before `traffic_bounds::stop_grace` has passed since the request.
+  // Performs the stop, and begins it first if nobody has: keeps serving until
+  // callers know about it, then completes the requests in progress. Blocks
+  // until done, and returns before `traffic_bounds::stop_grace` has passed
+  // since the stop was requested.
   void Drain();
 
   // The setters take effect immediately, without a restart.
