--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -88,7 +88,8 @@
 };
 
 // Returns everything received until the server closes.
-std::string ReadToClose(Poco::Net::StreamSocket socket) {
+std::string ReadToClose(const Poco::Net::StreamSocket& connection) {
+  auto socket = connection;
   std::string response_text;
   std::array<char, 4096> buffer{};
   try {
@@ -107,7 +108,7 @@
 std::string SendAndReadToClose(Poco::Net::StreamSocket socket,
                                const std::string& bytes) {
   socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-  return ReadToClose(std::move(socket));
+  return ReadToClose(socket);
 }
 
 bool Contains(const std::string& text, const std::string& part) {
@@ -268,8 +269,10 @@
   while (server.active_requests() == 0)
     std::this_thread::sleep_for(1ms);
   std::atomic<bool> calling = true;
+  constexpr std::size_t kCallers = 8;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 8; ++i) {
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       std::vector<Poco::Net::StreamSocket> left_open;
       while (calling) {
@@ -332,8 +335,10 @@
   Send(first, kGet);
   std::array<char, 4096> buffer{};
   REQUIRE(first.receiveBytes(buffer.data(), buffer.size()) > 0);
+  constexpr std::size_t kSilent = 20;
   std::vector<Poco::Net::StreamSocket> silent;
-  for (int i = 0; i < 20; ++i)
+  silent.reserve(kSilent);
+  for (std::size_t i = 0; i < kSilent; ++i)
     silent.push_back(running.Connect());
   const auto began = std::chrono::steady_clock::now();
   CHECK(Contains(ReadToClose(running.Connect()), "2107 too-many-connections"));
--- a/tests/platform_adapter/framed_answer_test.cc
+++ b/tests/platform_adapter/framed_answer_test.cc
@@ -495,19 +495,20 @@
 // one that has no body, one behind interim answers, or one to HEAD.
 TEST_CASE("callers get no success from a head that is cut at any byte") {
   const std::string length = "Content-Length: 9\r\n\r\n";
-  const std::string rest = kStart.substr(15);
+  const auto rest = kStart.substr(15) + "\r\n";
+  const auto sound = kStart + length;
+  const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases{
+      {"GET", sound},
+      {"HEAD", sound},
+      {"HEAD", kStart + "Transfer-Encoding: chunked\r\n\r\n"},
+      {"GET", "HTTP/1.1 204 No Content" + rest},
+      {"GET", "HTTP/1.1 304 Not Modified" + rest},
+      {"GET", go_on + sound},
+      {"HEAD", fmt::format("{}{}{}", hints, go_on, sound)}};
   AllWays([&](caller& by) {
-    for (const auto& [method, bytes] :
-         {std::pair<std::string, std::string>{"GET", kStart + length},
-          {"HEAD", kStart + length},
-          {"HEAD", kStart + "Transfer-Encoding: chunked\r\n\r\n"},
-          {"GET", "HTTP/1.1 204 No Content" + rest + "\r\n"},
-          {"GET", "HTTP/1.1 304 Not Modified" + rest + "\r\n"},
-          {"GET", "HTTP/1.1 100 Continue\r\n\r\n" + kStart + length},
-          {"HEAD",
-           "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-           "HTTP/1.1 100 Continue\r\n\r\n" +
-               kStart + length}}) {
+    for (const auto& [method, bytes] : cases) {
       for (const auto end : {connection_end::kClose, connection_end::kReset}) {
         for (std::size_t at = 0; at < bytes.size(); ++at) {
           INFO(method << " " << bytes << ", cut after " << at);
--- a/tests/platform_adapter/odd_entries_test.cc
+++ b/tests/platform_adapter/odd_entries_test.cc
@@ -148,32 +148,32 @@
 
 // Returns a random JSON value of at most `depth` levels.
 std::string RandomValue(std::mt19937_64& random, int depth) {
-  static const std::vector<std::string> kScalars = {"null",
-                                                    "true",
-                                                    "0",
-                                                    "-1",
-                                                    "1e999",
-                                                    "1.5",
-                                                    kTooLarge,
-                                                    R"("")",
-                                                    R"("x\u0000")",
-                                                    R"("10.0.0.1:99999")",
-                                                    R"("draining")",
-                                                    kManyDigits};
-  static const std::vector<std::string> kNames = {
+  static const std::vector<std::string> scalars = {"null",
+                                                   "true",
+                                                   "0",
+                                                   "-1",
+                                                   "1e999",
+                                                   "1.5",
+                                                   kTooLarge,
+                                                   R"("")",
+                                                   R"("x\u0000")",
+                                                   R"("10.0.0.1:99999")",
+                                                   R"("draining")",
+                                                   kManyDigits};
+  static const std::vector<std::string> names = {
       "metadata", "name",    "rev",     "spec",     "info",
       "status",   "address", "service", "zone",     "slots",
       "state",    "seq",     "born",    "coldLeft", "x"};
   const auto kind = random() % 4;
   if (depth == 0 || kind < 2)
-    return kScalars[random() % kScalars.size()];
+    return scalars[random() % scalars.size()];
   std::vector<std::string> parts;
   for (auto i = random() % 4; i > 0; --i) {
     const auto value = RandomValue(random, depth - 1);
-    parts.push_back(kind == 2
-                        ? value
-                        : fmt::format(R"("{}":{})",
-                                      kNames[random() % kNames.size()], value));
+    parts.push_back(
+        kind == 2
+            ? value
+            : fmt::format(R"("{}":{})", names[random() % names.size()], value));
   }
   return kind == 2 ? fmt::format("[{}]", fmt::join(parts, ","))
                    : fmt::format("{{{}}}", fmt::join(parts, ","));
@@ -181,10 +181,10 @@
 
 // Returns the object of a target in which one value is replaced.
 std::string SpoiltTarget(std::mt19937_64& random) {
-  static const std::vector<std::string> kValues = {
+  static const std::vector<std::string> values = {
       R"("odd")", ":7", R"("10.0.0.1:80")", R"("reads")",
       R"("a-1")", ":4", R"("ready")",       R"("0ms")"};
-  const auto& value = kValues[random() % kValues.size()];
+  const auto& value = values[random() % values.size()];
   const auto by = RandomValue(random, 4);
   return Target("odd", value, value[0] == ':' ? ":" + by : by);
 }
--- a/tests/platform_adapter/stopping_relay_test.cc
+++ b/tests/platform_adapter/stopping_relay_test.cc
@@ -47,6 +47,7 @@
   std::vector<told_caller> told;
   const auto until = std::chrono::steady_clock::now() + kLoadTime;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; std::chrono::steady_clock::now() < until; ++i) {
--- a/tests/soak/stop_soak.cc
+++ b/tests/soak/stop_soak.cc
@@ -206,12 +206,12 @@
 }
 
 void stop_soak::InjectOddEntry() {
-  static const auto kOdd = OddEntries();
+  static const auto odd = OddEntries();
   if (random_() % 4 == 0 && odd_entries_ > 0) {
     store_.Remove(fmt::format("servers/odd-{}", --odd_entries_));
   } else {
     store_.Write(fmt::format("servers/odd-{}", odd_entries_++),
-                 kOdd[random_() % kOdd.size()]);
+                 odd[random_() % odd.size()]);
   }
 }
 
@@ -317,7 +317,8 @@
     for (std::string line; std::getline(file, line);) {
       const auto fault = schema.FindViolation(line);
       if (!fault.empty())
-        Add("log lines conform to their schema", fault + " in " + line);
+        Add("log lines conform to their schema",
+            fmt::format("{} in {}", fault, line));
     }
   }
 }
