Take no object of the store that is malformed behind its metadata

Cause: the reader of metadata that came with the odd entries stopped at the first member of that name, where the former one read the object to its end; of items in a listing the whole is checked before, of a Get() or the response to a write nothing was.

--- a/tests/platform_adapter/odd_entries_test.cc
+++ b/tests/platform_adapter/odd_entries_test.cc
@@ -222,6 +222,23 @@
   }
 }
 
+// Guards against an object of which only the beginning was read: what is
+// malformed behind its name and revision would count as whole.
+TEST_CASE("an object that is malformed behind its metadata is none") {
+  odd_setup r;
+  const auto whole = Target("a");
+  r.peer.SetAnswer(AnswerWith(whole));
+  CHECK(r.store.Get("servers/a"));
+  for (const auto& spoilt :
+       {whole.substr(0, whole.size() - 1), whole + "}", whole + "7",
+        Replaced(whole, R"("slots":4)", R"("slots" 4)"),
+        Replaced(whole, R"("slots":4)", R"("slots":)")}) {
+    INFO(spoilt);
+    r.peer.SetAnswer(AnswerWith(spoilt));
+    CHECK(r.store.Get("servers/a").error().code == result_code::kStoreCorrupt);
+  }
+}
+
 // Guards against a listing that ends at a page on which nothing can be read.
 TEST_CASE("a page of odd entries alone does not end a listing") {
   odd_setup r;
