Have one copy of what the tests of stops and soaks share

Which statuses say that a request did not run stood four times (twice since before); the settings of an entry process, a configuration with another time-out and a target with more slots stood in tests/stop and in the soak of stops alike. They are wire_text's and entry_fixture's now. No check changed.

--- a/tests/platform_adapter/entry_fixture.cc
+++ b/tests/platform_adapter/entry_fixture.cc
@@ -5,6 +5,8 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 
 #include "platform_adapter/wire_text.h"
@@ -33,6 +35,25 @@
   return settings;
 }
 
+std::string SettingsText(const platform_settings& settings,
+                         std::chrono::milliseconds grace,
+                         std::chrono::milliseconds lookup_ttl) {
+  const auto& traffic = settings.traffic;
+  return fmt::format(
+      R"({{"instance":"{}","failure_domain":"a-1","region":"a",)"
+      R"("failure_domains":{{"a-1":"a"}},"caller_address":"{}",)"
+      R"("readiness_address":"{}","lookup_address":"{}",)"
+      R"("peer_address":"{}","metrics_address":"{}","seeds":["{}"],)"
+      R"("store_addresses":["{}"],"peer_key":"{}",)"
+      R"("bounds":["grace={}ms","ttl_max={}ms","retryBudgetRatio=0.2",)"
+      R"("retryBudgetSlack=60","stableWindow=500ms"]}})",
+      traffic.place.instance, traffic.caller_address, traffic.readiness_address,
+      traffic.lookup_address, traffic.peer_address, traffic.metrics_address,
+      fmt::join(traffic.seeds, R"(",")"),
+      fmt::join(settings.store_addresses, R"(",")"), traffic.peer_key,
+      grace.count(), lookup_ttl.count());
+}
+
 std::unique_ptr<platform_entry> StartEntry(const platform_settings& settings,
                                            const connection_opener& opener) {
   auto entry = std::make_unique<platform_entry>(
--- a/tests/platform_adapter/entry_fixture.h
+++ b/tests/platform_adapter/entry_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_PLATFORM_ADAPTER_ENTRY_FIXTURE_H_
 #define TESTS_PLATFORM_ADAPTER_ENTRY_FIXTURE_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,6 +19,13 @@
 // of the platform's store.
 platform_settings TestSettings(const std::string& store);
 
+// Returns the text of a settings file for an entry process with these settings:
+// in failure domain "a-1" of region "a", killed `grace` after a signal to stop,
+// with look-ups that may be used for `lookup_ttl`.
+std::string SettingsText(const platform_settings& settings,
+                         std::chrono::milliseconds grace,
+                         std::chrono::milliseconds lookup_ttl);
+
 // Starts an entry that is ready once it has read the store.
 std::unique_ptr<platform_entry> StartEntry(
     const platform_settings& settings,
--- a/tests/platform_adapter/wire_text.cc
+++ b/tests/platform_adapter/wire_text.cc
@@ -16,6 +16,17 @@
       address, service, state);
 }
 
+std::string WideTargetObject(const std::string& address,
+                             const std::string& service,
+                             int slots) {
+  return Replaced(TargetObject(address, service), R"("slots":4)",
+                  fmt::format(R"("slots":{})", slots));
+}
+
+bool GuaranteesNotRun(int status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
 std::string ManifestObject(const std::string& version) {
   return R"({"spec":{"version":")" + version + R"(",
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,
@@ -36,6 +47,14 @@
                  "protocol":"h1","tls":false,"warmup":"3s","coldPerS":11.0}]}})";
 }
 
+std::string TimedManifestObject(const std::string& version,
+                                std::chrono::milliseconds timeout) {
+  const auto text = fmt::format(R"("timeout":"{}ms")", timeout.count());
+  return Replaced(
+      Replaced(ManifestObject(version), R"("timeout":"0.8s")", text),
+      R"("timeout":"800ms")", text);
+}
+
 std::string UploadManifestObject(const std::string& version) {
   const auto with_route =
       Replaced(ManifestObject(version), R"("homeRegions":["a"]}}]}])",
--- a/tests/platform_adapter/wire_text.h
+++ b/tests/platform_adapter/wire_text.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
 #define TESTS_PLATFORM_ADAPTER_WIRE_TEXT_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -13,10 +14,21 @@
                          const std::string& service,
                          const std::string& state = "ready");
 
+// Returns the same for a target with another number of slots.
+std::string WideTargetObject(const std::string& address,
+                             const std::string& service,
+                             int slots);
+
+// Whether a status states that the request did not run and never will.
+bool GuaranteesNotRun(int status);
+
 // Returns the JSON of a manifest with one host, "h.example". Its route "/read/"
 // is idempotent and leads to service "reads"; its route "/write/" is not and
 // leads to service "writes". `version` is hexadecimal.
 std::string ManifestObject(const std::string& version);
+// Returns the same manifest with another time-out of both routes.
+std::string TimedManifestObject(const std::string& version,
+                                std::chrono::milliseconds timeout);
 // Returns the same manifest with a route "/upload/" to service "uploads" in
 // addition, whose requests are long and must not be repeated.
 std::string UploadManifestObject(const std::string& version);
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -67,11 +67,6 @@
 constexpr int kSharedRequests = 204;
 constexpr double kMaxShareDeviation = 0.2;
 
-// Whether the status states that the request did not run and never will.
-bool GuaranteesNotRun(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 }  // namespace
 
 soak_world::soak_world(std::uint64_t seed)
@@ -618,7 +613,7 @@
                  fmt::format("{} ran {} times", each.id, count));
     if (each.status == 200 && count != 1)
       AddFinding("a success means that it ran", each.id);
-    if (GuaranteesNotRun(each.status) && count > 0)
+    if (platform::GuaranteesNotRun(each.status) && count > 0)
       AddFinding("not run is true", fmt::format("{} {}", each.status, each.id));
   }
 }
--- a/tests/soak/stop_soak.cc
+++ b/tests/soak/stop_soak.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <thread>
 
+#include "platform_adapter/entry_fixture.h"
 #include "platform_adapter/wire_text.h"
 #include "soak/raw_call.h"
 #include "support/free_address.h"
@@ -32,28 +33,6 @@
 // A program that was just executed has not set up its signals yet.
 constexpr milliseconds kStartTime{500};
 
-// Whether the status states that the request did not run and never will.
-bool GuaranteesNotRun(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
-std::string Manifest() {
-  const auto timeout =
-      fmt::format(R"("timeout":"{}ms")", kRouteTimeout.count());
-  return platform::Replaced(
-      platform::Replaced(platform::ManifestObject("00000003"),
-                         R"("timeout":"0.8s")", timeout),
-      R"("timeout":"800ms")", timeout);
-}
-
-std::string TargetEntry(const std::string& address,
-                        const std::string& service,
-                        int slots) {
-  return platform::Replaced(platform::TargetObject(address, service),
-                            R"("slots":4)",
-                            fmt::format(R"("slots":{})", slots));
-}
-
 // Entries that name no target, as another writer may leave them.
 std::vector<std::string> OddEntries() {
   // Where nothing else is wrong, the target leaves and gets no request.
@@ -82,22 +61,22 @@
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("samphire-stops-{}-{}", getpid(), plan.seed)) {
   std::filesystem::create_directories(folder_);
-  store_.Write("config/main", Manifest());
+  store_.Write("config/main",
+               platform::TimedManifestObject("00000003", kRouteTimeout));
   for (const std::string service : {"reads", "writes"}) {
     for (int i = 0; i < kTargetsOfService; ++i) {
       targets_.push_back(std::make_unique<platform::paced_target>(
           fmt::format("i-{}-{}", service, i), kPace,
           plan.seed * 10 + targets_.size()));
-      store_.Write(
-          "servers/" + targets_.back()->id(),
-          TargetEntry(targets_.back()->address(), service, plan.callers * 2));
+      store_.Write("servers/" + targets_.back()->id(),
+                   platform::WideTargetObject(targets_.back()->address(),
+                                              service, plan.callers * 2));
     }
   }
   const auto seed_address = FreeAddress();
   for (int i = 0; i < plan.entries; ++i) {
     auto one = std::make_unique<entry>();
     one->address = FreeAddress();
-    one->readiness_address = FreeAddress();
     one->settings_path = (folder_ / fmt::format("entry-{}.json", i)).string();
     WriteSettings(*one, seed_address, i == 0 ? seed_address : FreeAddress());
     Start(*one);
@@ -115,18 +94,15 @@
 void stop_soak::WriteSettings(const entry& one,
                               const std::string& seed_address,
                               const std::string& peer_address) {
-  std::ofstream(one.settings_path) << fmt::format(
-      R"({{"instance":"{}","failure_domain":"a-1","region":"a",)"
-      R"("failure_domains":{{"a-1":"a"}},"caller_address":"{}",)"
-      R"("readiness_address":"{}","lookup_address":"{}",)"
-      R"("peer_address":"{}","metrics_address":"{}","seeds":["{}"],)"
-      R"("store_addresses":["{}"],)"
-      R"("peer_key":"0123456789abcdef0123456789abcdef",)"
-      R"("bounds":["grace={}ms","ttl_max={}ms","retryBudgetRatio=0.2",)"
-      R"("retryBudgetSlack=60","stableWindow=500ms"]}})",
-      std::filesystem::path(one.settings_path).stem().string(), one.address,
-      one.readiness_address, FreeAddress(), peer_address, FreeAddress(),
-      seed_address, store_.address(), kGrace.count(), kLookupTtl.count());
+  auto settings = platform::TestSettings(store_.address());
+  auto& traffic = settings.traffic;
+  traffic.place.instance =
+      std::filesystem::path(one.settings_path).stem().string();
+  traffic.caller_address = one.address;
+  traffic.peer_address = peer_address;
+  traffic.seeds = {seed_address};
+  std::ofstream(one.settings_path)
+      << platform::SettingsText(settings, kGrace, kLookupTtl);
 }
 
 void stop_soak::Start(entry& one) {
@@ -291,7 +267,7 @@
   };
   if (!call.repeatable && ran > 1)
     Add("once at most", detail());
-  if (!call.repeatable && GuaranteesNotRun(call.status) && ran > 0)
+  if (!call.repeatable && platform::GuaranteesNotRun(call.status) && ran > 0)
     Add("not run is true", detail());
   const bool killed = std::ranges::any_of(one.kills, [&](const auto& each) {
     return call.connected <= each.end && each.begin <= call.ended;
@@ -303,7 +279,8 @@
   });
   const bool answered = call.end == platform::call_end::kAnswered;
   const bool broken = call.end == platform::call_end::kBrokenOff;
-  if (answered && (call.status == 200 || GuaranteesNotRun(call.status)))
+  if (answered &&
+      (call.status == 200 || platform::GuaranteesNotRun(call.status)))
     return;
   if (may_outlast && (answered || broken))
     return;
--- a/tests/soak/stop_soak.h
+++ b/tests/soak/stop_soak.h
@@ -54,7 +54,6 @@
   // What happened to one entry, and its process.
   struct entry {
     std::string address;
-    std::string readiness_address;
     std::string settings_path;
     std::unique_ptr<child_process> process;
     // When SIGTERM was sent to each process that was stopped.
--- a/tests/soak/upload_load.cc
+++ b/tests/soak/upload_load.cc
@@ -16,10 +16,6 @@
 const std::string kService = "uploads";
 constexpr int kOk = 200;
 
-bool GuaranteesNotRun(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 }  // namespace
 
 upload_load::upload_load(std::uint64_t seed)
@@ -111,8 +107,9 @@
   for (const auto& [id, upload] : sent_) {
     const auto found = runs.find(id);
     const int count = found == runs.end() ? 0 : found->second;
-    const bool untrue = (upload.status == kOk && count == 0) ||
-                        (GuaranteesNotRun(upload.status) && count > 0);
+    const bool untrue =
+        (upload.status == kOk && count == 0) ||
+        (platform::GuaranteesNotRun(upload.status) && count > 0);
     if (count > 1 || untrue) {
       violations.push_back(fmt::format("{} ran {} times and was answered {}",
                                        id, count, upload.status));
--- a/tests/stop/stop_run.cc
+++ b/tests/stop/stop_run.cc
@@ -30,27 +30,6 @@
 // Calls before that time are none of the stop's.
 constexpr auto kWatchedBefore = 1s;
 
-// Whether the status states that the request did not run and never will.
-bool GuaranteesNotRun(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
-// A target with as many slots as there are callers.
-std::string TargetObject(const platform::paced_target& target,
-                         const std::string& service,
-                         int slots) {
-  return platform::Replaced(platform::TargetObject(target.address(), service),
-                            R"("slots":4)",
-                            fmt::format(R"("slots":{})", slots));
-}
-
-std::string ManifestObject(milliseconds timeout) {
-  const auto text = fmt::format(R"("timeout":"{}ms")", timeout.count());
-  auto manifest = platform::Replaced(platform::ManifestObject("00000003"),
-                                     R"("timeout":"0.8s")", text);
-  return platform::Replaced(manifest, R"("timeout":"800ms")", text);
-}
-
 // Threads that use up processors.
 class busy_threads {
  public:
@@ -106,7 +85,7 @@
     if (call.sent < signalled - kWatchedBefore)
       continue;
     const auto ran = runs.count(call.id);
-    const bool not_run = GuaranteesNotRun(call.status);
+    const bool not_run = platform::GuaranteesNotRun(call.status);
     if (!call.repeatable && ran > 1)
       add("ran twice", call);
     if (!call.repeatable && not_run && ran > 0)
@@ -126,32 +105,25 @@
 stop_outcome RunStop(const stop_plan& plan) {
   platform::stand_in_platform store;
   std::vector<std::unique_ptr<platform::paced_target>> targets;
-  store.Write("config/main", ManifestObject(plan.route_timeout));
+  store.Write("config/main",
+              platform::TimedManifestObject("00000003", plan.route_timeout));
   for (const std::string service : {"reads", "writes"}) {
     for (int i = 0; i < kTargets; ++i) {
       targets.push_back(std::make_unique<platform::paced_target>(
           fmt::format("i-{}-{}", service, i), plan.pace,
           plan.callers.seed * 10 + targets.size()));
       store.Write("servers/" + targets.back()->id(),
-                  TargetObject(*targets.back(), service, plan.callers.callers));
+                  platform::WideTargetObject(targets.back()->address(), service,
+                                             plan.callers.callers));
     }
   }
   const auto folder = MakeFolder();
   auto settings = platform::TestSettings(store.address());
   const auto& traffic = settings.traffic;
   const auto settings_path = (folder / "entry.json").string();
-  std::ofstream(settings_path) << fmt::format(
-      R"({{"instance":"entry-1","failure_domain":"a-1","region":"a",)"
-      R"("failure_domains":{{"a-1":"a"}},"caller_address":"{}",)"
-      R"("readiness_address":"{}","lookup_address":"{}",)"
-      R"("peer_address":"{}","metrics_address":"{}","seeds":["{}"],)"
-      R"("store_addresses":["{}"],)"
-      R"("peer_key":"0123456789abcdef0123456789abcdef",)"
-      R"("bounds":["grace={}ms","ttl_max={}ms","retryBudgetRatio=0.2",)"
-      R"("retryBudgetSlack=60","stableWindow=500ms"]}})",
-      traffic.caller_address, traffic.readiness_address, traffic.lookup_address,
-      traffic.peer_address, traffic.metrics_address, traffic.peer_address,
-      store.address(), plan.grace.count(), plan.lookup_ttl.count());
+  settings.traffic.seeds = {traffic.peer_address};
+  std::ofstream(settings_path)
+      << platform::SettingsText(settings, plan.grace, plan.lookup_ttl);
   stop_outcome outcome;
   outcome.log_path = settings_path + ".log";
   child_process entry("samphire-platform-entry",
