Log by which evacuations a request was sent, and who told of them

What users saw: a request reached a target of an evacuated failure domain 5.3 s after the confirmation. The logs could not tell whether its entry didn't know of the evacuation, or knew and sent all the same, nor from whom entries learn of evacuations: batches below 16 KB and answers of lost history weren't logged.

No change of decisions.

--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -65,6 +65,8 @@
   }
   if (!mirror_.cursor().IsSet())
     return ListingDelay();
+  if (on_confirmed_ && batch.value().confirmed)
+    on_confirmed_(mirror_.position());
   return batch.value().events.empty() ? milliseconds{0} : kBatchDelay;
 }
 
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "base/clock_source.h"
 #include "base/error.h"
@@ -22,6 +23,10 @@
   // Receives all objects, by key. Runs on the follower's thread.
   using change_handler = std::function<void(const object_mirror::object_map&)>;
 
+  // Is told the position of the objects each time that a source confirms it,
+  // after the change_handler. Runs on the follower's thread.
+  using confirm_handler = std::function<void(store_cursor)>;
+
   // `on_change` is called with the first complete listing and after each
   // change. `ranker` orders the versions of an object. `store` and `clock` must
   // outlive the follower.
@@ -31,6 +36,10 @@
                   change_handler on_change,
                   object_ranker ranker = nullptr);
 
+  // Sets the handler of confirmations. To be called before Start().
+  void OnConfirmed(confirm_handler on_confirmed) {
+    on_confirmed_ = std::move(on_confirmed);
+  }
   // Starts the thread. To be called once.
   void Start();
   // Causes the current objects to be passed to the handler again within a few
@@ -59,6 +68,7 @@
   const clock_source& clock_;
   const std::string prefix_;
   const change_handler on_change_;
+  confirm_handler on_confirmed_;
   object_mirror mirror_;
   std::string source_;
   // Whether the handler has been called.
--- a/src/libsamphire/store/watch_batch.h
+++ b/src/libsamphire/store/watch_batch.h
@@ -18,6 +18,9 @@
   std::vector<store_event> events;
   // Who returned it: the address of a peer, or "platform"; for logs.
   std::string source = {};
+  // Whether the source vouches that nothing had changed since the cursor when
+  // it returned the batch, or a moment before.
+  bool confirmed = true;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/dispatch_log.cc
+++ b/src/libsamphire/traffic/dispatch_log.cc
@@ -62,6 +62,9 @@
        {"body_bytes", LoggedBodyBytes(send)},
        {"listing_era", send.listing.era},
        {"listing_revision", send.listing.revision},
+       {"evacuations_era", send.evacuations.position.era},
+       {"evacuations_revision", send.evacuations.position.revision},
+       {"evacuations_age_ms", AgeForLog(send.evacuations)},
        {"ms", took.count()}});
 }
 
--- /dev/null
+++ b/src/libsamphire/traffic/position_record.cc
@@ -0,0 +1,32 @@
+#include "traffic/position_record.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace samphire {
+
+void position_record::Advance(store_cursor position) {
+  std::lock_guard guard(lock_);
+  position_ = std::max(position_, position);
+}
+
+void position_record::Confirm(store_cursor position, time_point now) {
+  std::lock_guard guard(lock_);
+  position_ = std::max(position_, position);
+  confirmed_at_ = now;
+}
+
+position_status position_record::StatusAt(time_point now) const {
+  std::lock_guard guard(lock_);
+  position_status status{.position = position_, .age = std::nullopt};
+  if (confirmed_at_)
+    status.age = std::chrono::duration_cast<milliseconds>(now - *confirmed_at_);
+  return status;
+}
+
+std::int64_t AgeForLog(const position_status& status) {
+  constexpr milliseconds kNever{-1};
+  return status.age.value_or(kNever).count();
+}
+
+}  // namespace samphire
--- a/src/libsamphire/traffic/send_log.cc
+++ b/src/libsamphire/traffic/send_log.cc
@@ -38,6 +38,9 @@
        {"body_bytes", LoggedBodyBytes(send)},
        {"listing_era", send.listing.era},
        {"listing_revision", send.listing.revision},
+       {"evacuations_era", send.evacuations.position.era},
+       {"evacuations_revision", send.evacuations.position.revision},
+       {"evacuations_age_ms", AgeForLog(send.evacuations)},
        {"result", result}});
 }
 
--- a/src/libsamphire/traffic/send_record.h
+++ b/src/libsamphire/traffic/send_record.h
@@ -7,6 +7,7 @@
 
 #include "base/enum_names.h"
 #include "store/store_cursor.h"
+#include "traffic/position_record.h"
 
 namespace samphire {
 
@@ -33,6 +34,8 @@
   std::string receiver;
   // Position of the listing by which the target counted as open.
   store_cursor listing;
+  // Position of the evacuations by which it did, and when that was confirmed.
+  position_status evacuations;
   // Bytes of the body that were written to the connection.
   std::uint64_t body_sent = 0;
   // Bytes of the whole body; nothing if its caller declared no length and its
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -108,6 +108,7 @@
   auto batch = platform_.ListLagging(prefix);
   if (batch) {
     batch.value().source = kPlatformSource;
+    batch.value().confirmed = false;
     relay_.Publish(prefix, batch.value(), false);
   }
   return batch;
@@ -132,7 +133,11 @@
   }
   if (clock_.now() < discovery_ends_at_) {
     std::this_thread::sleep_for(kDiscoveryPollInterval);
-    return watch_batch{.cursor = cursor, .reset = false, .events = {}};
+    return watch_batch{.cursor = cursor,
+                       .reset = false,
+                       .events = {},
+                       .source = {},
+                       .confirmed = false};
   }
   WithFallback(prefix, [&](auto& fallback) {
     if (responses.stale && plan.role == source_role::kFollower)
@@ -227,6 +232,7 @@
          {"revision", batch.value().cursor.revision},
          {"objects", batch.value().events.size()}});
     batch.value().source = peer;
+    batch.value().confirmed = false;
     relay_.Publish(prefix, batch.value(), false);
     return batch;
   }
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -100,12 +100,14 @@
     // caller has disconnected; sending it would waste the target's capacity.
     Fail(result_code::kCallerGone, end);
   } else if (connected) {
+    const auto evacuations =
+        context_.state.evacuations_position.StatusAt(context_.clock.now());
     if (relayed)
       SendThrough(exchange, relay, target, end);
     else
       SendTo(exchange, target, end);
     end.sent.may_have_been_stale = exchange.may_have_been_stale();
-    RecordSend(exchange, relay, target, end);
+    RecordSend(exchange, relay, target, evacuations, end);
   }
   if (end.attempt.took == duration{0})
     end.attempt.took = context_.clock.now() - started;
@@ -114,9 +116,11 @@
 void target_exchange::RecordSend(const http_exchange& exchange,
                                  const std::string& relay,
                                  const live_target& target,
+                                 const position_status& evacuations,
                                  target_exchange_end& end) const {
   send_record send{.receiver = relay.empty() ? target.address : relay,
                    .listing = target.listing,
+                   .evacuations = evacuations,
                    .body_sent = exchange.body_bytes_sent(),
                    .body_bytes = request_.body.length()};
   if (!relay.empty())
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -60,6 +60,7 @@
   void RecordSend(const http_exchange& exchange,
                   const std::string& relay,
                   const live_target& target,
+                  const position_status& evacuations,
                   target_exchange_end& end) const;
   // Opens a connection to the target and reports that to the links. Returns
   // false if it failed.
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -1,5 +1,8 @@
 #include "traffic/traffic_node.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <chrono>
 #include <thread>
@@ -204,11 +207,27 @@
     AnnounceReady();
 }
 
-void traffic_node::SetEvacuatedDomains(std::set<std::string> domains) {
+void traffic_node::SetEvacuatedDomains(std::set<std::string> domains,
+                                       store_cursor position,
+                                       const std::string& source) {
+  const auto before = state_.evacuations_position.StatusAt(clock_.now());
+  const auto names = fmt::format("{}", fmt::join(domains, ","));
   state_.SetEvacuatedDomains(std::move(domains));
+  state_.evacuations_position.Advance(position);
+  Log(log_level::kWarning, "evacuations-in-force",
+      {{"domains", names},
+       {"era", position.era},
+       {"revision", position.revision},
+       {"revision_before", before.position.revision},
+       {"source", source},
+       {"confirmed_ms_before", AgeForLog(before)}});
   LogTargets();
 }
 
+void traffic_node::ConfirmEvacuations(store_cursor position) {
+  state_.evacuations_position.Confirm(position, clock_.now());
+}
+
 void traffic_node::AnnounceReady() {
   const auto manifest = state_.manifest();
   if (!manifest || !state_.targets())
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -75,7 +75,14 @@
   // Ignored unless the manifest's version is above the current one.
   void SetManifest(const manifest_ptr& manifest);
   void SetTargets(std::vector<live_target> targets, store_cursor listing);
-  void SetEvacuatedDomains(std::set<std::string> domains);
+  // `position` is that of the store at which the domains were told by `source`,
+  // the peer address of an entry or "platform".
+  void SetEvacuatedDomains(std::set<std::string> domains,
+                           store_cursor position,
+                           const std::string& source);
+  // Notes that a source with a fresh copy has confirmed the evacuated domains
+  // at `position`.
+  void ConfirmEvacuations(store_cursor position);
 
   // Returns a watcher of the platform's store that shares watches with the
   // other entries of the fleet. `platform` and this node must outlive it.
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -12,6 +12,7 @@
 #include "steering/shared_snapshot.h"
 #include "traffic/entry_list.h"
 #include "traffic/entry_stop.h"
+#include "traffic/position_record.h"
 #include "traffic/traffic_bounds.h"
 
 namespace samphire {
@@ -42,6 +43,8 @@
   }
   void SetBounds(const traffic_bounds& bounds);
 
+  // Up to which position the evacuated domains are known.
+  position_record evacuations_position;
   // The planned stop of this entry, once it has begun.
   entry_stop stop;
   // Number of requests that this entry is passing on to targets for peers.
