List at once where the store has dropped its history

What users saw: traffic to an evacuated failure domain 5.3 s after the confirmation, in a quiet second of the store's watches followed by the loss of its history. Cause: an answer of lost history was returned as an empty batch. Followers took it for contact with the store (store-regained, back-off and hold-off ended), waited 0.4 to 3.2 s as for a source that is behind, and asked their peers for the listing first, who had none either.

The test before asserted the empty batch (cursor 0); it is replaced by one that wants all objects and a position from which nothing is missed.

--- a/tests/platform_adapter/platform_store_test.cc
+++ b/tests/platform_adapter/platform_store_test.cc
@@ -55,16 +55,23 @@
   CHECK(more.value().events[1].version == 0);
 }
 
-// The store may drop its history while an entry does not watch. If the watch
-// continued from the old revision, changes in between would be missed.
-TEST_CASE("lost history asks for a new listing") {
+// Guards against an evacuation that is known seconds late because the store has
+// dropped its history: the answer that says so counts as contact with the
+// store, and nobody would hurry to ask for the listing.
+TEST_CASE("lost history is answered by a listing in the same call") {
   test_setup r;
   r.stand_in.Write("k/a", kValue);
+  r.stand_in.Write("k/b", kValue);
   r.stand_in.history_gone = true;
   const auto batch = r.store.Watch("k/", 1, 0ms);
   REQUIRE(batch);
   CHECK(batch.value().reset);
-  CHECK(batch.value().cursor == 0);
+  CHECK(batch.value().cursor.IsSet());
+  CHECK(batch.value().events.size() == 2);
+  const auto after = r.store.Watch("k/", batch.value().cursor, 0ms);
+  REQUIRE(after);
+  CHECK_FALSE(after.value().reset);
+  CHECK(after.value().events.empty());
 }
 
 // With 429 and 503 the store states that a write had no effect. A write whose
