Bound the time for which an entry queries peers before it asks the store

What users saw: traffic to an evacuated failure domain later than 5 s after the confirmation. Cause, the second of them: watchers, backups and paused watchers were queried in turn, each with a time limit of its own, 4.3 s when all are silent, and a watcher that the store had failed queried up to six substitutes for 1.25 s each before it asked the store again. No limit knew of the bound that it was taken from.

A round of peers now ends after 1.5 s, one of substitutes after 0.6 s, whatever they do; the store is asked then.

--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -25,6 +25,15 @@
 constexpr std::size_t kMaxBatchBytes = std::size_t{32} << 20U;
 // Added to the requested wait to obtain the timeout of a call to a peer.
 constexpr milliseconds kPeerResponseMargin{250};
+// Upper bound on the time for which one round queries peers, however many there
+// are and however late: a change must be in force within 2.5 s, and the platform
+// is queried after them.
+constexpr milliseconds kRoundTime{1500};
+// The same for the substitutes of an entry whose own query of the platform has
+// just failed, which takes up to 1.7 s.
+constexpr milliseconds kSubstituteRoundTime{600};
+// A call that has less time left is not begun.
+constexpr milliseconds kMinCallTime{50};
 // Time for which a peer that did not respond is not queried again.
 constexpr milliseconds kUnresponsivePause{3000};
 // Time for which a peer that has no fresh copy is not queried again.
@@ -123,9 +132,10 @@
       .prefix = prefix,
       .cursor = cursor,
       .wait_ms = static_cast<std::uint32_t>(peer_wait.count())};
-  auto responses = QueryRegion(plan, request);
+  const auto deadline = clock_.now() + kRoundTime;
+  auto responses = QueryRegion(plan, request, deadline);
   if (!responses.batch)
-    QueryPausedWatchers(plan, request, responses);
+    QueryPausedWatchers(plan, request, deadline, responses);
   if (responses.batch) {
     WithFallback(prefix, [](auto& fallback) { fallback.OnUpdate(); });
     relay_.Publish(prefix, responses.batch.value(), false);
@@ -165,7 +175,8 @@
     if (batch || plan.substitutes.empty())
       return batch;
   }
-  auto responses = QueryPeers(plan.substitutes, request);
+  auto responses = QueryPeers(plan.substitutes, request,
+                              clock_.now() + kSubstituteRoundTime);
   if (responses.batch) {
     relay_.Publish(request.prefix, responses.batch.value(), false);
     return std::move(responses.batch);
@@ -176,8 +187,9 @@
 }
 
 shared_store::peer_responses shared_store::QueryRegion(const source_plan& plan,
-                                                       mirror_request request) {
-  auto responses = QueryPeers(plan.watchers, request);
+                                                       mirror_request request,
+                                                       time_point deadline) {
+  auto responses = QueryPeers(plan.watchers, request, deadline);
   if (responses.batch || plan.role != source_role::kFollower)
     return responses;
   request.await_fresh = true;
@@ -185,8 +197,8 @@
   const auto stale_rounds = WithFallback(
       request.prefix,
       [](const auto& fallback) { return fallback.stale_rounds(); });
-  auto backups =
-      QueryPeers(BackupsToQuery(plan.backups, stale_rounds), request);
+  auto backups = QueryPeers(BackupsToQuery(plan.backups, stale_rounds), request,
+                            deadline);
   if (backups.batch && backups.batch.value().events.empty())
     std::this_thread::sleep_for(kNoEventsPause);
   backups.stale |= responses.stale;
@@ -200,9 +212,12 @@
 // is not kept waiting, and not waited for.
 void shared_store::QueryPausedWatchers(const source_plan& plan,
                                        mirror_request request,
+                                       time_point deadline,
                                        peer_responses& responses) {
   request.wait_ms = 0;
   for (const auto& peer : plan.watchers) {
+    if (TimeUntil(deadline) < kPeerResponseMargin)
+      return;
     const auto pause_key = PauseKey(request.prefix, peer);
     if (!late_peers_.IsBackingOff(pause_key, clock_.now()))
       continue;
@@ -241,9 +256,14 @@
       "platform unreachable, and no peer has a copy of its objects");
 }
 
+// A silent peer takes its whole time, and each of several would take its own, so
+// that an entry that reaches none but the platform would hear nothing for longer
+// than a change may take.
 shared_store::peer_responses shared_store::QueryPeers(
     std::span<const std::string> peers,
-    const mirror_request& request) {
+    mirror_request request,
+    time_point deadline) {
+  const milliseconds wait(request.wait_ms);
   peer_responses responses{.batch = MakeError(result_code::kStoreUnreachable,
                                               "no peer has a fresh copy")};
   for (const auto& peer : peers) {
@@ -251,9 +271,14 @@
     if (stale_peers_.IsBackingOff(pause_key, clock_.now()) ||
         late_peers_.IsBackingOff(pause_key, clock_.now()))
       continue;
+    const auto timeout =
+        std::min(wait + kPeerResponseMargin, TimeUntil(deadline));
+    if (timeout < kMinCallTime)
+      break;
+    request.wait_ms = static_cast<std::uint32_t>(
+        std::max(timeout - kPeerResponseMargin, milliseconds{0}).count());
     const auto start = clock_.now();
-    auto batch = QueryPeer(peer, request,
-                           milliseconds(request.wait_ms) + kPeerResponseMargin);
+    auto batch = QueryPeer(peer, request, timeout);
     LogSourceResult(request.prefix, peer, ElapsedSince(start), batch);
     if (batch) {
       responses.batch = std::move(batch);
@@ -272,6 +297,10 @@
   return responses;
 }
 
+milliseconds shared_store::TimeUntil(time_point deadline) const {
+  return std::chrono::duration_cast<milliseconds>(deadline - clock_.now());
+}
+
 milliseconds shared_store::ElapsedSince(time_point start) const {
   return std::chrono::duration_cast<milliseconds>(clock_.now() - start);
 }
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -71,16 +71,22 @@
   result<watch_batch> WatchPlatformOrSubstitutes(const source_plan& plan,
                                                  const mirror_request& request,
                                                  milliseconds wait);
-  // Queries the watchers and then, for a follower, some of the backups.
-  peer_responses QueryRegion(const source_plan& plan, mirror_request request);
+  // Queries the watchers and then, for a follower, some of the backups, until
+  // `deadline` at the latest.
+  peer_responses QueryRegion(const source_plan& plan,
+                             mirror_request request,
+                             time_point deadline);
   // Asks the watchers that are left alone because they were late, for what they
   // have at once; the first response replaces that in `responses`.
   void QueryPausedWatchers(const source_plan& plan,
                            mirror_request request,
+                           time_point deadline,
                            peer_responses& responses);
   result<watch_batch> FetchLastKnown(const std::string& prefix);
+  // Queries `peers` in turn until one has a fresh copy, or until `deadline`.
   peer_responses QueryPeers(std::span<const std::string> peers,
-                            const mirror_request& request);
+                            mirror_request request,
+                            time_point deadline);
   result<watch_batch> QueryPeer(const std::string& peer,
                                 mirror_request request,
                                 milliseconds timeout);
@@ -92,6 +98,7 @@
                                     store_cursor cursor,
                                     milliseconds wait,
                                     source_role role);
+  milliseconds TimeUntil(time_point deadline) const;
   milliseconds ElapsedSince(time_point start) const;
   // Calls `use` with the fallback state of this prefix while holding its lock.
   template <typename F>
