Announce evacuations to all entries once the store has told one

What users saw: an evacuation that some regions knew 1.4 to 2.2 s after its confirmation was known in another after 5 s and more. What one entry knew reached the others only when they asked the right peer.

An entry to which the store itself tells a change of evacuations/ now sends all objects of that kind, with their position, in one datagram to each entry of its region and to one of each other region, which passes it on. Followers take it if it is later than what they know. Nothing is sent for what was announced already, so that many entries that list at once don't repeat it. Watches bring the change as before where datagrams are lost. No call of the store is added.

--- a/src/libsamphire/peer/message_kind.h
+++ b/src/libsamphire/peer/message_kind.h
@@ -38,10 +38,11 @@
   kTargetNews,
   kPing,
   kPingAck,
+  kObjectNews,
 };
 
 // Names of the kinds in the labels of the peer metrics.
-inline constexpr enum_names<message_kind, 27> kMessageKindNames{{
+inline constexpr enum_names<message_kind, 28> kMessageKindNames{{
     {message_kind::kProbe, "probe"},
     {message_kind::kProbeAck, "probe_ack"},
     {message_kind::kProbeRequest, "probe_request"},
@@ -69,10 +70,11 @@
     {message_kind::kTargetNews, "target_news"},
     {message_kind::kPing, "ping"},
     {message_kind::kPingAck, "ping_ack"},
+    {message_kind::kObjectNews, "object_news"},
 }};
 
 // The highest valid number; the decoder rejects messages above it.
-inline constexpr auto kLastMessageKind = message_kind::kPingAck;
+inline constexpr auto kLastMessageKind = message_kind::kObjectNews;
 
 }  // namespace samphire
 
--- a/src/libsamphire/store/object_follower.cc
+++ b/src/libsamphire/store/object_follower.cc
@@ -44,30 +44,49 @@
 }
 
 milliseconds object_follower::Step() {
-  const auto now = clock_.now();
+  std::unique_lock guard(lock_);
   auto wait = disconnected_ ? kOutageWatchWait : kWatchWait;
   if (const auto due = mirror_.expiry()) {
-    const auto remaining = std::chrono::ceil<milliseconds>(*due - now);
+    const auto remaining = std::chrono::ceil<milliseconds>(*due - clock_.now());
     wait = std::clamp(remaining, milliseconds{1}, wait);
   }
-  const auto batch = store_.Watch(prefix_, mirror_.cursor(), wait);
+  const auto requested = mirror_.cursor();
+  guard.unlock();
+  const auto batch = store_.Watch(prefix_, requested, wait);
+  guard.lock();
   if (!batch)
     return OnFailure(batch.error());
   OnSuccess();
-  if (!batch.value().events.empty())
-    source_ = batch.value().source;
-  bool changed = mirror_.Apply(batch.value(), clock_.now());
+  // A listing was offered meanwhile, and this batch is from before it.
+  if (mirror_.cursor() != requested &&
+      batch.value().cursor < mirror_.position())
+    return milliseconds{0};
+  Apply(batch.value());
+  if (!mirror_.cursor().IsSet())
+    return ListingDelay();
+  return batch.value().events.empty() ? milliseconds{0} : kBatchDelay;
+}
+
+void object_follower::Offer(const watch_batch& listing) {
+  std::lock_guard guard(lock_);
+  if (listing.cursor > mirror_.position())
+    Apply(listing);
+}
+
+void object_follower::Apply(const watch_batch& batch) {
+  if (!batch.events.empty() || batch.reset)
+    source_ = batch.source;
+  bool changed = mirror_.Apply(batch, clock_.now());
   changed |= mirror_.Expire(clock_.now());
   changed |= redelivery_requested_.exchange(false);
-  if ((changed || !delivered_once_) && mirror_.cursor().IsSet()) {
+  if (!mirror_.cursor().IsSet())
+    return;
+  if (changed || !delivered_once_) {
     delivered_once_ = true;
     on_change_(mirror_.objects());
   }
-  if (!mirror_.cursor().IsSet())
-    return ListingDelay();
-  if (on_confirmed_ && batch.value().confirmed)
+  if (on_confirmed_ && batch.confirmed)
     on_confirmed_(mirror_.position());
-  return batch.value().events.empty() ? milliseconds{0} : kBatchDelay;
 }
 
 // A source that stays behind would otherwise be listed several times a second
--- a/src/libsamphire/store/object_follower.h
+++ b/src/libsamphire/store/object_follower.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -20,11 +21,12 @@
 // from cursor 0.
 class object_follower {
  public:
-  // Receives all objects, by key. Runs on the follower's thread.
+  // Receives all objects, by key. Runs on the follower's thread, or on that of
+  // Offer(), but never twice at once.
   using change_handler = std::function<void(const object_mirror::object_map&)>;
 
   // Is told the position of the objects each time that a source confirms it,
-  // after the change_handler. Runs on the follower's thread.
+  // after the change_handler. Runs like that one.
   using confirm_handler = std::function<void(store_cursor)>;
 
   // `on_change` is called with the first complete listing and after each
@@ -42,6 +44,10 @@
   }
   // Starts the thread. To be called once.
   void Start();
+  // Takes a listing that another entry got from the store a moment ago, unless
+  // this follower knows a later position. May be called from any thread, and
+  // calls the handlers there.
+  void Offer(const watch_batch& listing);
   // Causes the current objects to be passed to the handler again within a few
   // seconds, because their meaning to the handler has changed. May be called
   // from any thread.
@@ -58,6 +64,8 @@
   milliseconds Step();
   // Returns the delay before a listing is requested again.
   milliseconds ListingDelay() const;
+  // Applies a batch and calls the handlers. Expects lock_ to be held.
+  void Apply(const watch_batch& batch);
   // Logs the start of an outage and removes expired objects. Returns the
   // backoff.
   milliseconds OnFailure(const error& failure);
@@ -69,6 +77,9 @@
   const std::string prefix_;
   const change_handler on_change_;
   confirm_handler on_confirmed_;
+  // Guards mirror_, source_ and delivered_once_, and is held while handlers
+  // run.
+  std::mutex lock_;
   object_mirror mirror_;
   std::string source_;
   // Whether the handler has been called.
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -26,8 +26,8 @@
 // Added to the requested wait to obtain the timeout of a call to a peer.
 constexpr milliseconds kPeerResponseMargin{250};
 // Upper bound on the time for which one round queries peers, however many there
-// are and however late: a change must be in force within 2.5 s, and the platform
-// is queried after them.
+// are and however late: a change must be in force within 2.5 s, and the
+// platform is queried after them.
 constexpr milliseconds kRoundTime{1500};
 // The same for the substitutes of an entry whose own query of the platform has
 // just failed, which takes up to 1.7 s.
@@ -86,7 +86,8 @@
                            const clock_source& clock,
                            milliseconds discovery_time,
                            plan_provider plan,
-                           peer_provider peers)
+                           peer_provider peers,
+                           change_handler on_platform_change)
     : platform_(platform),
       relay_(relay),
       pool_(pool),
@@ -94,6 +95,7 @@
       clock_(clock),
       plan_(std::move(plan)),
       peers_(std::move(peers)),
+      on_platform_change_(std::move(on_platform_change)),
       discovery_ends_at_(clock.now() + discovery_time) {}
 
 result<watch_batch> shared_store::Watch(const std::string& prefix,
@@ -197,8 +199,8 @@
   const auto stale_rounds = WithFallback(
       request.prefix,
       [](const auto& fallback) { return fallback.stale_rounds(); });
-  auto backups = QueryPeers(BackupsToQuery(plan.backups, stale_rounds), request,
-                            deadline);
+  auto backups =
+      QueryPeers(BackupsToQuery(plan.backups, stale_rounds), request, deadline);
   if (backups.batch && backups.batch.value().events.empty())
     std::this_thread::sleep_for(kNoEventsPause);
   backups.stale |= responses.stale;
@@ -256,9 +258,9 @@
       "platform unreachable, and no peer has a copy of its objects");
 }
 
-// A silent peer takes its whole time, and each of several would take its own, so
-// that an entry that reaches none but the platform would hear nothing for longer
-// than a change may take.
+// A silent peer takes its whole time, and each of several would take its own,
+// so that an entry that reaches none but the platform would hear nothing for
+// longer than a change may take.
 shared_store::peer_responses shared_store::QueryPeers(
     std::span<const std::string> peers,
     mirror_request request,
@@ -358,6 +360,9 @@
   if (batch) {
     batch.value().source = kPlatformSource;
     relay_.Publish(prefix, batch.value());
+    if (on_platform_change_ &&
+        (batch.value().reset || !batch.value().events.empty()))
+      on_platform_change_(prefix);
   } else {
     relay_.OnWatchFailed(prefix);
   }
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -31,6 +31,9 @@
   // Returns the peer addresses of all entries that may provide their last known
   // objects.
   using peer_provider = std::function<std::vector<std::string>()>;
+  // Is told the prefix when the platform itself has returned changes or a
+  // current listing, which the relay has by then.
+  using change_handler = std::function<void(const std::string&)>;
 
   // For `discovery_time` after the construction, this entry does not know
   // enough members of its region to tell whether it is a watcher; it then takes
@@ -42,7 +45,8 @@
                const clock_source& clock,
                milliseconds discovery_time,
                plan_provider plan,
-               peer_provider peers);
+               peer_provider peers,
+               change_handler on_platform_change = nullptr);
 
   // Returns changes under `prefix` after `cursor`, or all objects for cursor 0.
   // If neither a peer nor the platform has a fresh copy, cursor 0 returns the
@@ -114,6 +118,7 @@
   const clock_source& clock_;
   const plan_provider plan_;
   const peer_provider peers_;
+  const change_handler on_platform_change_;
   // From this time on, this entry knows its region well enough to act as a
   // watcher for it.
   const time_point discovery_ends_at_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -79,6 +79,11 @@
               {settings_.place.instance, incarnation_},
               clock_),
       relay_(clock_),
+      announcer_(
+          transport_,
+          relay_,
+          [this] { return NewsPeers(); },
+          metrics_),
       entry_list_builder_(settings_.place.instance,
                           settings_.settle_time,
                           settings_.min_fleet_size,
@@ -280,7 +285,8 @@
   return std::make_unique<shared_store>(
       platform, relay_, pool_, signer_, clock_, settings_.discovery_time,
       [this] { return CurrentSourcePlan(); },
-      [this] { return BootstrapAddresses(); });
+      [this] { return BootstrapAddresses(); },
+      [this](const auto& prefix) { announcer_.OnPlatformChange(prefix); });
 }
 
 std::vector<std::string> traffic_node::BootstrapAddresses() const {
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/system_clock_source.h"
@@ -21,6 +22,7 @@
 #include "store/object_watcher.h"
 #include "traffic/entry_list_builder.h"
 #include "traffic/link_prober.h"
+#include "traffic/object_announcer.h"
 #include "traffic/placement_client.h"
 #include "traffic/placement_server.h"
 #include "traffic/service_shards.h"
@@ -84,6 +86,13 @@
   // at `position`.
   void ConfirmEvacuations(store_cursor position);
 
+  // Makes changes under `prefix` be announced to all entries as soon as the
+  // platform has told them to one; `receive` gets what others announce. An
+  // empty handler ends that.
+  void AnnounceObjects(const std::string& prefix,
+                       object_announcer::listing_handler receive) {
+    announcer_.Follow(prefix, std::move(receive));
+  }
   // Returns a watcher of the platform's store that shares watches with the
   // other entries of the fleet. `platform` and this node must outlive it.
   std::unique_ptr<object_watcher> MakeSharedStore(object_watcher& platform);
@@ -133,6 +142,7 @@
   membership_service membership_;
   peer_signer signer_;
   object_relay relay_;
+  object_announcer announcer_;
   // Guards entry_list_builder_ and the order of published lists.
   std::mutex entry_list_lock_;
   entry_list_builder entry_list_builder_;
