Serve no callers before it is known what is evacuated

An entry counted as ready with a configuration and targets; it did not wait for a first answer on evacuations. A caller of an entry that starts while the store is slow with that kind could reach an evacuated failure domain. Found by looking for the class of the late evacuation elsewhere, not seen by users.

Targets are published once the evacuated domains are known as well.

--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -217,6 +217,7 @@
                                        const std::string& source) {
   const auto before = state_.evacuations_position.StatusAt(clock_.now());
   const auto names = fmt::format("{}", fmt::join(domains, ","));
+  const bool first = !state_.targets();
   state_.SetEvacuatedDomains(std::move(domains));
   state_.evacuations_position.Advance(position);
   Log(log_level::kWarning, "evacuations-in-force",
@@ -227,6 +228,8 @@
        {"source", source},
        {"confirmed_ms_before", AgeForLog(before)}});
   LogTargets();
+  if (first)
+    AnnounceReady();
 }
 
 void traffic_node::ConfirmEvacuations(store_cursor position) {
--- a/src/libsamphire/traffic/traffic_state.cc
+++ b/src/libsamphire/traffic/traffic_state.cc
@@ -25,6 +25,7 @@
 void traffic_state::SetEvacuatedDomains(std::set<std::string> domains) {
   std::lock_guard guard(lock_);
   evacuated_domains_ = std::move(domains);
+  evacuations_known_ = true;
   PublishTargets();
 }
 
@@ -32,8 +33,9 @@
   bounds_.Replace(new traffic_bounds(bounds));
 }
 
+// Without the evacuations, no target is known to be open.
 void traffic_state::PublishTargets() {
-  if (targets_known_)
+  if (targets_known_ && evacuations_known_)
     targets_.Replace(target_set_ptr(
         new target_set(listed_targets_, evacuated_domains_, listing_)));
 }
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -34,7 +34,7 @@
 
   // Null until a manifest is set.
   manifest_ptr manifest() const { return manifest_.Get(); }
-  // Null until targets are set.
+  // Null until both targets and evacuated domains are set.
   target_set_ptr targets() const { return targets_.Get(); }
   const shared_snapshot<entry_list>& entries() const { return entries_; }
   shared_snapshot<entry_list>& entries() { return entries_; }
@@ -50,8 +50,8 @@
   // Number of requests that this entry is passing on to targets for peers.
   std::atomic<int> relayed_requests = 0;
 
-  // Whether this entry can serve requests: it has a manifest and targets and is
-  // not leaving.
+  // Whether this entry can serve requests: it has a manifest, targets and
+  // evacuated domains, and is not leaving.
   bool IsReady() const;
 
  private:
@@ -61,6 +61,7 @@
   // Serializes writers.
   std::mutex lock_;
   bool targets_known_ = false;
+  bool evacuations_known_ = false;
   std::vector<live_target> listed_targets_;
   store_cursor listing_;
   std::set<std::string> evacuated_domains_;
