List evacuations as they are when an entry starts, not as they were

For evacuations that meant requests to a domain evacuated just before the start, until a watch brought the change; with the history dropped meanwhile, later. Found by looking for the class, not seen by users.

Kinds of urgent objects are now listed at full price once a start.

--- a/src/libsamphire/traffic/object_announcer.cc
+++ b/src/libsamphire/traffic/object_announcer.cc
@@ -1,6 +1,5 @@
 #include "traffic/object_announcer.h"
 
-#include <optional>
 #include <utility>
 
 #include "base/log.h"
@@ -34,24 +33,37 @@
     followed_.erase(prefix);
 }
 
+bool object_announcer::Contains(const std::string& prefix) {
+  std::lock_guard guard(lock_);
+  return followed_.contains(prefix);
+}
+
+void object_announcer::OnFirstListing(const std::string& prefix) {
+  const auto listing = relay_.LastKnown(prefix);
+  if (listing)
+    MarkAnnounced(prefix, listing.value());
+}
+
+bool object_announcer::MarkAnnounced(const std::string& prefix,
+                                     const watch_batch& listing) {
+  std::lock_guard guard(lock_);
+  const auto found = followed_.find(prefix);
+  if (found == followed_.end())
+    return false;
+  auto content = ContentOf(listing);
+  if (found->second.announced == content)
+    return false;
+  found->second.announced = std::move(content);
+  return true;
+}
+
 // The relay's copy is what the platform told. The objects in force at this
 // entry may include some whose removal it delays, and another entry that took
 // them at this position would never hear of their removal.
 void object_announcer::OnPlatformChange(const std::string& prefix) {
   const auto listing = relay_.LastKnown(prefix);
-  if (!listing)
+  if (!listing || !MarkAnnounced(prefix, listing.value()))
     return;
-  {
-    std::lock_guard guard(lock_);
-    const auto found = followed_.find(prefix);
-    if (found == followed_.end())
-      return;
-    auto content = ContentOf(listing.value());
-    if (std::exchange(found->second.any_announced, true) &&
-        found->second.announced == content)
-      return;
-    found->second.announced = std::move(content);
-  }
   object_news news{
       .prefix = prefix,
       .listing = EncodePatchedBatch(ToPatchedBatch(listing.value()))};
@@ -96,7 +108,6 @@
   }
   listing.value().source = from;
   found->second.announced = ContentOf(listing.value());
-  found->second.any_announced = true;
   relay_.Publish(news.prefix, listing.value(), false);
   found->second.receive(listing.value());
 }
--- a/src/libsamphire/traffic/object_announcer.h
+++ b/src/libsamphire/traffic/object_announcer.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "metrics/metrics.h"
@@ -11,13 +12,14 @@
 #include "store/object_relay.h"
 #include "store/watch_batch.h"
 #include "traffic/object_news.h"
+#include "traffic/urgent_objects.h"
 
 namespace samphire {
 
 // Tells all entries about changes of objects that are few, small and urgent, as
 // soon as the platform has told them to one entry. Only speeds up what watches
 // bring as well. Thread-safe.
-class object_announcer {
+class object_announcer final : public urgent_objects {
  public:
   // Receives a listing that another entry got from the platform a moment ago.
   // Runs on the transport's thread.
@@ -33,10 +35,13 @@
   // be passed to `receive`. An empty handler ends that; the call returns once
   // none runs any more.
   void Follow(const std::string& prefix, listing_handler receive);
-  // To be called when the platform has returned changes under `prefix`, which
-  // are in the relay by now. Does nothing for a prefix that is not followed, or
-  // if all entries have been told the same. Does not block.
-  void OnPlatformChange(const std::string& prefix);
+
+  bool Contains(const std::string& prefix) override;
+  // Notes that the listing needs no announcement.
+  void OnFirstListing(const std::string& prefix) override;
+  // Does nothing for a prefix that is not followed, or if all entries have been
+  // told the same.
+  void OnPlatformChange(const std::string& prefix) override;
 
  private:
   // Keys and versions of a listing, and its era.
@@ -47,12 +52,13 @@
   };
   struct followed_prefix {
     listing_handler receive;
-    // What was announced last, by this entry or another.
-    listing_content announced;
-    // Whether anything was.
-    bool any_announced = false;
+    // What was announced last, by this entry or another, or first listed here.
+    std::optional<listing_content> announced;
   };
 
+  // Notes what is announced. Returns false if it was announced before, or if
+  // the prefix is not followed.
+  bool MarkAnnounced(const std::string& prefix, const watch_batch& listing);
   static listing_content ContentOf(const watch_batch& listing);
   void OnNews(const object_news& news, const std::string& from);
 
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -87,7 +87,7 @@
                            milliseconds discovery_time,
                            plan_provider plan,
                            peer_provider peers,
-                           change_handler on_platform_change)
+                           urgent_objects* urgent)
     : platform_(platform),
       relay_(relay),
       pool_(pool),
@@ -95,7 +95,7 @@
       clock_(clock),
       plan_(std::move(plan)),
       peers_(std::move(peers)),
-      on_platform_change_(std::move(on_platform_change)),
+      urgent_(urgent),
       discovery_ends_at_(clock.now() + discovery_time) {}
 
 result<watch_batch> shared_store::Watch(const std::string& prefix,
@@ -109,19 +109,24 @@
   return batch;
 }
 
-// The first listing may lag: the watch that follows returns what it lacks. A
+// The first listing may lag, unless its objects are urgent: the watch that
+// follows returns what it lacks, but an entry serves callers before that. A
 // later listing is needed because the platform no longer has the history after
 // the cursor. Peers can't use that cursor either, and the cursor of a listing
 // that lags could again be older than the platform's history.
 result<watch_batch> shared_store::List(const std::string& prefix) {
   if (clock_.now() >= discovery_ends_at_)
     return WatchFresh(prefix, 0, kPeerWatchTime);
-  auto batch = platform_.ListLagging(prefix);
-  if (batch) {
-    batch.value().source = kPlatformSource;
-    batch.value().confirmed = false;
-    relay_.Publish(prefix, batch.value(), false);
-  }
+  const bool urgent = urgent_ && urgent_->Contains(prefix);
+  auto batch = urgent ? platform_.Watch(prefix, 0, milliseconds{0})
+                      : platform_.ListLagging(prefix);
+  if (!batch)
+    return batch;
+  batch.value().source = kPlatformSource;
+  batch.value().confirmed = urgent;
+  relay_.Publish(prefix, batch.value(), urgent);
+  if (urgent)
+    urgent_->OnFirstListing(prefix);
   return batch;
 }
 
@@ -360,9 +365,8 @@
   if (batch) {
     batch.value().source = kPlatformSource;
     relay_.Publish(prefix, batch.value());
-    if (on_platform_change_ &&
-        (batch.value().reset || !batch.value().events.empty()))
-      on_platform_change_(prefix);
+    if (urgent_ && (batch.value().reset || !batch.value().events.empty()))
+      urgent_->OnPlatformChange(prefix);
   } else {
     relay_.OnWatchFailed(prefix);
   }
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -17,6 +17,7 @@
 #include "traffic/mirror_messages.h"
 #include "traffic/platform_fallback.h"
 #include "traffic/source_plan.h"
+#include "traffic/urgent_objects.h"
 
 namespace samphire {
 
@@ -31,13 +32,11 @@
   // Returns the peer addresses of all entries that may provide their last known
   // objects.
   using peer_provider = std::function<std::vector<std::string>()>;
-  // Is told the prefix when the platform itself has returned changes or a
-  // current listing, which the relay has by then.
-  using change_handler = std::function<void(const std::string&)>;
 
   // For `discovery_time` after the construction, this entry does not know
   // enough members of its region to tell whether it is a watcher; it then takes
-  // its first listing from the platform and changes from peers only.
+  // its first listing from the platform and changes from peers only. `urgent`
+  // may be null; what is passed must outlive this object.
   shared_store(object_watcher& platform,
                object_relay& relay,
                connection_pool& pool,
@@ -46,7 +45,7 @@
                milliseconds discovery_time,
                plan_provider plan,
                peer_provider peers,
-               change_handler on_platform_change = nullptr);
+               urgent_objects* urgent = nullptr);
 
   // Returns changes under `prefix` after `cursor`, or all objects for cursor 0.
   // If neither a peer nor the platform has a fresh copy, cursor 0 returns the
@@ -118,7 +117,7 @@
   const clock_source& clock_;
   const plan_provider plan_;
   const peer_provider peers_;
-  const change_handler on_platform_change_;
+  urgent_objects* const urgent_;
   // From this time on, this entry knows its region well enough to act as a
   // watcher for it.
   const time_point discovery_ends_at_;
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -288,8 +288,7 @@
   return std::make_unique<shared_store>(
       platform, relay_, pool_, signer_, clock_, settings_.discovery_time,
       [this] { return CurrentSourcePlan(); },
-      [this] { return BootstrapAddresses(); },
-      [this](const auto& prefix) { announcer_.OnPlatformChange(prefix); });
+      [this] { return BootstrapAddresses(); }, &announcer_);
 }
 
 std::vector<std::string> traffic_node::BootstrapAddresses() const {
