Test that an evacuation in a silence with lost history is known in time

Regions of 10, 65 and 89 entries (300 by hand), the domain evacuated at four moments of a silence of the store of 1 s that ends with the loss of its history, by watches alone, without announcements; also with 10 ms of one processor for each call between entries.

--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -36,6 +36,7 @@
       link_("127.0.0.1", server_address_),
       server_(server_address_,
               new handler_factory([this](const Poco::Net::HTTPServerRequest&) {
+                UseProcessor();
                 return new mirror_handler(relay_, signer_, link_.address(),
                                           counters_);
               }),
@@ -45,6 +46,13 @@
   server_.Start();
 }
 
+void followed_entry::UseProcessor() {
+  if (call_time.load() == 0ms)
+    return;
+  std::lock_guard guard(processor_);
+  std::this_thread::sleep_for(call_time.load());
+}
+
 void followed_entry::Start(const source_plan& plan,
                            const std::vector<std::string>& prefixes) {
   plan_ = plan;
@@ -140,6 +148,11 @@
   }
 }
 
+void followed_region::SetCallTime(milliseconds time) {
+  for (const auto& entry : entries_)
+    entry->call_time = time;
+}
+
 std::vector<std::string> followed_region::WaitForAll(const std::string& key,
                                                      const std::string& value,
                                                      milliseconds limit) const {
--- a/tests/traffic/followed_region.h
+++ b/tests/traffic/followed_region.h
@@ -37,6 +37,8 @@
   // Ends the calls that are under way.
   void Stop() { followers_.clear(); }
 
+  // Time of its one processor that this entry needs for each call of a peer.
+  std::atomic<milliseconds> call_time{milliseconds{0}};
   // While set, the store refuses this entry's calls.
   std::atomic<bool> turned_away = false;
   source_role role() const { return plan_.role; }
@@ -53,6 +55,7 @@
                             milliseconds wait) override;
 
  private:
+  void UseProcessor();
   void OnObjects(const object_mirror::object_map& objects);
 
   region_store& store_;
@@ -63,6 +66,8 @@
   object_relay relay_{clock_};
   connection_pool pool_;
   const std::string server_address_;
+  // Held while the processor is in use.
+  std::mutex processor_;
   relay link_;
   front_server server_;
   source_plan plan_;
@@ -85,6 +90,8 @@
   void TurnAway(std::size_t first, std::size_t step);
   // Lets the store turn away up to `count` entries of a role.
   void TurnAway(source_role role, std::size_t count);
+  // Sets the time of its processor that each entry needs for a peer's call.
+  void SetCallTime(milliseconds time);
   // Waits until all entries have received the value, but at most for `limit`.
   // Returns the names and roles of those that have not.
   std::vector<std::string> WaitForAll(const std::string& key,
--- a/tests/traffic/region_store.h
+++ b/tests/traffic/region_store.h
@@ -21,6 +21,8 @@
  public:
   // Creates or replaces an object.
   void Write(const std::string& key, const std::string& value);
+  // Drops the log of changes: a watch from before gets a listing.
+  void DropHistory();
   // Serves a watch with complete values; lists everything for cursor 0.
   watch_batch Watch(const std::string& prefix,
                     store_cursor cursor,
@@ -31,11 +33,16 @@
   bool IsSilent() const { return silent_; }
 
  private:
+  // Expects lock_ to be held.
+  watch_batch List(const std::string& prefix) const;
+
   std::mutex lock_;
   std::condition_variable changed_;
   std::map<std::string, store_object> objects_;
   std::vector<store_event> log_;
   std::uint64_t revision_ = 1;
+  // The last change that the log does not have any more.
+  std::uint64_t dropped_revision_ = 0;
   std::atomic<bool> silent_ = false;
 };
 
