Let an entry without store and peers cease to be ready

An entry that could not tell what is evacuated served callers by its last answer without end. Ways weighed: refuse (a store that is away for all would stop the fleet, though it confirms no evacuation then); keep to failure domains that others use (unknown when alone); pass requests through peers (whoever reaches one gets the evacuations there); cease to be ready only where others may know more than this entry (taken).

While it reaches others it serves on, since they would tell it.

--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/entry_list.h
@@ -48,6 +48,9 @@
   // Peer addresses of some entries of each other region, by region.
   std::map<std::string, std::vector<std::string>> other_regions;
 
+  // Whether this entry knows other entries of its region and reaches none.
+  bool is_alone = false;
+
   // Whether this entry knows no other entries although the fleet has some, as
   // after a start while it is cut off. Such an entry does not know the size of
   // its region, so it must not grant permits as the owner.
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/entry_list_builder.cc
@@ -87,6 +87,7 @@
         list->listed.push_back(Listed(each, listing_reason::kNoneReady));
     }
   }
+  list->is_alone = list->names.size() <= 1 && members.size() > 1;
   std::size_t size = list->names.size();
   for (const auto& region : regions) {
     size += region.digest.entries;
--- a/src/libsamphire/traffic/position_record.h
+++ b/src/libsamphire/traffic/position_record.h
@@ -37,6 +37,9 @@
   std::optional<time_point> confirmed_at_;
 };
 
+// Whether an entry may go on to serve callers by objects of this status.
+// `is_alone` if it knows other entries of its region and reaches none.
+bool MayServeBy(const position_status& status, bool is_alone);
 // Returns the age in milliseconds for a log line; -1 if it was never confirmed.
 std::int64_t AgeForLog(const position_status& status);
 
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -267,6 +267,12 @@
   return addresses;
 }
 
+bool traffic_node::IsReady() const {
+  return state_.IsReady() &&
+         MayServeBy(state_.evacuations_position.StatusAt(clock_.now()),
+                    state_.entries().Get()->is_alone);
+}
+
 void traffic_node::RefreshEntryList() {
   std::lock_guard guard(entry_list_lock_);
   const auto before = state_.entries().Get();
--- a/src/libsamphire/traffic/traffic_node.h
+++ b/src/libsamphire/traffic/traffic_node.h
@@ -97,8 +97,8 @@
   // other entries of the fleet. `platform` and this node must outlive it.
   std::unique_ptr<object_watcher> MakeSharedStore(object_watcher& platform);
 
-  // Whether this entry can serve callers.
-  bool IsReady() const { return state_.IsReady(); }
+  // Whether this entry can serve callers, and can tell what is evacuated.
+  bool IsReady() const;
   // Returns the addresses of the live entries of this region that callers may
   // use, for a look-up, which it counts.
   std::vector<std::string> CallerAddresses();
