Soak evacuations beside silences, lost history, cuts and restarts

Real entries, callers on kept connections until the process is gone, two troubles a round that overlap (silence with lost history, refusals, a cut from the store, a kill, a stop, a reload with reset connections) and an evacuation at a random moment before, in or after them. A request sent later than 2.5 s after the confirmation must not run in the domain. The reader of the environment of the soaks stood twice.

--- a/src/libsamphire/store/stand_in_objects.cc
+++ b/src/libsamphire/store/stand_in_objects.cc
@@ -98,6 +98,13 @@
   changed_.notify_all();
 }
 
+void stand_in_objects::DropHistory() {
+  std::lock_guard guard(lock_);
+  log_.clear();
+  trimmed_cursor_ = revision_;
+  changed_.notify_all();
+}
+
 std::uint64_t stand_in_objects::era() {
   std::lock_guard guard(lock_);
   return era_;
--- a/src/libsamphire/store/stand_in_objects.h
+++ b/src/libsamphire/store/stand_in_objects.h
@@ -49,6 +49,8 @@
   // written since is lost, its revisions are given out again, and the era rises
   // by one. Ends all watches with `reset`.
   void Restore(const copy& from);
+  // Drops all logged events: watches from before return a batch with `reset`.
+  void DropHistory();
   // Number of restores, plus one.
   std::uint64_t era();
 
--- a/tests/platform_adapter/stand_in_platform.h
+++ b/tests/platform_adapter/stand_in_platform.h
@@ -36,6 +36,9 @@
   // revisions are given out again.
   void RestoreCopy() { objects_.Restore(copy_); }
 
+  // Drops the history of changes.
+  void DropHistory() { objects_.DropHistory(); }
+
   // HTTP status with which every call is refused; 0 to serve calls.
   std::atomic<int> refuse_with = 0;
   // If set, the next watch is told that its history is gone, and the flag is
--- /dev/null
+++ b/tests/soak/evacuation_soak.cc
@@ -0,0 +1,276 @@
+#include "soak/evacuation_soak.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/NullStream.h>
+#include <Poco/StreamCopier.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+#include "platform_adapter/wire_text.h"
+#include "soak/raw_call.h"
+#include "support/free_address.h"
+#include "support/wait_until.h"
+
+namespace samphire {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kTargetsOfDomain = 4;
+// Time from the confirmation of an evacuation until it is in force.
+constexpr std::chrono::milliseconds kInForce{2500};
+// Times for which an evacuation lasts, and after it is taken back.
+constexpr std::chrono::milliseconds kEvacuated{4500};
+constexpr std::chrono::milliseconds kBetweenRounds{2500};
+constexpr std::chrono::milliseconds kTroubleTime{1000};
+constexpr int kSeconds = 1'000'000;
+
+const std::string kDomain = "a-1";
+const std::string kEvacuationKey = "evacuations/" + kDomain;
+
+}  // namespace
+
+evacuation_soak::evacuation_soak(const evacuation_soak_options& options)
+    : options_(options),
+      random_(options.seed),
+      folder_(
+          std::filesystem::temp_directory_path() /
+          fmt::format("samphire-evacuations-{}-{}", getpid(), options.seed)) {
+  std::filesystem::create_directories(folder_);
+  store_.Write("config/main", platform::ManifestObject("00000003"));
+  StartTargets();
+  std::string seed_address;
+  for (int i = 0; i < options_.entries; ++i) {
+    auto one = std::make_unique<entry>();
+    one->store_link = std::make_unique<relay>("127.0.0.1", store_.address());
+    one->caller_address = FreeAddress();
+    one->settings_path = (folder_ / fmt::format("entry-{}.json", i)).string();
+    const auto peer_address = FreeAddress();
+    if (seed_address.empty())
+      seed_address = peer_address;
+    std::ofstream(one->settings_path) << fmt::format(
+        R"({{"instance":"entry-{}","failure_domain":"a-1","region":"a",)"
+        R"("failure_domains":{{"a-1":"a","a-2":"a"}},"caller_address":"{}",)"
+        R"("readiness_address":"{}","lookup_address":"{}",)"
+        R"("peer_address":"{}","metrics_address":"{}","seeds":["{}"],)"
+        R"("store_addresses":["{}"],)"
+        R"("peer_key":"0123456789abcdef0123456789abcdef",)"
+        R"("bounds":["grace=4s","ttl_max=1s","retryBudgetRatio=0.2",)"
+        R"("retryBudgetSlack=60","stableWindow=1500ms"]}})",
+        i, one->caller_address, FreeAddress(), FreeAddress(), peer_address,
+        FreeAddress(), seed_address, one->store_link->address());
+    StartEntry(*one);
+    entries_.push_back(std::move(one));
+  }
+}
+
+evacuation_soak::~evacuation_soak() {
+  entries_.clear();
+  std::error_code ignored;
+  if (findings_.empty())
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void evacuation_soak::StartTargets() {
+  for (int i = 0; i < 2 * kTargetsOfDomain; ++i) {
+    const bool evacuated = i < kTargetsOfDomain;
+    auto one =
+        std::make_unique<platform::wire_target>(fmt::format("i-reads-{}", i));
+    const auto object =
+        platform::TargetObject(one->address(), "reads", "ready");
+    store_.Write(
+        "servers/" + one->id(),
+        evacuated ? object : platform::Replaced(object, kDomain, "a-2"));
+    (evacuated ? evacuated_ : others_).push_back(std::move(one));
+  }
+}
+
+void evacuation_soak::StartEntry(entry& one) {
+  one.process = std::make_unique<child_process>(
+      "samphire-platform-entry",
+      std::vector<std::string>{"--settings=" + one.settings_path},
+      one.settings_path + ".log", child_output::kLog);
+}
+
+std::vector<soak_finding> evacuation_soak::Run() {
+  const auto serves = [this](const entry& one) {
+    return SendRawRequest(one.caller_address, "GET", "/read/up", "up", "")
+               .status == 200;
+  };
+  for (const auto& one : entries_) {
+    if (!WaitUntil([&] { return serves(*one); }, 20s))
+      findings_.push_back({"starts", one->caller_address});
+  }
+  sending_ = true;
+  std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(options_.callers));
+  for (int i = 0; i < options_.callers; ++i)
+    callers.emplace_back([this, i] { RunCaller(i); });
+  std::this_thread::sleep_for(kBetweenRounds);
+  for (int round = 0; round < options_.rounds; ++round)
+    PlayRound();
+  CheckRecovery();
+  sending_ = false;
+  for (auto& caller : callers)
+    caller.join();
+  CheckArrivals();
+  return findings_;
+}
+
+void evacuation_soak::PlayRound() {
+  const auto start = std::chrono::steady_clock::now();
+  closed_time closed;
+  const auto calm = start + kTroubleTime;
+  for (int i = 0; i < 2; ++i)
+    closed.troubles += BeginTrouble(calm) + " ";
+  // Before, in or after the troubles.
+  const auto moment = std::chrono::milliseconds(random_() % 1400);
+  if (moment < kTroubleTime) {
+    std::this_thread::sleep_until(start + moment);
+    store_.Write(kEvacuationKey, R"({"spec":{}})");
+    closed.from = std::chrono::steady_clock::now() + kInForce;
+  }
+  std::this_thread::sleep_until(calm);
+  EndTroubles();
+  if (moment >= kTroubleTime) {
+    std::this_thread::sleep_until(start + moment);
+    store_.Write(kEvacuationKey, R"({"spec":{}})");
+    closed.from = std::chrono::steady_clock::now() + kInForce;
+  }
+  std::this_thread::sleep_until(closed.from - kInForce + kEvacuated);
+  closed.to = std::chrono::steady_clock::now();
+  closed.troubles += fmt::format("evacuated after {} ms", moment.count());
+  store_.Remove(kEvacuationKey);
+  closed_.push_back(closed);
+  std::this_thread::sleep_for(kBetweenRounds);
+}
+
+std::string evacuation_soak::BeginTrouble(time_point calm) {
+  switch (random_() % 7) {
+    case 0:
+    case 1:
+      for (const auto& one : entries_)
+        one->store_link->SetBlocked(relay::direction::kReturn, true);
+      drops_history_ = true;
+      return "silence and lost history,";
+    case 2:
+      store_.refuse_with = random_() % 2 == 0 ? 503 : 429;
+      return "refusals,";
+    case 3:
+      RandomEntry().store_link->SetBlocked(relay::direction::kReturn, true);
+      return "a cut from the store,";
+    case 4: {
+      auto& one = RandomEntry();
+      one.process->Kill();
+      std::this_thread::sleep_until(
+          std::min(calm, std::chrono::steady_clock::now() + 100ms));
+      StartEntry(one);
+      return "a kill,";
+    }
+    case 5:
+      RandomEntry().process->Signal(SIGTERM);
+      return "a stop,";
+    default:
+      RandomEntry().process->Signal(SIGHUP);
+      RandomEntry().store_link->ResetConnections();
+      return "settings read again, connections reset,";
+  }
+}
+
+void evacuation_soak::EndTroubles() {
+  if (drops_history_)
+    store_.DropHistory();
+  drops_history_ = false;
+  store_.refuse_with = 0;
+  for (const auto& one : entries_) {
+    one->store_link->SetBlocked(relay::direction::kReturn, false);
+    if (!one->process->running())
+      StartEntry(*one);
+  }
+}
+
+void evacuation_soak::RunCaller(int number) {
+  std::vector<std::unique_ptr<Poco::Net::HTTPClientSession>> sessions;
+  for (const auto& one : entries_) {
+    sessions.push_back(std::make_unique<Poco::Net::HTTPClientSession>(
+        Poco::Net::SocketAddress(one->caller_address)));
+    sessions.back()->setKeepAlive(true);
+    sessions.back()->setTimeout(Poco::Timespan(2 * kSeconds));
+  }
+  for (int i = 0; sending_; ++i) {
+    auto& session = *sessions[static_cast<std::size_t>(i) % sessions.size()];
+    const auto id = fmt::format("{:08x}{:08x}", number, i);
+    {
+      std::lock_guard guard(lock_);
+      sent_at_[id] = std::chrono::steady_clock::now();
+    }
+    ++sent_;
+    try {
+      Poco::Net::HTTPRequest request("GET", "/read/" + id, "HTTP/1.1");
+      request.setHost("h.example");
+      request.set("Request-Id", id);
+      request.set("Request-Deadline", "1500");
+      session.sendRequest(request);
+      Poco::Net::HTTPResponse response;
+      auto& body = session.receiveResponse(response);
+      Poco::NullOutputStream rest;
+      Poco::StreamCopier::copyStream(body, rest);
+      served_ += response.getStatus() == 200 ? 1 : 0;
+    } catch (const Poco::Exception&) {
+      session.reset();
+    }
+    std::this_thread::sleep_for(15ms);
+  }
+}
+
+void evacuation_soak::CheckArrivals() {
+  std::map<std::string, std::string> runs;
+  for (const auto& each : evacuated_) {
+    for (const auto& [id, count] : each->runs_by_id())
+      runs.emplace(id, each->id());
+  }
+  for (const auto& [id, at] : sent_at_) {
+    const auto within = std::ranges::find_if(closed_, [&](const auto& each) {
+      return each.from <= at && at < each.to;
+    });
+    if (within == closed_.end())
+      continue;
+    ++judged_;
+    const auto run = runs.find(id);
+    if (run == runs.end())
+      continue;
+    findings_.push_back(
+        {"an evacuation is in force in time",
+         fmt::format(
+             "{} sent {} ms after the bound ran at {}, beside {}; logs in {}",
+             id,
+             std::chrono::duration_cast<std::chrono::milliseconds>(at -
+                                                                   within->from)
+                 .count(),
+             run->second, within->troubles, folder_.string())});
+  }
+}
+
+void evacuation_soak::CheckRecovery() {
+  for (const auto& one : entries_) {
+    const auto serves = [&] {
+      return SendRawRequest(one->caller_address, "GET", "/read/end", "end", "")
+                 .status == 200;
+    };
+    if (!one->process->running())
+      StartEntry(*one);
+    if (!WaitUntil(serves, 15s))
+      findings_.push_back({"recovery", one->caller_address});
+  }
+}
+
+}  // namespace samphire
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
 #include <string>
 
+#include "soak/soak_environment.h"
 #include "soak/soak_world.h"
 
 using namespace samphire;
@@ -12,13 +12,6 @@
 // Time for which faults are injected in one run.
 constexpr std::chrono::seconds kFaultDuration{8};
 
-// Returns an integer variable of the environment. scripts/soak sets the first
-// seed and their number, in order to run new seeds.
-long ReadEnvironment(const char* name, long default_value) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? default_value : std::atol(text);
-}
-
 void RunSeed(std::uint64_t seed) {
   soak_world world(seed);
   const auto findings = world.Run(kFaultDuration);
@@ -43,8 +36,8 @@
 // another body than its caller sent, a target that is used after it has left,
 // and an entry that does not recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
-  const auto first = ReadEnvironment("SAMPHIRE_SOAK_SEED", 1);
-  const auto count = ReadEnvironment("SAMPHIRE_SOAK_COUNT", 3);
+  const auto first = ReadSoakEnvironment("SAMPHIRE_SOAK_SEED", 1);
+  const auto count = ReadSoakEnvironment("SAMPHIRE_SOAK_COUNT", 3);
   for (long i = 0; i < count; ++i)
     RunSeed(static_cast<std::uint64_t>(first + i));
 }
