--- a/tests/soak/evacuation_soak.cc
+++ b/tests/soak/evacuation_soak.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "platform_adapter/wire_text.h"
+#include "platform_names.h"
 #include "soak/raw_call.h"
 #include "support/free_address.h"
 #include "support/wait_until.h"
@@ -32,8 +33,10 @@
 constexpr std::chrono::milliseconds kEvacuated{4500};
 constexpr std::chrono::milliseconds kBetweenRounds{2500};
 constexpr std::chrono::milliseconds kTroubleTime{1000};
-constexpr int kSeconds = 1'000'000;
+constexpr long kResponseTimeoutSeconds = 2;
 
+// Time left to a request, which its header tells the entry.
+const std::string kDeadlineMs = "1500";
 const std::string kDomain = "a-1";
 const std::string kEvacuationKey = "evacuations/" + kDomain;
 
@@ -102,7 +105,7 @@
 }
 
 std::vector<soak_finding> evacuation_soak::Run() {
-  const auto serves = [this](const entry& one) {
+  const auto serves = [](const entry& one) {
     return SendRawRequest(one.caller_address, "GET", "/read/up", "up", "")
                .status == 200;
   };
@@ -204,8 +207,9 @@
     sessions.push_back(std::make_unique<Poco::Net::HTTPClientSession>(
         Poco::Net::SocketAddress(one->caller_address)));
     sessions.back()->setKeepAlive(true);
-    sessions.back()->setTimeout(Poco::Timespan(2 * kSeconds));
+    sessions.back()->setTimeout(Poco::Timespan(kResponseTimeoutSeconds, 0));
   }
+  const auto names = platform::PlatformHeaders();
   for (int i = 0; sending_; ++i) {
     auto& session = *sessions[static_cast<std::size_t>(i) % sessions.size()];
     const auto id = fmt::format("{:08x}{:08x}", number, i);
@@ -217,8 +221,8 @@
     try {
       Poco::Net::HTTPRequest request("GET", "/read/" + id, "HTTP/1.1");
       request.setHost("h.example");
-      request.set("Request-Id", id);
-      request.set("Request-Deadline", "1500");
+      request.set(names.request_id, id);
+      request.set(names.deadline, kDeadlineMs);
       session.sendRequest(request);
       Poco::Net::HTTPResponse response;
       auto& body = session.receiveResponse(response);
@@ -238,10 +242,11 @@
     for (const auto& [id, count] : each->runs_by_id())
       runs.emplace(id, each->id());
   }
-  for (const auto& [id, at] : sent_at_) {
-    const auto within = std::ranges::find_if(closed_, [&](const auto& each) {
-      return each.from <= at && at < each.to;
-    });
+  for (const auto& [id, sent] : sent_at_) {
+    const auto within =
+        std::ranges::find_if(closed_, [at = sent](const auto& each) {
+          return each.from <= at && at < each.to;
+        });
     if (within == closed_.end())
       continue;
     ++judged_;
@@ -253,7 +258,7 @@
          fmt::format(
              "{} sent {} ms after the bound ran at {}, beside {}; logs in {}",
              id,
-             std::chrono::duration_cast<std::chrono::milliseconds>(at -
+             std::chrono::duration_cast<std::chrono::milliseconds>(sent -
                                                                    within->from)
                  .count(),
              run->second, within->troubles, folder_.string())});
