Read numbers of the environment in one place, and reuse the entries' settings text

The fuzz of framed answers keeps its own, which throws at what is no number. The soak of evacuations wrote its own settings text beside SettingsText(), and its write of the evacuation twice; same order of random draws, same bounds, same checks.

--- a/tests/process/fault_schedule_test.cc
+++ b/tests/process/fault_schedule_test.cc
@@ -2,11 +2,11 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <string>
 
 #include "fleet.h"
 #include "scenarios.h"
+#include "support/environment_number.h"
 #include "support/wait_until.h"
 
 using namespace samphire;
@@ -19,12 +19,6 @@
 // Load time per fault, enough for the responses after which it is cleared.
 constexpr int kRunMsPerFault = 3000;
 
-// Returns the number in an environment variable, or `fallback` if it is unset.
-std::size_t FromEnvironment(const char* name, std::size_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoul(text, nullptr, 10);
-}
-
 void PerformPlannedStop(fleet& system, std::size_t i) {
   const auto subject = system.settings(i).caller_address;
   system.RecordEvent(planned_stop{.time_us = HistoryNow(), .subject = subject});
@@ -81,9 +75,9 @@
 // recovering from the previous one. None may lose a response or run a claim
 // twice.
 TEST_CASE("process: faults drawn from a seed break no promise") {
-  const auto seed =
-      static_cast<std::uint32_t>(FromEnvironment("SAMPHIRE_FAULT_SEED", kSeed));
-  const auto count = FromEnvironment("SAMPHIRE_FAULTS", kFaults);
+  const auto seed = static_cast<std::uint32_t>(
+      EnvironmentNumber("SAMPHIRE_FAULT_SEED", kSeed));
+  const auto count = EnvironmentNumber("SAMPHIRE_FAULTS", kFaults);
   INFO("seed " << seed << ", " << count << " faults");
   fleet system(PlanFleet(2));
   const auto load = system.StartLoad(MixedScenario(
--- a/tests/proxy/endless_answer_test.cc
+++ b/tests/proxy/endless_answer_test.cc
@@ -5,7 +5,6 @@
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <functional>
 #include <random>
 #include <string>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "proxy/http_exchange.h"
+#include "support/environment_number.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -266,17 +266,11 @@
 // Guards against bytes without end at any place of an answer. More seeds by
 // SAMPHIRE_FUZZ_SEED and SAMPHIRE_FUZZ_COUNT.
 TEST_CASE("answers that become endless or spoilt at any byte are bounded") {
-  const auto number = [](const char* name, std::uint32_t otherwise) {
-    const char* text = std::getenv(name);
-    return text == nullptr
-               ? otherwise
-               : static_cast<std::uint32_t>(std::strtoul(text, nullptr, 10));
-  };
-  const auto first = number("SAMPHIRE_FUZZ_SEED", 20261204);
-  const auto count = number("SAMPHIRE_FUZZ_COUNT", 1);
+  const auto first = EnvironmentNumber("SAMPHIRE_FUZZ_SEED", 20261204);
+  const auto count = EnvironmentNumber("SAMPHIRE_FUZZ_COUNT", 1);
   exchange_setup setup;
-  for (std::uint32_t seed = first; seed < first + count; ++seed) {
-    std::mt19937 random(seed);
+  for (auto seed = first; seed < first + count; ++seed) {
+    std::mt19937 random(static_cast<std::uint32_t>(seed));
     const auto below = [&](std::size_t bound) {
       return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
     };
--- a/tests/soak/evacuation_soak.cc
+++ b/tests/soak/evacuation_soak.cc
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <thread>
 
+#include "platform_adapter/entry_fixture.h"
 #include "platform_adapter/wire_text.h"
 #include "platform_names.h"
 #include "soak/raw_call.h"
@@ -33,6 +34,8 @@
 constexpr std::chrono::milliseconds kEvacuated{4500};
 constexpr std::chrono::milliseconds kBetweenRounds{2500};
 constexpr std::chrono::milliseconds kTroubleTime{1000};
+constexpr std::chrono::milliseconds kGrace{4000};
+constexpr std::chrono::milliseconds kLookupTtl{1000};
 constexpr long kResponseTimeoutSeconds = 2;
 
 // Time left to a request, which its header tells the entry.
@@ -51,26 +54,22 @@
   std::filesystem::create_directories(folder_);
   store_.Write("config/main", platform::ManifestObject("00000003"));
   StartTargets();
-  std::string seed_address;
+  const auto seed_address = FreeAddress();
   for (int i = 0; i < options_.entries; ++i) {
     auto one = std::make_unique<entry>();
     one->store_link = std::make_unique<relay>("127.0.0.1", store_.address());
-    one->caller_address = FreeAddress();
+    auto settings = platform::TestSettings(one->store_link->address());
+    settings.traffic.place.instance = fmt::format("entry-{}", i);
+    settings.traffic.seeds = {seed_address};
+    if (i == 0)
+      settings.traffic.peer_address = seed_address;
+    one->caller_address = settings.traffic.caller_address;
     one->settings_path = (folder_ / fmt::format("entry-{}.json", i)).string();
-    const auto peer_address = FreeAddress();
-    if (seed_address.empty())
-      seed_address = peer_address;
-    std::ofstream(one->settings_path) << fmt::format(
-        R"({{"instance":"entry-{}","failure_domain":"a-1","region":"a",)"
-        R"("failure_domains":{{"a-1":"a","a-2":"a"}},"caller_address":"{}",)"
-        R"("readiness_address":"{}","lookup_address":"{}",)"
-        R"("peer_address":"{}","metrics_address":"{}","seeds":["{}"],)"
-        R"("store_addresses":["{}"],)"
-        R"("peer_key":"0123456789abcdef0123456789abcdef",)"
-        R"("bounds":["grace=4s","ttl_max=1s","retryBudgetRatio=0.2",)"
-        R"("retryBudgetSlack=60","stableWindow=1500ms"]}})",
-        i, one->caller_address, FreeAddress(), FreeAddress(), peer_address,
-        FreeAddress(), seed_address, one->store_link->address());
+    auto text = platform::SettingsText(settings, kGrace, kLookupTtl);
+    text = platform::Replaced(text, R"("a-1":"a")", R"("a-1":"a","a-2":"a")");
+    text =
+        platform::Replaced(text, "stableWindow=500ms", "stableWindow=1500ms");
+    std::ofstream(one->settings_path) << text;
     StartEntry(*one);
     entries_.push_back(std::move(one));
   }
@@ -131,24 +130,23 @@
 
 void evacuation_soak::PlayRound() {
   const auto start = std::chrono::steady_clock::now();
-  closed_time closed;
   const auto calm = start + kTroubleTime;
+  closed_time closed;
   for (int i = 0; i < 2; ++i)
     closed.troubles += BeginTrouble(calm) + " ";
   // Before, in or after the troubles.
   const auto moment = std::chrono::milliseconds(random_() % 1400);
-  if (moment < kTroubleTime) {
-    std::this_thread::sleep_until(start + moment);
-    store_.Write(kEvacuationKey, R"({"spec":{}})");
-    closed.from = std::chrono::steady_clock::now() + kInForce;
-  }
-  std::this_thread::sleep_until(calm);
-  EndTroubles();
-  if (moment >= kTroubleTime) {
-    std::this_thread::sleep_until(start + moment);
-    store_.Write(kEvacuationKey, R"({"spec":{}})");
-    closed.from = std::chrono::steady_clock::now() + kInForce;
-  }
+  const auto end_troubles = [&] {
+    std::this_thread::sleep_until(calm);
+    EndTroubles();
+  };
+  if (moment >= kTroubleTime)
+    end_troubles();
+  std::this_thread::sleep_until(start + moment);
+  store_.Write(kEvacuationKey, R"({"spec":{}})");
+  closed.from = std::chrono::steady_clock::now() + kInForce;
+  if (moment < kTroubleTime)
+    end_troubles();
   std::this_thread::sleep_until(closed.from - kInForce + kEvacuated);
   closed.to = std::chrono::steady_clock::now();
   closed.troubles += fmt::format("evacuated after {} ms", moment.count());
--- a/tests/soak/evacuation_soak_test.cc
+++ b/tests/soak/evacuation_soak_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "soak/evacuation_soak.h"
-#include "soak/soak_environment.h"
+#include "support/environment_number.h"
 
 using namespace samphire;
 
@@ -10,13 +10,14 @@
 // cuts, kills, stops and reloads. SAMPHIRE_SOAK_SEED and SAMPHIRE_SOAK_COUNT
 // choose the seeds, SAMPHIRE_SOAK_ENTRIES and SAMPHIRE_SOAK_ROUNDS the size.
 TEST_CASE("evacuations are in force in time beside troubles of all kinds") {
-  const int first = ReadSoakEnvironment("SAMPHIRE_SOAK_SEED", 1);
-  const int count = ReadSoakEnvironment("SAMPHIRE_SOAK_COUNT", 2);
-  for (int seed = first; seed < first + count; ++seed) {
-    evacuation_soak soak(
-        {.seed = static_cast<std::uint64_t>(seed),
-         .entries = ReadSoakEnvironment("SAMPHIRE_SOAK_ENTRIES", 4),
-         .rounds = ReadSoakEnvironment("SAMPHIRE_SOAK_ROUNDS", 3)});
+  const auto first = EnvironmentNumber("SAMPHIRE_SOAK_SEED", 1);
+  const auto count = EnvironmentNumber("SAMPHIRE_SOAK_COUNT", 2);
+  for (auto seed = first; seed < first + count; ++seed) {
+    evacuation_soak soak({.seed = seed,
+                          .entries = static_cast<int>(
+                              EnvironmentNumber("SAMPHIRE_SOAK_ENTRIES", 4)),
+                          .rounds = static_cast<int>(
+                              EnvironmentNumber("SAMPHIRE_SOAK_ROUNDS", 3))});
     const auto findings = soak.Run();
     for (const auto& each : findings)
       UNSCOPED_INFO(each.guarantee << ": " << each.detail);
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "soak/soak_environment.h"
 #include "soak/soak_world.h"
+#include "support/environment_number.h"
 
 using namespace samphire;
 
@@ -36,8 +36,8 @@
 // another body than its caller sent, a target that is used after it has left,
 // and an entry that does not recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
-  const auto first = ReadSoakEnvironment("SAMPHIRE_SOAK_SEED", 1);
-  const auto count = ReadSoakEnvironment("SAMPHIRE_SOAK_COUNT", 3);
-  for (long i = 0; i < count; ++i)
-    RunSeed(static_cast<std::uint64_t>(first + i));
+  const auto first = EnvironmentNumber("SAMPHIRE_SOAK_SEED", 1);
+  const auto count = EnvironmentNumber("SAMPHIRE_SOAK_COUNT", 3);
+  for (std::uint64_t i = 0; i < count; ++i)
+    RunSeed(first + i);
 }
--- a/tests/stop/stop_test.cc
+++ b/tests/stop/stop_test.cc
@@ -2,23 +2,17 @@
 
 #include <fmt/format.h>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 #include "stop/stop_run.h"
+#include "support/environment_number.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
 
 namespace {
 
-// Returns the seed of the environment, for runs by hand.
-std::uint64_t Seed() {
-  const char* text = std::getenv("SAMPHIRE_STOP_SEED");
-  return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
-}
-
 void CheckStop(stop_plan plan) {
-  plan.callers.seed = Seed();
+  plan.callers.seed = EnvironmentNumber("SAMPHIRE_STOP_SEED", 1);
   const auto outcome = RunStop(plan);
   for (const auto& each : outcome.Faults(plan))
     UNSCOPED_INFO(each);
