Test that an announced evacuation is known in time at 10, 89 and 300 entries

The spread test had entries that only watch, while the product announces evacuations as well. followed_region announces now what its test asks for; the cases by watches alone stay, with their bound, as those of lost announcements.

--- a/tests/traffic/evacuation_spread_test.cc
+++ b/tests/traffic/evacuation_spread_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,8 +14,9 @@
 namespace {
 
 const std::vector<std::string> kPrefixes = {"evacuations/", "servers/"};
-// Within this time an evacuation is to be in force at all entries, by their
-// watches alone.
+const std::set<std::string> kAnnounced = {"evacuations/"};
+const std::set<std::string> kNoneAnnounced;
+// Within this time an evacuation is to be in force at all entries.
 constexpr milliseconds kLimit{2500};
 constexpr milliseconds kSilence{1000};
 
@@ -41,8 +43,10 @@
   CHECK_THAT(late, Catch::Matchers::Equals(std::vector<std::string>{}));
 }
 
-void EvacuateAtSeveralMoments(std::size_t entries, milliseconds call_time) {
-  followed_region region(entries, kPrefixes);
+void EvacuateAtSeveralMoments(std::size_t entries,
+                              milliseconds call_time,
+                              const std::set<std::string>& announced) {
+  followed_region region(entries, kPrefixes, announced);
   region.store().Write("evacuations/first", "x");
   REQUIRE(region.WaitForAll("evacuations/first", "x", 30s).empty());
   region.SetCallTime(call_time);
@@ -56,23 +60,38 @@
 
 // Guards against an evacuation that is known late because the store was silent
 // as it was written, and had dropped its history after.
+TEST_CASE("an evacuation that is announced after a silence is known in time") {
+  SECTION("by 10 entries") {
+    EvacuateAtSeveralMoments(10, 0ms, kAnnounced);
+  }
+  SECTION("by 89 entries with little processor") {
+    EvacuateAtSeveralMoments(89, 10ms, kAnnounced);
+  }
+}
+
+// Guards against the same where all announcements are lost.
 TEST_CASE("an evacuation in a silence with lost history is known in time") {
   SECTION("by 10 entries") {
-    EvacuateAtSeveralMoments(10, 0ms);
+    EvacuateAtSeveralMoments(10, 0ms, kNoneAnnounced);
   }
   SECTION("by 89 entries") {
-    EvacuateAtSeveralMoments(89, 0ms);
+    EvacuateAtSeveralMoments(89, 0ms, kNoneAnnounced);
   }
 }
 
 // Guards against the same where answers between entries take long, so that
 // those of a whole region wait for two watchers.
 TEST_CASE("an evacuation is known in time by entries with little processor") {
-  EvacuateAtSeveralMoments(65, 10ms);
+  EvacuateAtSeveralMoments(65, 10ms, kNoneAnnounced);
 }
 
 // Too many threads for CI.
+TEST_CASE("an evacuation that is announced is known in time by 300 entries",
+          "[.large]") {
+  EvacuateAtSeveralMoments(300, 0ms, kAnnounced);
+}
+
 TEST_CASE("an evacuation in a silence is known in time by 300 entries",
           "[.large]") {
-  EvacuateAtSeveralMoments(300, 0ms);
+  EvacuateAtSeveralMoments(300, 0ms, kNoneAnnounced);
 }
--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -16,15 +16,16 @@
 
 namespace {
 
-// 10 Mbit/s.
 // Time after the end of a watch until its call is given up, as on the users'
 // platform.
 constexpr milliseconds kWatchMargin{700};
+// 10 Mbit/s.
 constexpr std::int64_t kLinkBytesPerSecond = 1'250'000;
 
 }  // namespace
 
 followed_entry::followed_entry(region_store& store,
+                               transport_router& router,
                                const std::string& name,
                                std::int64_t link_bytes_per_second)
     : store_(store),
@@ -32,6 +33,12 @@
       signer_(peer_keys::Parse("0123456789abcdef0123456789abcdef").value(),
               {name, 1},
               clock_),
+      transport_(router, name),
+      announcer_(
+          transport_,
+          relay_,
+          [this] { return news_peers{.region = peers_, .relays = {}}; },
+          counters_),
       server_address_(FreeAddress()),
       link_("127.0.0.1", server_address_),
       server_(server_address_,
@@ -54,19 +61,35 @@
 }
 
 void followed_entry::Start(const source_plan& plan,
-                           const std::vector<std::string>& prefixes) {
+                           const std::vector<std::string>& prefixes,
+                           const std::set<std::string>& announced,
+                           const std::vector<std::string>& peers) {
   plan_ = plan;
+  announced_ = announced;
+  peers_ = peers;
   shared_ = std::make_unique<shared_store>(
       *this, relay_, pool_, signer_, clock_, 0ms, [this] { return plan_; },
-      [] { return std::vector<std::string>{}; });
+      [] { return std::vector<std::string>{}; }, &announcer_);
   for (const auto& prefix : prefixes) {
     followers_.push_back(std::make_unique<object_follower>(
         *shared_, clock_, prefix,
         [this](const auto& objects) { OnObjects(objects); }));
+    if (announced.contains(prefix)) {
+      announcer_.Follow(prefix,
+                        [&follower = *followers_.back()](const auto& listing) {
+                          follower.Offer(listing);
+                        });
+    }
     followers_.back()->Start();
   }
 }
 
+void followed_entry::Stop() {
+  for (const auto& prefix : announced_)
+    announcer_.Follow(prefix, nullptr);
+  followers_.clear();
+}
+
 bool followed_entry::HasReceived(const std::string& key,
                                  const std::string& value) const {
   std::lock_guard guard(lock_);
@@ -110,19 +133,23 @@
 }
 
 followed_region::followed_region(std::size_t size,
-                                 const std::vector<std::string>& prefixes) {
+                                 const std::vector<std::string>& prefixes,
+                                 const std::set<std::string>& announced) {
   entry_list list;
   for (std::size_t i = 0; i < size; ++i) {
     const auto name = fmt::format("entry-{}", i);
-    entries_.push_back(
-        std::make_unique<followed_entry>(store_, name, kLinkBytesPerSecond));
+    entries_.push_back(std::make_unique<followed_entry>(store_, router_, name,
+                                                        kLinkBytesPerSecond));
     list.names.push_back(name);
     list.failure_domains.push_back("a-1");
     list.peer_addresses.push_back(entries_.back()->address());
   }
-  for (std::size_t i = 0; i < size; ++i)
-    entries_[i]->Start(PlanSources({list.names[i], "a-1", "a"}, list),
-                       prefixes);
+  for (std::size_t i = 0; i < size; ++i) {
+    auto peers = list.names;
+    std::erase(peers, list.names[i]);
+    entries_[i]->Start(PlanSources({list.names[i], "a-1", "a"}, list), prefixes,
+                       announced, peers);
+  }
 }
 
 // One after the other, the watches under way would take half a minute to end.
--- a/tests/traffic/followed_region.h
+++ b/tests/traffic/followed_region.h
@@ -18,24 +18,31 @@
 #include "store/object_follower.h"
 #include "store/object_relay.h"
 #include "support/relay.h"
+#include "traffic/object_announcer.h"
 #include "traffic/region_store.h"
+#include "traffic/routed_transport.h"
 #include "traffic/shared_store.h"
 
 namespace samphire {
 
 // One entry of a region: it follows the store directly or through peers, and
 // peers reach it through a link of limited bandwidth. Records which values it
-// has received.
+// has received. Entries announce changes to each other under their names.
 class followed_entry final : public object_watcher {
  public:
   followed_entry(region_store& store,
+                 transport_router& router,
                  const std::string& name,
                  std::int64_t link_bytes_per_second);
 
-  // Starts to follow `prefixes` according to `plan`.
-  void Start(const source_plan& plan, const std::vector<std::string>& prefixes);
+  // Starts to follow `prefixes` according to `plan`, and to tell `peers` of
+  // changes under those of `announced`.
+  void Start(const source_plan& plan,
+             const std::vector<std::string>& prefixes,
+             const std::set<std::string>& announced,
+             const std::vector<std::string>& peers);
   // Ends the calls that are under way.
-  void Stop() { followers_.clear(); }
+  void Stop();
 
   // Time of its one processor that this entry needs for each call of a peer.
   std::atomic<milliseconds> call_time{milliseconds{0}};
@@ -64,6 +71,10 @@
   metrics counters_;
   peer_signer signer_;
   object_relay relay_{clock_};
+  routed_transport transport_;
+  std::set<std::string> announced_;
+  std::vector<std::string> peers_;
+  object_announcer announcer_;
   connection_pool pool_;
   const std::string server_address_;
   // Held while the processor is in use.
@@ -82,7 +93,10 @@
 // product does.
 class followed_region {
  public:
-  followed_region(std::size_t size, const std::vector<std::string>& prefixes);
+  // Entries tell each other of changes under `announced`.
+  followed_region(std::size_t size,
+                  const std::vector<std::string>& prefixes,
+                  const std::set<std::string>& announced = {});
   ~followed_region();
 
   region_store& store() { return store_; }
@@ -100,6 +114,7 @@
 
  private:
   region_store store_;
+  transport_router router_;
   std::vector<std::unique_ptr<followed_entry>> entries_;
 };
 
--- a/tests/traffic/routed_transport.h
+++ b/tests/traffic/routed_transport.h
@@ -1,9 +1,11 @@
 #ifndef TRAFFIC_ROUTED_TRANSPORT_H_
 #define TRAFFIC_ROUTED_TRANSPORT_H_
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
 #include <utility>
 
@@ -20,16 +22,17 @@
   std::function<bool(const std::string& from, const std::string& to)>
       is_reachable = [](const auto&, const auto&) { return true; };
   // Number of messages that could not be delivered.
-  int failures = 0;
+  std::atomic<int> failures = 0;
   // Number of messages sent, and the size of their payloads in bytes.
-  int messages = 0;
-  std::size_t bytes = 0;
+  std::atomic<int> messages = 0;
+  std::atomic<std::size_t> bytes = 0;
 };
 
 // A fake transport that delivers messages synchronously, on the sender's
 // thread. Sending fails if the entry can't be reached, or if what it sends in
 // turn can't be delivered, so that no test waits for a timeout. Registers
-// itself while it exists; `router` must outlive it.
+// itself while it exists; `router` must outlive it. Messages may be sent from
+// any thread, while no transport is created or destroyed.
 class routed_transport final : public peer_transport {
  public:
   routed_transport(transport_router& router, std::string name)
@@ -52,7 +55,7 @@
       return MakeError(result_code::kPeerUnreachable, address);
     }
     const int failures_before = router_.failures;
-    const auto& receive = found->second->handlers_[kind];
+    const auto receive = found->second->HandlerOf(kind);
     if (receive)
       receive({name_, 1, name_, payload});
     if (router_.failures != failures_before)
@@ -60,12 +63,20 @@
     return Success();
   }
   void OnMessage(message_kind kind, handler receive) override {
+    std::lock_guard guard(lock_);
     handlers_[kind] = std::move(receive);
   }
 
  private:
+  handler HandlerOf(message_kind kind) {
+    std::lock_guard guard(lock_);
+    const auto found = handlers_.find(kind);
+    return found == handlers_.end() ? nullptr : found->second;
+  }
+
   transport_router& router_;
   const std::string name_;
+  std::mutex lock_;
   std::map<message_kind, handler> handlers_;
 };
 
