Ask others than the watchers while an entry discovers its region

Cause: for two seconds after its start an entry asks its watchers and, as a follower, the backups, but a backup or watcher not its substitutes. Two that start within two seconds wait for each other.

Before: the new test gets no event.

Not mended: a region all of whose entries start within two seconds asks the store only when the first of them has discovered it.

--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/shared_store.cc
@@ -148,14 +148,8 @@
     relay_.Publish(prefix, responses.batch.value(), false);
     return std::move(responses.batch);
   }
-  if (clock_.now() < discovery_ends_at_) {
-    std::this_thread::sleep_for(kDiscoveryPollInterval);
-    return watch_batch{.cursor = cursor,
-                       .reset = false,
-                       .events = {},
-                       .source = {},
-                       .confirmed = false};
-  }
+  if (clock_.now() < discovery_ends_at_)
+    return WatchDuringDiscovery(plan, request);
   WithFallback(prefix, [&](auto& fallback) {
     if (responses.stale && plan.role == source_role::kFollower)
       fallback.OnPeersStale(clock_.now());
@@ -166,6 +160,32 @@
                                     std::min(wait, kPlatformWatchTime));
 }
 
+// The watcher may have started a moment ago as well, and have no fresh copy for
+// as long as this entry, while others have one.
+result<watch_batch> shared_store::WatchDuringDiscovery(
+    const source_plan& plan,
+    const mirror_request& request) {
+  auto batch = WatchSubstitutes(plan, request);
+  if (batch)
+    return batch;
+  std::this_thread::sleep_for(kDiscoveryPollInterval);
+  return watch_batch{.cursor = request.cursor,
+                     .reset = false,
+                     .events = {},
+                     .source = {},
+                     .confirmed = false};
+}
+
+result<watch_batch> shared_store::WatchSubstitutes(
+    const source_plan& plan,
+    const mirror_request& request) {
+  auto responses = QueryPeers(plan.substitutes, request,
+                              clock_.now() + kSubstituteRoundTime);
+  if (responses.batch)
+    relay_.Publish(request.prefix, responses.batch.value(), false);
+  return std::move(responses.batch);
+}
+
 // The platform may turn an entry away for an unbounded time while it serves
 // others. A watcher that had no other source would keep an outdated
 // configuration, although its whole region has the current one.
@@ -182,12 +202,9 @@
     if (batch || plan.substitutes.empty())
       return batch;
   }
-  auto responses = QueryPeers(plan.substitutes, request,
-                              clock_.now() + kSubstituteRoundTime);
-  if (responses.batch) {
-    relay_.Publish(request.prefix, responses.batch.value(), false);
-    return std::move(responses.batch);
-  }
+  auto from_substitute = WatchSubstitutes(plan, request);
+  if (from_substitute)
+    return from_substitute;
   if (may_query)
     return batch;
   return WatchPlatform(request.prefix, request.cursor, wait, plan.role);
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/shared_store.h
@@ -70,6 +70,12 @@
   result<watch_batch> WatchFresh(const std::string& prefix,
                                  store_cursor cursor,
                                  milliseconds wait);
+  // Watches substitutes, or returns no events after a pause.
+  result<watch_batch> WatchDuringDiscovery(const source_plan& plan,
+                                           const mirror_request& request);
+  // Watches the first substitute that has a fresh copy.
+  result<watch_batch> WatchSubstitutes(const source_plan& plan,
+                                       const mirror_request& request);
   // Watches the platform, or a substitute while the platform fails.
   result<watch_batch> WatchPlatformOrSubstitutes(const source_plan& plan,
                                                  const mirror_request& request,
--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -226,3 +226,28 @@
   fixture.Change();
   CHECK(fixture.GetsChange());
 }
+
+// Guards against requests to a target that has left, by an entry that started
+// soon after its watcher did: for two seconds it asked nobody but that one, who
+// had no fresh copy either.
+TEST_CASE("an entry that starts gets changes from others than its watchers") {
+  follower_fixture fixture;
+  const auto watcher = FreeAddress();
+  fixture.plan = {.role = source_role::kBackup,
+                  .watchers = {watcher},
+                  .backups = {},
+                  .substitutes = {fixture.address}};
+  shared_store starting{fixture.platform,
+                        fixture.relay,
+                        fixture.pool,
+                        fixture.signer,
+                        fixture.clock,
+                        2s,
+                        [&] { return fixture.plan; },
+                        [] { return std::vector<std::string>{}; }};
+  fixture.peer_relay.Publish(
+      "k/", {.cursor = 6, .reset = true, .events = {{"k/a", 6, "A"}}});
+  const auto batch = starting.Watch("k/", 5, 1s);
+  REQUIRE(batch);
+  CHECK(batch.value().events.size() == 1);
+}
