--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -11,7 +11,6 @@
 
 #include "platform_adapter/wire_text.h"
 #include "platform_names.h"
-#include "soak/arrival_check.h"
 #include "soak/raw_call.h"
 #include "support/free_address.h"
 #include "support/log_schema.h"
@@ -244,9 +243,7 @@
     caller.join();
   CheckRecovery();
   CheckConfiguration();
-  CheckClaims();
-  CheckBrokenRequests();
-  CheckArrivals();
+  CheckRequests();
   CheckLookups();
   CheckUploads();
   CheckLogs();
@@ -445,8 +442,7 @@
       if (!runs.contains(id))
         continue;
       ran[each.service] += 1;
-      std::lock_guard guard(lock_);
-      requests_[each.service].emplace(id, sent);
+      requests_.OnSent(each.service, id, sent);
     }
   }
   return ran["reads"] / std::max(1.0, ran["reads"] + ran["writes"]);
@@ -569,10 +565,7 @@
   const int kills = one.kills;
   const bool leaving = one.leaving;
   const auto started = std::chrono::steady_clock::now();
-  {
-    std::lock_guard guard(lock_);
-    requests_[is_claim ? "writes" : "reads"].emplace(id, started);
-  }
+  requests_.OnSent(is_claim ? "writes" : "reads", id, started);
   const auto method = is_claim ? "POST" : "GET";
   const auto path = (is_claim ? "/write/" : "/read/") + id;
   const auto response =
@@ -587,52 +580,33 @@
     AddFinding("no 404 for what the configuration allows", id);
   // Only a kill may cut requests in progress.
   const bool killed = kills != one.kills || kills % 2 == 1;
-  if (response.broken && !killed) {
-    std::lock_guard guard(lock_);
-    broken_.push_back({id, leaving || one.leaving, one.caller_address,
-                       std::chrono::duration_cast<std::chrono::milliseconds>(
-                           std::chrono::steady_clock::now() - started)});
-  }
-  if (is_claim && !response.refused) {
-    std::lock_guard guard(lock_);
-    claims_.push_back({id, response.status});
-  }
+  if (response.broken && !killed)
+    requests_.OnBroken({id, leaving || one.leaving, one.caller_address,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::steady_clock::now() - started)});
+  if (is_claim && !response.refused)
+    requests_.OnClaimEnded({id, response.status});
 }
 
-void soak_world::CheckClaims() {
-  std::map<std::string, int> runs;
-  for (const auto& each : targets_) {
-    for (const auto& [id, count] : each.process->runs_by_id())
-      runs[id] += count;
-  }
-  for (const auto& each : claims_) {
-    const auto found = runs.find(each.id);
-    const int count = found == runs.end() ? 0 : found->second;
-    if (count > 1)
-      AddFinding("once at most",
-                 fmt::format("{} ran {} times", each.id, count));
-    if (each.status == 200 && count != 1)
-      AddFinding("a success means that it ran", each.id);
-    if (platform::GuaranteesNotRun(each.status) && count > 0)
-      AddFinding("not run is true", fmt::format("{} {}", each.status, each.id));
-  }
-}
-
-// When a process ends after SIGTERM, the connections that no thread has
-// accepted yet are reset. Their requests were not read, which the reset tells
-// callers. A request that the entry's log names was read, and must receive a
-// response.
-void soak_world::CheckBrokenRequests() {
-  const auto logs = LogLines();
-  for (const auto& each : broken_) {
-    const bool read =
-        std::any_of(logs.begin(), logs.end(), [&](const auto& line) {
-          return line.find(each.id) != std::string::npos;
-        });
-    if (read || !each.stopping)
-      AddFinding("a response to every request that was read",
-                 fmt::format("{} after {} ms at {}", each.id,
-                             each.elapsed.count(), each.entry));
+void soak_world::CheckRequests() {
+  std::vector<const platform::wire_target*> processes;
+  processes.reserve(targets_.size());
+  for (const auto& each : targets_)
+    processes.push_back(each.process.get());
+  for (auto& each : requests_.OnceAtMostViolations(processes))
+    AddFinding(std::move(each.guarantee), std::move(each.detail));
+  for (auto& each : requests_.UnansweredRequests(LogLines()))
+    AddFinding(std::move(each.guarantee), std::move(each.detail));
+  for (const std::string service : {"reads", "writes"}) {
+    processes.clear();
+    for (const auto& each : targets_) {
+      if (each.service == service)
+        processes.push_back(each.process.get());
+    }
+    const auto excess =
+        requests_.ExcessOfRepeats(service, processes, kRetryBound);
+    if (excess)
+      AddFinding("repeats within the bound", service + ": " + *excess);
   }
 }
 
@@ -646,18 +620,6 @@
     AddFinding("uploads run whole, once and as answered", each);
 }
 
-void soak_world::CheckArrivals() {
-  for (const auto& [service, requests] : requests_) {
-    service_arrivals seen{.requests = requests, .arrivals = {}};
-    for (const auto& each : targets_) {
-      if (each.service == service)
-        seen.arrivals.merge(each.process->arrivals_by_id());
-    }
-    if (const auto excess = FindExcessOfRepeats(seen, kRetryBound))
-      AddFinding("repeats within the bound", service + ": " + *excess);
-  }
-}
-
 // On-call engineers depend on the log, so each line must conform to the schema
 // in the manual.
 void soak_world::CheckLogs() {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -18,6 +18,7 @@
 #include "platform_adapter/wire_target.h"
 #include "soak/lookup_check.h"
 #include "soak/process_cut.h"
+#include "soak/request_record.h"
 #include "soak/soak_finding.h"
 #include "soak/upload_load.h"
 #include "support/child_process.h"
@@ -78,21 +79,6 @@
     // The state that it registered last.
     std::string state;
   };
-  // A request whose connection was closed without a complete response.
-  struct broken_request {
-    std::string id;
-    // Whether SIGTERM was sent to its entry before or during the request.
-    bool stopping = false;
-    // Address of the entry, and duration of the request.
-    std::string entry;
-    std::chrono::milliseconds elapsed{0};
-  };
-  // The status that a caller received for a request that may run at most once;
-  // 0 without a response.
-  struct claim {
-    std::string id;
-    int status = 0;
-  };
 
   void StartEntry(entry& one);
   void KillEntry(entry& one);
@@ -144,9 +130,7 @@
   // Sends uploads until `sending_` is false.
   void RunUploads();
   // Check one kind of guarantee each and add what violates it to the findings.
-  void CheckClaims();
-  void CheckBrokenRequests();
-  void CheckArrivals();
+  void CheckRequests();
   void CheckLookups();
   void CheckUploads();
   void CheckLogs();
@@ -186,12 +170,9 @@
   std::atomic<bool> sending_{false};
   std::atomic<int> sent_{0};
   std::atomic<int> served_{0};
-  // Guards all below.
+  request_record requests_;
+  // Guards findings_.
   std::mutex lock_;
-  // Times at which requests were sent, by service and request ID.
-  std::map<std::string, std::map<std::string, time_point>> requests_;
-  std::vector<claim> claims_;
-  std::vector<broken_request> broken_;
   std::vector<soak_finding> findings_;
 };
 
