Refuse waiting connections for no longer than a stop has time

Cause: front_server::RefuseWaiting() goes on for as long as a connection waits.

Change: RefuseWaiting() takes a deadline; a closing port gives it 50 ms.

Before: the new test of the front has 50 refusals after the deadline.

--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -26,6 +26,9 @@
 constexpr milliseconds kClosePollInterval{5};
 // Bounds the time for which connections that wait for a thread are waited for.
 constexpr milliseconds kMaxQueueTime{200};
+// Bounds the time for which connections that have not been accepted are refused
+// before a port goes on to close.
+constexpr milliseconds kMaxRefuseTime{50};
 // Idle threads end after this time.
 constexpr int kThreadIdleSeconds = 30;
 // Stack size of a connection's thread. The threads mostly wait; half a megabyte
@@ -130,15 +133,17 @@
          std::chrono::steady_clock::now() < queue_until)
     std::this_thread::sleep_for(kClosePollInterval);
   server_->stop();
-  RefuseWaiting();
+  RefuseWaiting(std::chrono::steady_clock::now() + kMaxRefuseTime);
 }
 
 // Connections that the kernel has completed but nobody has accepted are reset
 // when the socket closes. So they are accepted and refused, which states that
-// the request did not run.
-void front_server::RefuseWaiting() {
+// the request did not run. Callers that connect again at once would keep this
+// going for as long as they like.
+void front_server::RefuseWaiting(time_point deadline) {
   try {
-    while (socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+    while (std::chrono::steady_clock::now() < deadline &&
+           socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
       ++shared_state_.refused_while_leaving;
       RefuseConnection(socket_.acceptConnection(), result_code::kEntryLeaving,
                        kLeavingRetryAfter, shared_state_.closer);
@@ -151,7 +156,7 @@
 void front_server::Close(time_point deadline) {
   StopAccepting();
   if (!std::exchange(is_closed_, true)) {
-    RefuseWaiting();
+    RefuseWaiting(std::chrono::steady_clock::now() + kMaxRefuseTime);
     socket_.close();
   }
   while ((connections() > 0 || shared_state_.closer.open() > 0) &&
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -43,8 +43,9 @@
   // RefuseWaiting() must be called from time to time until Close(). Blocks for
   // up to about half a second.
   void StopAccepting();
-  // Refuses the connections that wait to be accepted.
-  void RefuseWaiting();
+  // Refuses the connections that wait to be accepted, until `deadline` at the
+  // latest.
+  void RefuseWaiting(time_point deadline);
   // Calls StopAccepting() unless that was done, and closes the port. Blocks
   // until all connections are closed, at most until `deadline`; requests that
   // are active then go on.
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -334,8 +334,8 @@
 
 void traffic_node::AwaitRequests(time_point deadline) {
   while (RunningRequests() > 0 && clock_.now() < deadline) {
-    caller_front_.RefuseWaiting();
-    peer_front_.RefuseWaiting();
+    caller_front_.RefuseWaiting(deadline);
+    peer_front_.RefuseWaiting(deadline);
     std::this_thread::sleep_for(kDrainPollInterval);
   }
 }
--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -245,7 +245,7 @@
     waiting.push_back(running.Connect());
     Send(waiting.back(), kGet);
   }
-  running.server.RefuseWaiting();
+  running.server.RefuseWaiting(std::chrono::steady_clock::now() + 5s);
   for (int i = 0; i < 50; ++i)
     waiting.push_back(running.Connect());
   std::thread close(
@@ -255,6 +255,20 @@
   close.join();
 }
 
+// Guards against a stop that breaks off nothing in time, because it refuses
+// connections for as long as callers come back.
+TEST_CASE("refusing those that wait ends by its deadline") {
+  running_server running{front_limits{}};
+  running.server.StopAccepting();
+  std::vector<Poco::Net::StreamSocket> waiting;
+  for (int i = 0; i < 50; ++i)
+    waiting.push_back(running.Connect());
+  running.server.RefuseWaiting(std::chrono::steady_clock::now());
+  CHECK(running.server.refused_while_leaving() == 0);
+  running.server.RefuseWaiting(std::chrono::steady_clock::now() + 5s);
+  CHECK(running.server.refused_while_leaving() == 50);
+}
+
 // Guards against a close that lasts as long as callers reconnect, or for as
 // long as a refused one neither reads nor closes.
 TEST_CASE("closing a port ends by its deadline") {
