Close the port before a stop breaks off what runs

Cause: the port stayed open until the end of the process, 0.13 s behind the time at which requests are broken off (a grace of 3 s), though nothing can be served any more; and a close resets what the kernel has queued, up to one connection for each caller that comes back.

Change: the port closes first, and lets the kernel queue one connection only from then until it is closed. A caller who comes meanwhile gets no connection.

The new test of the front (connections that are there go on, others are refused) can't be built on the old code.

--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -141,6 +141,8 @@
 // the request did not run. Callers that connect again at once would keep this
 // going for as long as they like.
 void front_server::RefuseWaiting(time_point deadline) {
+  if (is_port_closed_)
+    return;
   try {
     while (std::chrono::steady_clock::now() < deadline &&
            socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
@@ -153,12 +155,20 @@
   }
 }
 
-void front_server::Close(time_point deadline) {
+// The close resets connections that nobody has accepted. With a queue of one,
+// the kernel leaves others without a connection instead.
+void front_server::ClosePort() {
   StopAccepting();
-  if (!std::exchange(is_closed_, true)) {
-    RefuseWaiting(std::chrono::steady_clock::now() + kMaxRefuseTime);
-    socket_.close();
-  }
+  if (is_port_closed_)
+    return;
+  socket_.listen(0);
+  RefuseWaiting(std::chrono::steady_clock::now() + kMaxRefuseTime);
+  socket_.close();
+  is_port_closed_ = true;
+}
+
+void front_server::Close(time_point deadline) {
+  ClosePort();
   while ((connections() > 0 || shared_state_.closer.open() > 0) &&
          std::chrono::steady_clock::now() < deadline)
     std::this_thread::sleep_for(kClosePollInterval);
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -43,12 +43,14 @@
   // RefuseWaiting() must be called from time to time until Close(). Blocks for
   // up to about half a second.
   void StopAccepting();
-  // Refuses the connections that wait to be accepted, until `deadline` at the
-  // latest.
+  // Refuses the connections that wait to be accepted, while the port is open
+  // and until `deadline` at the latest.
   void RefuseWaiting(time_point deadline);
-  // Calls StopAccepting() unless that was done, and closes the port. Blocks
-  // until all connections are closed, at most until `deadline`; requests that
-  // are active then go on.
+  // Calls StopAccepting() unless that was done, and closes the port.
+  // Connections that were accepted go on.
+  void ClosePort();
+  // Calls ClosePort() unless that was done. Blocks until all connections are
+  // closed, at most until `deadline`; requests that are active then go on.
   void Close(time_point deadline);
   // Returns the number of connections being served.
   int connections() const;
@@ -64,7 +66,7 @@
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::TCPServer> server_;
   bool is_accepting_ = false;
-  bool is_closed_ = false;
+  bool is_port_closed_ = false;
 };
 
 }  // namespace samphire
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -376,7 +376,8 @@
 // are refused immediately, with the statement that they did not run. The end of
 // the process would reset connections whose requests were not read or answered,
 // and their callers could not tell whether these ran: so whoever is left at the
-// end is told as well.
+// end is told as well. Callers who connect again and again until the end would
+// be among them on a busy processor, so that the port closes before.
 void traffic_node::Drain() {
   if (!state_.stop.begun())
     BeginStop(clock_.now());
@@ -389,6 +390,8 @@
   const int cut = RunningRequests();
   if (cut > 0) {
     LogStopStep("cutting");
+    caller_front_.ClosePort();
+    peer_front_.ClosePort();
     caller_front_.SetPhase(front_phase::kCutting);
     state_.stop.Cut();
     AwaitRequests(end_by);
--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
@@ -269,6 +270,26 @@
   CHECK(running.server.refused_while_leaving() == 50);
 }
 
+// Guards against a port that takes its requests with it when it closes.
+TEST_CASE("a closed port takes no connections and keeps those it has") {
+  std::atomic<bool> release = false;
+  metrics counters;
+  front_server server("127.0.0.1:0", new held_factory(release), front_limits{},
+                      counters);
+  server.Start();
+  const Poco::Net::SocketAddress address(server.address());
+  Poco::Net::StreamSocket held(address);
+  Send(held, kGet);
+  while (server.active_requests() == 0)
+    std::this_thread::sleep_for(1ms);
+  server.ClosePort();
+  server.RefuseWaiting(std::chrono::steady_clock::now() + 5s);
+  CHECK_THROWS_AS(Poco::Net::StreamSocket(address),
+                  Poco::Net::ConnectionRefusedException);
+  release = true;
+  CHECK(Contains(ReadToClose(held), "held"));
+}
+
 // Guards against a close that lasts as long as callers reconnect, or for as
 // long as a refused one neither reads nor closes.
 TEST_CASE("closing a port ends by its deadline") {
