--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -215,6 +215,23 @@
   socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+// A port with one request that is not answered before `release` is set.
+struct held_request {
+  std::atomic<bool> release = false;
+  metrics counters;
+  front_server server{"127.0.0.1:0", new held_factory(release), front_limits{},
+                      counters};
+  Poco::Net::SocketAddress address{server.address()};
+  Poco::Net::StreamSocket held{address};
+
+  held_request() {
+    server.Start();
+    Send(held, kGet);
+    while (server.active_requests() == 0)
+      std::this_thread::sleep_for(1ms);
+  }
+};
+
 }  // namespace
 
 // Guards against a port that closes idle connections without a word when it
@@ -262,6 +279,7 @@
   running_server running{front_limits{}};
   running.server.StopAccepting();
   std::vector<Poco::Net::StreamSocket> waiting;
+  waiting.reserve(50);
   for (int i = 0; i < 50; ++i)
     waiting.push_back(running.Connect());
   running.server.RefuseWaiting(std::chrono::steady_clock::now());
@@ -272,37 +290,19 @@
 
 // Guards against a port that takes its requests with it when it closes.
 TEST_CASE("a closed port takes no connections and keeps those it has") {
-  std::atomic<bool> release = false;
-  metrics counters;
-  front_server server("127.0.0.1:0", new held_factory(release), front_limits{},
-                      counters);
-  server.Start();
-  const Poco::Net::SocketAddress address(server.address());
-  Poco::Net::StreamSocket held(address);
-  Send(held, kGet);
-  while (server.active_requests() == 0)
-    std::this_thread::sleep_for(1ms);
-  server.ClosePort();
-  server.RefuseWaiting(std::chrono::steady_clock::now() + 5s);
-  CHECK_THROWS_AS(Poco::Net::StreamSocket(address),
+  held_request r;
+  r.server.ClosePort();
+  r.server.RefuseWaiting(std::chrono::steady_clock::now() + 5s);
+  CHECK_THROWS_AS(Poco::Net::StreamSocket(r.address),
                   Poco::Net::ConnectionRefusedException);
-  release = true;
-  CHECK(Contains(ReadToClose(held), "held"));
+  r.release = true;
+  CHECK(Contains(ReadToClose(r.held), "held"));
 }
 
 // Guards against a close that lasts as long as callers reconnect, or for as
 // long as a refused one neither reads nor closes.
 TEST_CASE("closing a port ends by its deadline") {
-  std::atomic<bool> release = false;
-  metrics counters;
-  front_server server("127.0.0.1:0", new held_factory(release), front_limits{},
-                      counters);
-  server.Start();
-  const Poco::Net::SocketAddress address(server.address());
-  Poco::Net::StreamSocket held(address);
-  Send(held, kGet);
-  while (server.active_requests() == 0)
-    std::this_thread::sleep_for(1ms);
+  held_request r;
   std::atomic<bool> calling = true;
   constexpr std::size_t kCallers = 8;
   std::vector<std::thread> callers;
@@ -312,7 +312,7 @@
       std::vector<Poco::Net::StreamSocket> left_open;
       while (calling) {
         try {
-          left_open.emplace_back(address);
+          left_open.emplace_back(r.address);
           Send(left_open.back(), kGet);
         } catch (const Poco::Exception&) {
           std::this_thread::sleep_for(1ms);
@@ -323,15 +323,15 @@
     });
   }
   const auto began = std::chrono::steady_clock::now();
-  server.Close(began + 700ms);
+  r.server.Close(began + 700ms);
   const auto took = std::chrono::steady_clock::now() - began;
   CHECK(took >= 700ms);
   CHECK(took < 1500ms);
-  release = true;
+  r.release = true;
   calling = false;
   for (auto& each : callers)
     each.join();
-  CHECK(Contains(ReadToClose(held), "held"));
+  CHECK(Contains(ReadToClose(r.held), "held"));
 }
 
 // Guards against a close with unread input, which resets the connection and may
