Judge the soak of evacuations by arrivals, as the rule does

The check was wrong: it judged requests by the time at which they were sent, and the domain is used again 2,000 ms after the bound.

The replacement takes what arrives at targets of the domain from the bound on until its return: a request that was sent before the bound and arrives after it counts now, which it did not.

--- a/tests/soak/evacuation_soak.cc
+++ b/tests/soak/evacuation_soak.cc
@@ -234,32 +234,34 @@
   }
 }
 
+const evacuation_soak::closed_time* evacuation_soak::ClosedAt(
+    time_point time) const {
+  const auto found = std::ranges::find_if(closed_, [&](const auto& each) {
+    return each.from <= time && time < each.to;
+  });
+  return found == closed_.end() ? nullptr : &*found;
+}
+
+// A request that is sent just before the domain is used again may arrive after
+// that.
 void evacuation_soak::CheckArrivals() {
-  std::map<std::string, std::string> runs;
-  for (const auto& each : evacuated_) {
-    for (const auto& [id, count] : each->runs_by_id())
-      runs.emplace(id, each->id());
-  }
-  for (const auto& [id, sent] : sent_at_) {
-    const auto within =
-        std::ranges::find_if(closed_, [at = sent](const auto& each) {
-          return each.from <= at && at < each.to;
-        });
-    if (within == closed_.end())
-      continue;
-    ++judged_;
-    const auto run = runs.find(id);
-    if (run == runs.end())
-      continue;
-    findings_.push_back(
-        {"an evacuation is in force in time",
-         fmt::format(
-             "{} sent {} ms after the bound ran at {}, beside {}; logs in {}",
-             id,
-             std::chrono::duration_cast<std::chrono::milliseconds>(sent -
-                                                                   within->from)
-                 .count(),
-             run->second, within->troubles, folder_.string())});
+  for (const auto& [id, sent] : sent_at_)
+    judged_ += ClosedAt(sent) ? 1 : 0;
+  for (const auto& target : evacuated_) {
+    for (const auto& [id, arrived] : target->arrivals_by_id()) {
+      const auto* closed = ClosedAt(arrived);
+      if (!closed)
+        continue;
+      findings_.push_back(
+          {"an evacuation is in force in time",
+           fmt::format(
+               "{} arrived {} ms after the bound at {}, beside {}; logs in {}",
+               id,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   arrived - closed->from)
+                   .count(),
+               target->id(), closed->troubles, folder_.string())});
+    }
   }
 }
 
--- a/tests/soak/evacuation_soak.h
+++ b/tests/soak/evacuation_soak.h
@@ -52,7 +52,7 @@
     std::unique_ptr<relay> store_link;
     std::unique_ptr<child_process> process;
   };
-  // A time within which the domain is to get no request that is sent.
+  // A time within which no request is to arrive in the domain.
   struct closed_time {
     time_point from;
     time_point to;
@@ -70,6 +70,8 @@
   // Sends requests to each entry in turn, on one connection each, until
   // `sending_` is false.
   void RunCaller(int number);
+  // Returns the time within which no request is to arrive, if `time` is one.
+  const closed_time* ClosedAt(time_point time) const;
   void CheckArrivals();
   void CheckRecovery();
   entry& RandomEntry() { return *entries_[random_() % entries_.size()]; }
