Keep signals for a child that begins out of the test's results

Seen: a soak of evacuations printed "FAILED ... SIGTERM - Termination request signal" in the middle and ended with success.

Cause: between fork and exec a child has the signal handlers of the test program. A SIGTERM in that moment makes the child report its copy of the test as failed, also to the file that scripts/run-tests counts. The whole run counts a failure that no check has found; it may be what failed the soak on the landing's machine, whose output is not kept.

Change: signals are blocked from before the fork until the child has their default effects.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -10,6 +10,36 @@
 
 namespace samphire {
 
+namespace {
+
+// Keeps signals from this thread, and from a process that it forks, until its
+// end.
+class blocked_signals {
+ public:
+  blocked_signals() {
+    sigset_t all;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before_);
+  }
+  ~blocked_signals() { pthread_sigmask(SIG_SETMASK, &before_, nullptr); }
+  blocked_signals(const blocked_signals&) = delete;
+  blocked_signals& operator=(const blocked_signals&) = delete;
+
+  // Lets signals through to a process that was forked, with their default
+  // effect: the handlers of the test program would report a failure of its own
+  // test.
+  void EndInChild() const {
+    for (const int handled : {SIGINT, SIGTERM})
+      signal(handled, SIG_DFL);
+    pthread_sigmask(SIG_SETMASK, &before_, nullptr);
+  }
+
+ private:
+  sigset_t before_{};
+};
+
+}  // namespace
+
 child_process::child_process(const std::string& program,
                              const std::vector<std::string>& arguments,
                              const std::string& log_path,
@@ -32,8 +62,10 @@
   const int log =
       open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
   const pid_t parent = getpid();
+  const blocked_signals blocked;
   pid_ = fork();
   if (pid_ == 0) {
+    blocked.EndInChild();
     // The kernel kills this process when the test program dies, so that no
     // child outlives it. The test program may have died before prctl().
     prctl(PR_SET_PDEATHSIG, SIGKILL);
