Don't copy listings of kinds that are not announced

Found by reading: a watcher asks the announcer after each change of any kind, and that copied the whole listing (a configuration of some hundred kB, or all targets) from the relay before it looked whether the kind is announced at all. Only evacuations are.

Change: that is asked first. What is announced, and when, stays: the tests of announced evacuations and of a start pass.

--- a/src/libsamphire/traffic/object_announcer.cc
+++ b/src/libsamphire/traffic/object_announcer.cc
@@ -61,6 +61,8 @@
 // entry may include some whose removal it delays, and another entry that took
 // them at this position would never hear of their removal.
 void object_announcer::OnPlatformChange(const std::string& prefix) {
+  if (!Contains(prefix))
+    return;
   const auto listing = relay_.LastKnown(prefix);
   if (!listing || !MarkAnnounced(prefix, listing.value()))
     return;
