--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -4,13 +4,13 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
-#include "base/system_clock_source.h"
 #include "front/front_server.h"
 #include "front/response_writer.h"
 #include "gateway/peer_post.h"
 #include "support/free_address.h"
 #include "traffic/handler_factory.h"
 #include "traffic/mirror_handler.h"
+#include "traffic/watching_entry.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -28,10 +28,8 @@
 };
 
 // A follower of one peer.
-struct follower_fixture {
-  system_clock_source clock;
+struct follower_fixture : watching_entry<unreachable_platform> {
   metrics counters;
-  peer_keys keys = peer_keys::Parse("0123456789abcdef0123456789abcdef").value();
   const std::string address = FreeAddress();
   object_relay peer_relay{clock};
   peer_signer source_signer{keys, {"deputy", 1}, clock};
@@ -47,19 +45,6 @@
       }),
       {.max_connections = 8},
       counters};
-  unreachable_platform platform;
-  object_relay relay{clock};
-  connection_pool pool;
-  peer_signer signer{keys, {"follower", 1}, clock};
-  source_plan plan{.role = source_role::kFollower};
-  shared_store store{platform,
-                     relay,
-                     pool,
-                     signer,
-                     clock,
-                     0ms,
-                     [this] { return plan; },
-                     [] { return std::vector<std::string>{}; }};
 
   follower_fixture() { server.Start(); }
 };
@@ -115,20 +100,9 @@
       {.max_connections = 4},
       fixture.counters};
   earlier.Start();
-  shared_store store{fixture.platform,
-                     fixture.relay,
-                     fixture.pool,
-                     fixture.signer,
-                     fixture.clock,
-                     0ms,
-                     [&] {
-                       return source_plan{.role = source_role::kFollower,
-                                          .watchers = {address},
-                                          .backups = {},
-                                          .substitutes = {}};
-                     },
-                     [] { return std::vector<std::string>{}; }};
-  const auto batch = store.Watch("k/", 5, 1s);
+  watching_entry<unreachable_platform> entry;
+  entry.plan.watchers = {address};
+  const auto batch = entry.store.Watch("k/", 5, 1s);
   REQUIRE(batch);
   CHECK(batch.value().events.at(0).value == "A");
 }
@@ -233,21 +207,14 @@
 TEST_CASE("an entry that starts gets changes from others than its watchers") {
   follower_fixture fixture;
   const auto watcher = FreeAddress();
-  fixture.plan = {.role = source_role::kBackup,
-                  .watchers = {watcher},
-                  .backups = {},
-                  .substitutes = {fixture.address}};
-  shared_store starting{fixture.platform,
-                        fixture.relay,
-                        fixture.pool,
-                        fixture.signer,
-                        fixture.clock,
-                        2s,
-                        [&] { return fixture.plan; },
-                        [] { return std::vector<std::string>{}; }};
+  watching_entry<unreachable_platform> starting(2s);
+  starting.plan = {.role = source_role::kBackup,
+                   .watchers = {watcher},
+                   .backups = {},
+                   .substitutes = {fixture.address}};
   fixture.peer_relay.Publish(
       "k/", {.cursor = 6, .reset = true, .events = {{"k/a", 6, "A"}}});
-  const auto batch = starting.Watch("k/", 5, 1s);
+  const auto batch = starting.store.Watch("k/", 5, 1s);
   REQUIRE(batch);
   CHECK(batch.value().events.size() == 1);
 }
--- a/tests/traffic/silent_sources_test.cc
+++ b/tests/traffic/silent_sources_test.cc
@@ -10,8 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "base/system_clock_source.h"
-#include "traffic/shared_store.h"
+#include "traffic/watching_entry.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
@@ -55,25 +54,8 @@
   }
 };
 
-struct entry_fixture {
-  system_clock_source clock;
+struct entry_fixture : watching_entry<recovering_platform> {
   silent_peers peers;
-  recovering_platform platform;
-  object_relay relay{clock};
-  connection_pool pool;
-  peer_signer signer{
-      peer_keys::Parse("0123456789abcdef0123456789abcdef").value(),
-      {"entry", 1},
-      clock};
-  source_plan plan;
-  shared_store store{platform,
-                     relay,
-                     pool,
-                     signer,
-                     clock,
-                     0ms,
-                     [this] { return plan; },
-                     [] { return std::vector<std::string>{}; }};
 
   // Watches until a batch arrives, as a follower does.
   milliseconds TimeUntilChange(store_cursor cursor) {
