Make and remove the folders of soaks in one place

Three soaks made a folder of their own name and removed it unless they had findings, the third added for evacuations. soak_folder does both; the names of the folders stay.

--- a/tests/soak/evacuation_soak.cc
+++ b/tests/soak/evacuation_soak.cc
@@ -7,7 +7,6 @@
 #include <Poco/NullStream.h>
 #include <Poco/StreamCopier.h>
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -18,6 +17,7 @@
 #include "platform_adapter/wire_text.h"
 #include "platform_names.h"
 #include "soak/raw_call.h"
+#include "soak/soak_folder.h"
 #include "support/free_address.h"
 #include "support/wait_until.h"
 
@@ -48,10 +48,7 @@
 evacuation_soak::evacuation_soak(const evacuation_soak_options& options)
     : options_(options),
       random_(options.seed),
-      folder_(
-          std::filesystem::temp_directory_path() /
-          fmt::format("samphire-evacuations-{}-{}", getpid(), options.seed)) {
-  std::filesystem::create_directories(folder_);
+      folder_(MakeSoakFolder("evacuations", options.seed)) {
   store_.Write("config/main", platform::ManifestObject("00000003"));
   StartTargets();
   const auto seed_address = FreeAddress();
@@ -77,9 +74,7 @@
 
 evacuation_soak::~evacuation_soak() {
   entries_.clear();
-  std::error_code ignored;
-  if (findings_.empty())
-    std::filesystem::remove_all(folder_, ignored);
+  RemoveSoakFolder(folder_, findings_);
 }
 
 void evacuation_soak::StartTargets() {
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -12,6 +12,7 @@
 #include "platform_adapter/wire_text.h"
 #include "platform_names.h"
 #include "soak/raw_call.h"
+#include "soak/soak_folder.h"
 #include "support/free_address.h"
 #include "support/log_schema.h"
 #include "support/wait_until.h"
@@ -79,9 +80,7 @@
       upload_random_(seed),
       uploads_(seed),
       lookups_(kStableWindow, kStableWindow + kUnlistingSlack),
-      folder_(std::filesystem::temp_directory_path() /
-              fmt::format("samphire-soak-{}-{}", getpid(), seed)) {
-  std::filesystem::create_directories(folder_);
+      folder_(MakeSoakFolder("soak", seed)) {
   store_.page_size = kPageObjects;
   store_.page_source = [this](bool may_be_stale) {
     const bool stale =
@@ -139,9 +138,7 @@
 
 soak_world::~soak_world() {
   entries_.clear();
-  std::error_code ignored;
-  if (findings_.empty())
-    std::filesystem::remove_all(folder_, ignored);
+  RemoveSoakFolder(folder_, findings_);
 }
 
 void soak_world::StartEntry(entry& one) {
--- a/tests/soak/stop_soak.cc
+++ b/tests/soak/stop_soak.cc
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 #include <signal.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
@@ -12,6 +11,7 @@
 #include "platform_adapter/entry_fixture.h"
 #include "platform_adapter/wire_text.h"
 #include "soak/raw_call.h"
+#include "soak/soak_folder.h"
 #include "support/free_address.h"
 #include "support/log_schema.h"
 #include "support/wait_until.h"
@@ -58,9 +58,7 @@
 stop_soak::stop_soak(const stop_soak_plan& plan)
     : plan_(plan),
       random_(plan.seed),
-      folder_(std::filesystem::temp_directory_path() /
-              fmt::format("samphire-stops-{}-{}", getpid(), plan.seed)) {
-  std::filesystem::create_directories(folder_);
+      folder_(MakeSoakFolder("stops", plan.seed)) {
   store_.Write("config/main",
                platform::TimedManifestObject("00000003", kRouteTimeout));
   for (const std::string service : {"reads", "writes"}) {
@@ -86,9 +84,7 @@
 
 stop_soak::~stop_soak() {
   entries_.clear();
-  std::error_code ignored;
-  if (findings_.empty())
-    std::filesystem::remove_all(folder_, ignored);
+  RemoveSoakFolder(folder_, findings_);
 }
 
 void stop_soak::WriteSettings(const entry& one,
