--- a/review/4/scenario.cc
+++ b/review/4/scenario.cc
@@ -14,6 +14,7 @@
 
 constexpr int kRequests = 5;
 constexpr int kMoreMs = 300;
+constexpr int kCallsOfRound = 4;
 
 // A note of two paragraphs. The calm run sends the same words without the line
 // breaks between them.
@@ -23,11 +24,19 @@
 }
 
 // A note that holds the text of another request.
-std::string NoteWithRequest(int number, bool calm) {
+std::string NoteWithRequest(const std::string& number, bool calm) {
   const std::string line_break = calm ? "_" : "=0D=0A";
-  return "=?UTF-8?Q?note" + line_break + line_break + "POST_/alarms/" +
-         std::to_string(number) + "_HTTP/1.1" + line_break +
-         "Request-Id:_hidden-" + std::to_string(number) + "?=";
+  return "=?UTF-8?Q?note" + line_break + line_break + "POST_/alarms/" + number +
+         "_HTTP/1.1" + line_break + "Request-Id:_hidden-" + number + "?=";
+}
+
+// The same for a request whose body is still to come: the worker takes for it
+// what the entry sends next on the connection.
+std::string NoteWithOpenRequest(const std::string& number, bool calm) {
+  const std::string line_break = calm ? "_" : "=0D=0A";
+  return "=?UTF-8?Q?note" + line_break + line_break + "POST_/levels/" + number +
+         "_HTTP/1.1" + line_break + "Request-Id:_open-" + number + line_break +
+         "Content-Length:_120?=";
 }
 
 }  // namespace
@@ -49,7 +58,7 @@
         {.method = "GET",
          .path = "/levels/" + number,
          .id = "read-" + number,
-         .extra_headers = {{"X-Note", NoteWithRequest(i, context.calm)}}},
+         .extra_headers = {{"X-Note", NoteWithRequest(number, context.calm)}}},
         {.method = "POST",
          .path = "/alarms/" + number,
          .id = "confirm-" + number,
@@ -59,16 +68,28 @@
       served += IsServed(caller.Call(request), request) ? 1 : 0;
       caller.ReadMore(kMoreMs);
     }
-    sent.insert(caller.sent().begin(), caller.sent().end());
+    const client_request open{
+        .path = "/levels/" + number,
+        .id = "peek-" + number,
+        .extra_headers = {
+            {"X-Note", NoteWithOpenRequest(number, context.calm)}}};
+    served += IsServed(caller.Call(open), open) ? 1 : 0;
+    client other(all.caller_address(i % 2), context.log);
+    const client_request next{.path = "/levels/" + number,
+                              .id = "other-" + number,
+                              .extra_headers = {{"X-Secret", "of-another"}}};
+    served += IsServed(other.Call(next), next) ? 1 : 0;
+    for (const auto* each : {&caller, &other})
+      sent.insert(each->sent().begin(), each->sent().end());
   }
   context.log.Write("served whole: " + std::to_string(served) + " of " +
-                    std::to_string(2 * kRequests));
+                    std::to_string(kCallsOfRound * kRequests));
   const auto found = UnaskedRuns(all.Runs(), sent);
   for (const auto& each : found)
     context.log.Write("UNASKED: " + each);
   if (!found.empty())
     return outcome::kBroken;
-  if (context.calm && served < 2 * kRequests)
+  if (context.calm && served < kCallsOfRound * kRequests)
     return outcome::kCouldNotRun;
   return outcome::kHeld;
 }
