Let each case's script write its record, whatever happens

Cause: run.sh of cases 4 to 6 left record.txt to a shared script that it did not name, and a case that couldn't run wrote no record.

Each run.sh now names record.txt beside it, and the shared script creates it first and writes down why a case couldn't run.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,8 @@
 #!/usr/bin/env bash
-# Plays this case; see ../stand_ins_2/run.sh.
-exec "$(dirname "$0")/../stand_ins_2/run.sh" "$(dirname "$0")"
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Writes to record.txt beside it what was sent, answered and run, or why nothing
+# was. TROUBLE=0 leaves the disruption out.
+set -u
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+record=$folder/record.txt
+exec "$folder/../stand_ins_2/run.sh" case_4 "$record"
--- a/review/stand_ins_2/run.sh
+++ b/review/stand_ins_2/run.sh
@@ -1,17 +1,20 @@
 #!/usr/bin/env bash
-# Plays the case in the folder CASE: exits with 1 if the rule was broken, 0 if
-# it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+# Plays PROGRAM of review/build-2.sh, and writes RECORD in any case. The exit
+# status is 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -u
-case_folder=$(cd "$1" && pwd)
+program=target/review-2/$1
+record=$2
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/case_$(basename "$case_folder")
-if [ ! -x "$program" ] || [ ! -x target/bin/samphire-platform-entry ]; then
-  echo "build first: the build of deploy/system.toml, then review/build-2.sh" >&2
+: >"$record" || exit 2
+could_not_run() {
+  echo "could not run: $1" | tee -a "$record" >&2
   exit 2
-fi
-folder=$(mktemp -d)
+}
+[ -x target/bin/samphire-platform-entry ] || could_not_run "no build of deploy/system.toml"
+[ -x "$program" ] || could_not_run "no build of review/build-2.sh"
+folder=$(mktemp -d) || could_not_run "no temporary folder"
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=5 110 "$program" "$folder" "$case_folder/record.txt"
+timeout --kill-after=5 110 "$program" "$folder" "$record"
 status=$?
-[ "$status" -le 2 ] || status=2
+[ "$status" -le 1 ] || could_not_run "$program ended with status $status"
 exit "$status"
