Send no head that could be read in two ways

Whatever filled a head in (a caller's value, names from the store or a configuration, a key, a reason) was written out as it was, so that a line break in it ended the head.

Change: WriteHead() is the only writer of heads to targets, peers and the store. It refuses names that are no tokens, values with control bytes, request and status lines that end themselves, and two headers that tell a length, with 2211 (unsendable-head), before the first byte is sent. An attempt that ends so counts as not sent: the target is not blamed, and nothing else is tried.

--- a/src/libsamphire/base/result_code.cc
+++ b/src/libsamphire/base/result_code.cc
@@ -138,6 +138,8 @@
      "any more."},
     {kCutByStop, "cut-by-stop", 502, true,
      "The entry had to end while a target may have run the request."},
+    {kUnsendableHead, "unsendable-head", 502, false,
+     "A message was not sent, since its head could be read in two ways."},
 
     {kLedgerUnavailable, "ledger-unavailable", 503, true,
      "The platform can't take the reservation, so the request is not run."},
--- a/src/libsamphire/base/result_code.h
+++ b/src/libsamphire/base/result_code.h
@@ -84,6 +84,7 @@
   kTargetClosed = 2208,
   kBodySpent = 2209,
   kCutByStop = 2210,
+  kUnsendableHead = 2211,
 
   // 23xx: requests with at-most-once semantics.
   kLedgerUnavailable = 2301,
--- a/src/libsamphire/gateway/response_relay.cc
+++ b/src/libsamphire/gateway/response_relay.cc
@@ -27,6 +27,9 @@
       return attempt_outcome::kCancelled;
     case result_code::kAnswerTruncated:
       return attempt_outcome::kTruncated;
+    case result_code::kUnsendableHead:
+      // Nothing was sent, as if there were no connection.
+      return attempt_outcome::kConnectFailed;
     default:
       return attempt_outcome::kLost;
   }
--- a/src/libsamphire/proxy/http_exchange.cc
+++ b/src/libsamphire/proxy/http_exchange.cc
@@ -6,11 +6,12 @@
 
 #include <algorithm>
 #include <array>
-#include <sstream>
 #include <utility>
 #include <vector>
 
 #include "proxy/head_reader.h"
+#include "proxy/head_writer.h"
+#include "proxy/message_head.h"
 
 namespace samphire {
 
@@ -118,13 +119,11 @@
                                       std::string_view start) {
   is_head_request_ = head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
   is_chunked_request_ = head.getChunkedTransferEncoding();
-  std::ostringstream text;
-  head.write(text);
+  BOOST_OUTCOME_TRY(bytes, WriteHead(head));
+  bytes += is_chunked_request_ ? EncodeChunk(start) : std::string(start);
   stage_ = exchange_stage::kSending;
   sent_at_ = std::chrono::steady_clock::now();
-  BOOST_OUTCOME_TRYV(
-      SendBytes(text.str() + (is_chunked_request_ ? EncodeChunk(start)
-                                                  : std::string(start))));
+  BOOST_OUTCOME_TRYV(SendBytes(bytes));
   body_bytes_sent_ = start.size();
   return Success();
 }
@@ -233,6 +232,10 @@
 result<void> http_exchange::AcceptHead() {
   if (head_->getStatus() == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
     return MakeError(result_code::kTargetFailed, "nobody asked for an upgrade");
+  if (!options_.echo_header.empty() &&
+      ValuesOf(*head_, options_.echo_header).size() > 1)
+    return MakeError(result_code::kTargetFailed,
+                     "response echoes more than one request");
   auto framing = ParseResponseFraming(*head_, is_head_request_);
   if (!framing)
     return framing.error();
@@ -245,7 +248,7 @@
   }
   const bool hides_body = !is_head_request_ && DeclaresBody(*head_) &&
                           std::holds_alternative<no_body>(framing_);
-  keep_alive_ = head_->getKeepAlive() && !hides_body &&
+  keep_alive_ = KeepsConnection(*head_) && !hides_body &&
                 !std::holds_alternative<until_close_body>(framing_);
   body_.emplace(*input_, framing_);
   return Success();
--- a/src/libsamphire/proxy/http_exchange.h
+++ b/src/libsamphire/proxy/http_exchange.h
@@ -50,7 +50,8 @@
   // Sends the request. `body_remainder` supplies what follows `body`, if that
   // is not all. If reading it fails, Send() fails with the same error, and the
   // other side never receives a complete request. Fails with kTargetFailed if a
-  // write fails or times out.
+  // write fails or times out, and with kUnsendableHead if `head` can't be sent;
+  // nothing is sent then.
   result<void> Send(const Poco::Net::HTTPRequest& head,
                     std::string_view body,
                     body_source* body_remainder = nullptr);
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/target_exchange.cc
@@ -140,13 +140,9 @@
     NotSent(rest.error().code, end);
     return;
   }
-  end.sent = {.arrived = true, .may_have_run = true};
   const auto sent = exchange.Send(head, request_.body.start(),
                                   rest.value() ? &*rest.value() : nullptr);
-  if (!sent)
-    Fail(sent.error().code, end);
-  else
-    ReceiveResponse(exchange, false, end);
+  AfterSend(sent, exchange, false, end);
 }
 
 void target_exchange::SendThrough(http_exchange& exchange,
@@ -158,13 +154,25 @@
   const auto sent = request_.body.state() == body_state::kBuffered
                         ? exchange.Send(head, request_.body.start())
                         : SendIfAsked(exchange, head, end);
-  if (end.attempt.result == attempt_result::kNotSent)
+  if (end.attempt.result != attempt_result::kNotSent)
+    AfterSend(sent, exchange, true, end);
+}
+
+// A write that fails may have carried the request to its end. A head that can't
+// be sent has not left this entry, and no other way could send it.
+void target_exchange::AfterSend(const result<void>& sent,
+                                http_exchange& exchange,
+                                bool relayed,
+                                target_exchange_end& end) {
+  if (!sent && sent.error().code == result_code::kUnsendableHead) {
+    NotSent(sent.error().code, end);
     return;
+  }
   end.sent = {.arrived = true, .may_have_run = true};
   if (!sent)
     Fail(sent.error().code, end);
   else
-    ReceiveResponse(exchange, true, end);
+    ReceiveResponse(exchange, relayed, end);
 }
 
 // A relay that can't reach the target would otherwise consume the rest of the
@@ -176,12 +184,13 @@
   head.set(kHeaderRelayAsk, "1");
   const auto asked = exchange.Offer(head, request_.body.start(),
                                     context_.clock.now() + kMaxAskTime);
-  if (!asked) {
+  if (!asked && asked.error().code != result_code::kUnsendableHead) {
     NotSent(caller_.IsDisconnected() ? result_code::kCallerGone
                                      : result_code::kNoPathToTarget,
             end);
-    return asked.error();
   }
+  if (!asked)
+    return asked.error();
   if (!asked.value())
     return Success();
   BOOST_OUTCOME_TRY(rest, request_.body.TakeRest());
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/target_exchange.h
@@ -56,6 +56,11 @@
                            Poco::Net::HTTPRequest& head,
                            target_exchange_end& end);
   static void NotSent(result_code code, target_exchange_end& end);
+  // Receives the response, or applies that the request could not be sent.
+  void AfterSend(const result<void>& sent,
+                 http_exchange& exchange,
+                 bool relayed,
+                 target_exchange_end& end);
   // Logs what was sent to the target, or to `relay` if that is not empty.
   void RecordSend(const http_exchange& exchange,
                   const std::string& relay,
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/traffic_dispatcher.cc
@@ -280,7 +280,8 @@
 bool traffic_dispatcher::MayRetry(const target_exchange_end& end) {
   if (end.streamed || !request_.body.CanBeSent() || !CanKeep() ||
       end.reason == result_code::kCallerGone ||
-      end.reason == result_code::kDeadlineExceeded)
+      end.reason == result_code::kDeadlineExceeded ||
+      end.reason == result_code::kUnsendableHead)
     return false;
   if (end.response && end.attempt.result != attempt_result::kTargetError)
     return false;
