Read heads of requests strictly, and pass them on byte for byte

Sound requests with a value over 8,192 bytes, or with more than a hundred headers, were refused with 400; one without Host got no answer.

Cause: heads of requests were read by the library as those of mail: it decodes encoded words, joins folded lines, skips lines without a colon, and reads lengths with signs and commas. Only the request line was checked, and only that of the first request of a connection; a pipelined head had no bound in size, and one in time for each byte.

Change: ReceiveRequestHead() collects each head with head_text, within the bounds of the settings, wherever it stands on its connection. front_request and front_response are requests and responses of our own; what headers say together (host, framing, headers that are repeated or that Connection takes away) is checked before a handler exists, and a malformed request ends its connection.

--- a/src/entry/operator/operator_handler.cc
+++ b/src/entry/operator/operator_handler.cc
@@ -5,20 +5,18 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <istream>
 #include <string_view>
 
 #include "base/log.h"
 #include "entry/operator/operator_json.h"
 #include "entry/operator/secret_equals.h"
+#include "front/front_request.h"
 
 namespace samphire {
 
 namespace {
 
 constexpr std::string_view kBearer = "Bearer ";
-// Size of the buffer for reading a request body.
-constexpr std::size_t kReadBytes = 16384;
 // Value of Retry-After on errors that are worth retrying.
 constexpr const char* kRetryAfterSeconds = "1";
 
@@ -88,33 +86,13 @@
 }
 
 // Bounds the body in bytes and in time, because a stalled connection must not
-// occupy a thread that another operator needs during an incident. Takes only
-// the bytes that have arrived: read() would wait for a full buffer, so that a
-// client sending single bytes would exceed any deadline. A body shorter than
-// its Content-Length was truncated in transit and is never treated as the
-// complete file.
+// occupy a thread that another operator needs during an incident. A body that
+// breaks off is never treated as the complete file.
 result<std::string> operator_handler::ReadBody(
     Poco::Net::HTTPServerRequest& request) const {
-  const auto announced = request.getContentLength64();
-  if (announced > static_cast<Poco::Int64>(limits_.max_body_bytes))
-    return MakeError(result_code::kBodyTooLarge);
-  const auto deadline = std::chrono::steady_clock::now() + limits_.body_timeout;
-  std::string body;
-  std::string piece(kReadBytes, '\0');
-  auto& stream = request.stream();
-  while (stream.peek() != std::istream::traits_type::eof()) {
-    const auto taken = stream.readsome(
-        piece.data(), static_cast<std::streamsize>(piece.size()));
-    body.append(piece, 0, static_cast<std::size_t>(taken));
-    if (body.size() > limits_.max_body_bytes)
-      return MakeError(result_code::kBodyTooLarge);
-    if (std::chrono::steady_clock::now() > deadline)
-      return MakeError(result_code::kRequestTooSlow);
-  }
-  if (announced > static_cast<Poco::Int64>(body.size()))
-    return MakeError(result_code::kMalformedRequest,
-                     "body shorter than its Content-Length");
-  return body;
+  return static_cast<front_request&>(request).ReadBody(
+      limits_.max_body_bytes,
+      std::chrono::steady_clock::now() + limits_.body_timeout);
 }
 
 }  // namespace samphire
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Timestamp.h>
 
 #include <atomic>
@@ -14,7 +13,8 @@
 #include "front/front_request.h"
 #include "front/front_response.h"
 #include "front/refuse_connection.h"
-#include "front/request_head_wait.h"
+#include "front/request_head_receiver.h"
+#include "proxy/message_head.h"
 
 namespace samphire {
 
@@ -50,9 +50,8 @@
       accepted_(shared_state.accepted.Take(socket)) {}
 
 // POCO's own connection class responds to bytes that it can't parse with a bare
-// 400 and has no time limit for a complete head. This loop differs from it only
-// in that its refusals carry result codes and that it waits for the complete
-// head first.
+// 400, has no time limit for a complete head and changes headers as it reads
+// them. This loop reads each head itself, and its refusals carry result codes.
 void front_connection::run() {
   socket().setNoDelay(true);
   front_session session(socket(), params_, shared_state_.cutting);
@@ -80,31 +79,18 @@
 
 bool front_connection::ServeOne(front_session& session) {
   const bool has_waited = HasWaitedWithRequest(session.socket());
-  if (!session.HasBuffered()) {
-    const auto wait_result = AwaitRequestHead(session.socket(), shared_state_);
-    if (wait_result == result_code::kCallerGone)
-      return false;
-    if (wait_result != result_code::kOk) {
-      Refuse(session, wait_result);
-      return false;
-    }
-  }
-  arrived_ = has_waited ? accepted_ : std::chrono::steady_clock::now();
-  try {
-    const auto outcome = Handle(session);
-    // Handle() has returned, so the response has been flushed to the socket.
-    if (outcome == connection_disposition::kClose)
-      shared_state_.closer.Add(session.detachSocket());
-    return outcome == connection_disposition::kKeepOpen;
-  } catch (const Poco::Net::NoMessageException&) {
-    return false;
-  } catch (const Poco::Net::MessageException&) {
-    Refuse(session, result_code::kMalformedRequest);
-    return false;
-  } catch (const Poco::SyntaxException&) {
-    Refuse(session, result_code::kMalformedRequest);
+  const auto head = ReceiveRequestHead(session, shared_state_);
+  if (!head) {
+    if (head.error().code != result_code::kCallerGone)
+      Refuse(session, head.error().code);
     return false;
   }
+  arrived_ = has_waited ? accepted_ : std::chrono::steady_clock::now();
+  const auto outcome = Handle(session, head.value());
+  // Handle() has returned, so the response has been flushed to the socket.
+  if (outcome == connection_disposition::kClose)
+    shared_state_.closer.Add(session.detachSocket());
+  return outcome == connection_disposition::kKeepOpen;
 }
 
 // A request is counted as active before the phase is read here, while the
@@ -112,17 +98,24 @@
 // least one side sees the other's write, and no request still runs once the
 // port has reported zero active requests.
 front_connection::connection_disposition front_connection::Handle(
-    front_session& session) {
+    front_session& session,
+    const head_text& head) {
   const active_request_guard guard(shared_state_.active_requests);
   if (shared_state_.refusing.is_cancelled()) {
     Refuse(session, result_code::kEntryLeaving);
     return connection_disposition::kCloseNow;
   }
-  front_response response(session, shared_state_);
-  front_request request(response, session, params_.get(), arrived_);
+  front_response response(session, shared_state_, metrics_);
+  front_request request(response, session, *params_, head, arrived_);
+  if (const auto checked = request.Check(); !checked) {
+    Refuse(session, checked.error().code);
+    return connection_disposition::kCloseNow;
+  }
   response.setDate(Poco::Timestamp());
   response.setVersion(request.getVersion());
-  response.setKeepAlive(request.getKeepAlive());
+  response.setKeepAlive(KeepsConnection(request));
+  if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD)
+    response.SetBodiless();
   std::unique_ptr<Poco::Net::HTTPRequestHandler> handler(
       factory_->createRequestHandler(request));
   handler->handleRequest(request, response);
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -9,6 +9,7 @@
 #include "front/front_session.h"
 #include "front/front_shared_state.h"
 #include "metrics/metrics.h"
+#include "proxy/head_text.h"
 
 namespace samphire {
 
@@ -39,8 +40,9 @@
   // Waits for one request and handles it. Returns false when the connection is
   // to be closed.
   bool ServeOne(front_session& session);
-  // Parses one request and runs its handler, or refuses it in kRefusing.
-  connection_disposition Handle(front_session& session);
+  // Runs the handler of the request with this head, or refuses it in kRefusing
+  // or if its headers contradict each other.
+  connection_disposition Handle(front_session& session, const head_text& head);
   // Sends a refusal and leaves the connection to the closer.
   void Refuse(front_session& session, result_code code);
 
--- a/src/libsamphire/front/front_shared_state.h
+++ b/src/libsamphire/front/front_shared_state.h
@@ -20,10 +20,10 @@
         header_timeout(limits.header_timeout),
         idle_timeout(limits.idle_timeout) {}
 
-  // Upper bound of a request head.
-  const std::uint32_t max_header_bytes;
-  // Time limit for receiving a request head, and time after which a connection
-  // without a request is closed. Both may change while connections are open.
+  // Upper bound of a request head, in bytes; time limit for receiving one; and
+  // time after which a connection without a request is closed. All may change
+  // while connections are open.
+  std::atomic<std::uint32_t> max_header_bytes;
   std::atomic<milliseconds> header_timeout;
   std::atomic<milliseconds> idle_timeout;
   std::atomic<front_phase> phase = front_phase::kOpen;
--- a/src/libsamphire/front/response_writer.cc
+++ b/src/libsamphire/front/response_writer.cc
@@ -4,10 +4,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <sstream>
 
 #include "base/log.h"
 #include "front/header_names.h"
+#include "proxy/head_writer.h"
 
 namespace samphire {
 
@@ -86,9 +86,7 @@
   const auto body = RefusalBody(status);
   response.setContentType(std::string(kProblemType));
   response.setContentLength(static_cast<std::streamsize>(body.size()));
-  std::ostringstream text;
-  response.write(text);
-  return text.str() + body;
+  return WriteHead(response).value() + body;
 }
 
 void WriteBody(Poco::Net::HTTPServerResponse& response,
--- a/src/libsamphire/gateway/caller_response.cc
+++ b/src/libsamphire/gateway/caller_response.cc
@@ -1,8 +1,8 @@
 #include "gateway/caller_response.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 
+#include "front/front_request.h"
 #include "front/response_writer.h"
 #include "gateway/header_copy.h"
 
@@ -42,7 +42,7 @@
 // A response to HEAD declares the length of a body that isn't sent.
 void CopyDeclaredLength(const Poco::Net::HTTPResponse& head,
                         Poco::Net::HTTPResponse& response) {
-  if (head.hasContentLength())
+  if (head.hasContentLength() && !head.getChunkedTransferEncoding())
     response.setContentLength64(head.getContentLength64());
 }
 
@@ -52,7 +52,7 @@
                                  Poco::Net::HTTPServerResponse& response,
                                  status_headers headers)
     : response_(response),
-      socket_(static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket()),
+      socket_(static_cast<front_request&>(request).socket()),
       headers_(headers),
       is_response_to_head_(request.getMethod() ==
                            Poco::Net::HTTPRequest::HTTP_HEAD) {}
--- a/src/libsamphire/gateway/service_handler.cc
+++ b/src/libsamphire/gateway/service_handler.cc
@@ -25,7 +25,9 @@
   caller_response sink(request, response);
   auto read = Read(whole);
   if (!read) {
-    if (!whole.IsFullyRead())
+    // What follows a malformed request may be a part of it.
+    if (!whole.IsFullyRead() ||
+        read.error().code == result_code::kMalformedRequest)
       response.setKeepAlive(false);
     Refuse(sink, read.error());
     return;
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/relay_handler.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/NumberParser.h>
 
 #include <fmt/format.h>
 
@@ -12,6 +11,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "base/decimal_text.h"
 #include "gateway/caller_response.h"
 #include "gateway/response_relay.h"
 #include "peer/peer_token.h"
@@ -35,10 +35,7 @@
 std::uint64_t NumberIn(const front_request& request,
                        const std::string& header,
                        std::uint64_t otherwise) {
-  Poco::UInt64 number = 0;
-  const bool valid =
-      Poco::NumberParser::tryParseUnsigned64(request.get(header, ""), number);
-  return valid ? number : otherwise;
+  return ParseDecimal(request.get(header, "")).value_or(otherwise);
 }
 
 // Routes that differ only in whether a request may run more than once.
@@ -145,15 +142,14 @@
   const auto signed_bytes = NumberIn(request, kHeaderRelaySigned, 0);
   if (signed_bytes > kMaxSignedBytes + kChunkBytes)
     return MakeError(result_code::kPeerMalformed);
-  BOOST_OUTCOME_TRY(
-      body,
-      request.OpenBody(read.manifest->limits().max_body_bytes, read.deadline));
+  auto& body =
+      request.OpenBody(read.manifest->limits().max_body_bytes, read.deadline);
   std::string start;
   std::array<char, kChunkBytes> chunk;
-  while (!body->ended() && start.size() < signed_bytes) {
+  while (!body.ended() && start.size() < signed_bytes) {
     const auto wanted =
         std::min<std::size_t>(chunk.size(), signed_bytes - start.size());
-    BOOST_OUTCOME_TRY(got, body->Read({chunk.data(), wanted}));
+    BOOST_OUTCOME_TRY(got, body.Read({chunk.data(), wanted}));
     start.append(chunk.data(), got);
   }
   BOOST_OUTCOME_TRYV(context_.signer.Verify(
@@ -162,9 +158,9 @@
        .receiver_address = context_.settings.peer_address,
        .signed_content = RelayedContent(request, start)},
       request.get(kPeerTokenHeader, "")));
-  read.body = body->ended()
+  read.body = body.ended()
                   ? outgoing_body(std::move(start))
-                  : outgoing_body(std::move(start), *body, body->length());
+                  : outgoing_body(std::move(start), body, body.length());
   return read;
 }
 
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -25,7 +25,9 @@
   caller_response sink(request, response, status_headers::kOnRefusals);
   auto read = ReadTrafficRequest(incoming, context_);
   if (!read) {
-    if (!incoming.IsFullyRead())
+    // What follows a malformed request may be a part of it.
+    if (!incoming.IsFullyRead() ||
+        read.error().code == result_code::kMalformedRequest)
       response.setKeepAlive(false);
     Refuse(sink, incoming.get(context_.headers.request_id, ""), read.error());
     return;
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -1,12 +1,13 @@
 #include "traffic/traffic_request_reader.h"
 
-#include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
+#include "base/decimal_text.h"
+#include "proxy/message_head.h"
 #include "routing/target_rank.h"
 
 namespace samphire {
@@ -27,22 +28,36 @@
 // anyway.
 milliseconds CallerTimeout(const front_request& request,
                            const traffic_context& context) {
-  Poco::UInt64 declared = 0;
-  const auto text = request.get(context.headers.deadline, "");
-  constexpr Poco::UInt64 kMaxTimeoutMs = 3'600'000;
-  if (!Poco::NumberParser::tryParseUnsigned64(text, declared))
-    return milliseconds(kMaxTimeoutMs);
-  return milliseconds(std::min(declared, kMaxTimeoutMs));
+  constexpr std::uint64_t kMaxTimeoutMs = 3'600'000;
+  const auto declared = ParseDecimal(request.get(context.headers.deadline, ""));
+  return milliseconds(
+      std::min(declared.value_or(kMaxTimeoutMs), kMaxTimeoutMs));
 }
 
 // Returns the value of a header, or an empty string if the header is missing or
 // repeated.
 std::string SingleHeaderValue(const front_request& request,
                               const std::string& name) {
-  const auto count = std::ranges::count_if(request, [&](const auto& header) {
-    return Poco::icompare(header.first, name) == 0;
-  });
-  return count == 1 ? request.get(name) : std::string();
+  const auto values = ValuesOf(request, name);
+  return values.size() == 1 ? values.front() : std::string();
+}
+
+// Headers by which the entry acts, and which targets read as well. Of two
+// values, or of one that Connection takes away on the way, the target could
+// read another than the entry.
+result<void> CheckReadByBoth(const front_request& request,
+                             const traffic_headers& headers) {
+  const auto options = ConnectionOptions(request);
+  for (const auto* name :
+       {&headers.request_id, &headers.deadline, &headers.affinity_key,
+        &headers.expected_target, &headers.api_key, &headers.team}) {
+    const bool is_listed =
+        std::ranges::find(options, Poco::toLower(*name)) != options.end();
+    if (is_listed || ValuesOf(request, *name).size() > 1)
+      return MakeError(result_code::kMalformedRequest,
+                       *name + " is repeated or listed by Connection");
+  }
+  return Success();
 }
 
 result<void> AuthenticateTeam(const front_request& request,
@@ -83,24 +98,29 @@
 // instance.
 result<void> ReadBodyStart(front_request& request, traffic_request& read) {
   const auto& limits = read.manifest->limits();
-  BOOST_OUTCOME_TRY(body,
-                    request.OpenBody(limits.max_body_bytes,
-                                     read.arrived + limits.header_timeout));
+  auto& body = request.OpenBody(limits.max_body_bytes,
+                                read.arrived + limits.header_timeout);
   std::string start;
   std::array<char, kChunkBytes> chunk;
-  while (!body->ended() && start.size() < kMaxBufferedBytes) {
-    BOOST_OUTCOME_TRY(got, body->Read(chunk));
+  while (!body.ended() && start.size() < kMaxBufferedBytes) {
+    BOOST_OUTCOME_TRY(got, body.Read(chunk));
     start.append(chunk.data(), got);
   }
-  if (body->ended()) {
+  if (body.ended()) {
     read.body = outgoing_body(std::move(start));
     return Success();
   }
-  body->set_deadline(read.deadline);
-  read.body = outgoing_body(std::move(start), *body, body->length());
+  body.set_deadline(read.deadline);
+  read.body = outgoing_body(std::move(start), body, body.length());
   return Success();
 }
 
+// Names of hosts are the same in capitals and small letters; the target gets
+// the header as it came. HTTP/1.0 may lack it.
+std::string HostOf(const front_request& request) {
+  return Poco::toLower(request.get(Poco::Net::HTTPRequest::HOST, ""));
+}
+
 }  // namespace
 
 result<traffic_request> ReadTrafficRequest(front_request& request,
@@ -110,10 +130,12 @@
   read.manifest = context.state.manifest();
   if (!read.manifest || !context.state.targets())
     return MakeError(result_code::kNoConfiguration);
+  BOOST_OUTCOME_TRYV(CheckReadByBoth(request, context.headers));
   read.path = request.getURI();
-  read.route = read.manifest->FindRoute(request.getHost(), read.path);
+  const auto host = HostOf(request);
+  read.route = read.manifest->FindRoute(host, read.path);
   if (read.route == nullptr)
-    return MakeError(result_code::kUnknownPath, request.getHost() + read.path);
+    return MakeError(result_code::kUnknownPath, host + read.path);
   BOOST_OUTCOME_TRYV(AuthenticateTeam(request, context, read));
   BOOST_OUTCOME_TRYV(SetHomeRegions(read));
   read.id = request.get(context.headers.request_id, "");
@@ -127,9 +149,9 @@
   if (!context.state.stop.CanKeep(read.deadline))
     return MakeError(result_code::kEntryLeaving, read.route->name);
   BOOST_OUTCOME_TRYV(ReadBodyStart(request, read));
-  read.fingerprint = FingerprintOf(
-      request.getHost(), read.team == nullptr ? "" : read.team->name,
-      read.method, read.path, DigestOfBody(read.body.start()));
+  read.fingerprint =
+      FingerprintOf(host, read.team == nullptr ? "" : read.team->name,
+                    read.method, read.path, DigestOfBody(read.body.start()));
   // Requests without an affinity key are distributed by their own ids.
   read.key_hash = KeyHash(read.route->name,
                           request.get(context.headers.affinity_key, read.id));
