Bound heads by the manifest, also on the way through another entry

What callers saw: a manifest that allows larger heads than 16,384 bytes was not followed; requests within its bound were refused with 431. A head near the bound could be refused by the entry that passes it on, since that one's port had the same bound and the request had gained headers on the way.

Cause: maxHeaderBytes was read from the manifest and never given to a port.

Change: the port for callers follows the manifest; that for peers allows 4 KiB more.

--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -118,6 +118,10 @@
   shared_state_.idle_timeout = idle;
 }
 
+void front_server::SetMaxHeaderBytes(std::uint32_t bytes) {
+  shared_state_.max_header_bytes = bytes;
+}
+
 int front_server::active_requests() const {
   return shared_state_.active_requests;
 }
--- a/src/libsamphire/front/front_server.h
+++ b/src/libsamphire/front/front_server.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -15,9 +16,9 @@
 namespace samphire {
 
 // HTTP server on one listening port: accepts connections up to a limit and
-// serves each in a thread of its own. SetTimeouts(), active_requests(),
-// connections() and refused_while_leaving() may be called from any thread, the
-// other functions from one thread at a time.
+// serves each in a thread of its own. SetTimeouts(), SetMaxHeaderBytes(),
+// active_requests(), connections() and refused_while_leaving() may be called
+// from any thread, the other functions from one thread at a time.
 class front_server {
  public:
   // Binds to `address` ("host:port"; port 0 picks a free one). Throws
@@ -36,6 +37,8 @@
   // Sets the limits for receiving a request head and for idle connections.
   // Applies to waits that begin after the call.
   void SetTimeouts(milliseconds header, milliseconds idle);
+  // Replaces the upper bound of request heads, in bytes.
+  void SetMaxHeaderBytes(std::uint32_t bytes);
   // Returns the number of requests being handled.
   int active_requests() const;
   // Enters kRefusing: connections that are idle, wait for a thread or come
--- a/src/libsamphire/traffic/traffic_node.cc
+++ b/src/libsamphire/traffic/traffic_node.cc
@@ -40,6 +40,9 @@
 // Callers may send a request on it until the declared time; closing it later
 // avoids closing it while a request is on its way.
 constexpr milliseconds kIdleMargin{2000};
+// Added to the declared size of a request's head for the headers that an entry
+// adds when it passes the request to another one, in bytes.
+constexpr std::uint32_t kRelayHeadBytes = 4096;
 
 member SelfMember(const traffic_settings& settings, std::uint64_t incarnation) {
   member self;
@@ -196,6 +199,8 @@
   const auto& limits = manifest->limits();
   caller_front_.SetTimeouts(limits.header_timeout,
                             limits.idle_timeout + kIdleMargin);
+  caller_front_.SetMaxHeaderBytes(limits.max_header_bytes);
+  peer_front_.SetMaxHeaderBytes(limits.max_header_bytes + kRelayHeadBytes);
   Log(log_level::kInfo, "config-in-force",
       {{"version", manifest->version()},
        {"version_before", before ? before->version() : 0},
--- a/tests/platform_adapter/odd_head_test.cc
+++ b/tests/platform_adapter/odd_head_test.cc
@@ -25,6 +25,7 @@
 #include "platform_adapter/raw_caller.h"
 #include "platform_adapter/raw_request.h"
 #include "platform_adapter/recording_target.h"
+#include "platform_adapter/wire_text.h"
 #include "support/environment_number.h"
 #include "traffic/handler_factory.h"
 
@@ -504,6 +505,46 @@
   }
 }
 
+// Guards against a bound other than the manifest's: heads within it were
+// refused where an entry adds headers to pass the request on, or by a bound of
+// the port.
+TEST_CASE("heads up to the manifest's bound run, and longer ones are refused") {
+  constexpr std::size_t kBound = 20'000;
+  const auto check = [&](const way& by, stand_in_platform& platform) {
+    platform.Write("config/main", Replaced(ManifestObject("00000009"),
+                                           "\"maxHeaderBytes\":16384",
+                                           "\"maxHeaderBytes\":20000"));
+    const auto head_bytes = [](const sent_request& request) {
+      return request.bytes.find("\r\n\r\n") + 4;
+    };
+    const auto fill = kBound - head_bytes(Sound("X-Long: \r\n")) - 8;
+    REQUIRE(Eventually([&] {
+      raw_caller caller(by.address);
+      caller.Send(Sound("X-Long: " + std::string(fill, 'l') + "\r\n").bytes);
+      const auto responses = caller.Await(1);
+      return !responses.empty() && responses.front().status == 200;
+    }));
+    by.target.TakeRuns();
+    CheckServed(by, Sound("X-Long: " + std::string(fill, 'l') + "\r\n"),
+                place::kKept);
+    raw_caller caller(by.address);
+    caller.Send(Sound("X-Long: " + std::string(kBound, 'l') + "\r\n").bytes);
+    const auto responses = caller.Await(1);
+    REQUIRE(responses.size() == 1);
+    CHECK(responses.front().status == 431);
+    CHECK(by.target.TakeRuns().empty());
+  };
+  recording_target target("i-record");
+  SECTION("directly") {
+    direct_entry entry(target.id(), target.address());
+    check({entry.address(), target}, entry.setup.stand_in);
+  }
+  SECTION("through another entry") {
+    relaying_entry entry(target.id(), target.address(), target.stamp());
+    check({entry.address(), target}, entry.targets.stand_in);
+  }
+}
+
 // Guards against ports that read heads in another way than that for callers.
 TEST_CASE("all ports of an entry refuse a head that can be read in two ways") {
   test_setup setup;
