Send one deadline and one expected target, whatever the caller sent

What callers saw: nothing so far. A caller that sends a deadline or an expected target twice had the first one replaced and the second one passed on, so that the target could read another deadline than the entry's, or none of its own id.

Cause: NameValueCollection::set() replaces the first header of a name.

Change: SetOnly() removes all others of the name; ParseDecimal() reads digits only.

--- a/src/libsamphire/gateway/header_copy.cc
+++ b/src/libsamphire/gateway/header_copy.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <set>
-#include <sstream>
+
+#include "proxy/message_head.h"
 
 namespace samphire {
 
@@ -29,22 +30,12 @@
 // Lower-case prefix of the entry's own headers.
 const std::string kOwnPrefix = "samphirewinch-";
 
-// Returns the header names that the Connection header restricts to this
-// connection, in lower case.
-std::set<std::string> NamedByConnection(
-    const Poco::Net::NameValueCollection& from) {
-  std::set<std::string> names;
-  std::istringstream list(from.get("Connection", ""));
-  for (std::string name; std::getline(list, name, ',');)
-    names.insert(Poco::toLower(Poco::trim(name)));
-  return names;
-}
-
 }  // namespace
 
 void CopyEndToEndHeaders(const Poco::Net::NameValueCollection& from,
                          Poco::Net::NameValueCollection& to) {
-  const auto named = NamedByConnection(from);
+  const auto options = ConnectionOptions(from);
+  const std::set<std::string> named(options.begin(), options.end());
   std::set<std::string> replaced;
   for (const auto& [name, value] : from) {
     const auto lower = Poco::toLower(name);
@@ -59,4 +50,11 @@
   }
 }
 
+void SetOnly(Poco::Net::NameValueCollection& headers,
+             const std::string& name,
+             const std::string& value) {
+  headers.erase(name);
+  headers.add(name, value);
+}
+
 }  // namespace samphire
--- a/src/libsamphire/gateway/header_copy.h
+++ b/src/libsamphire/gateway/header_copy.h
@@ -12,6 +12,12 @@
 void CopyEndToEndHeaders(const Poco::Net::NameValueCollection& from,
                          Poco::Net::NameValueCollection& to);
 
+// Sets a header and removes all others of the name. NameValueCollection::set()
+// replaces only the first one, and the receiver may read the last.
+void SetOnly(Poco::Net::NameValueCollection& headers,
+             const std::string& name,
+             const std::string& value);
+
 }  // namespace samphire
 
 #endif  // GATEWAY_HEADER_COPY_H_
--- a/src/libsamphire/gateway/request_reader.cc
+++ b/src/libsamphire/gateway/request_reader.cc
@@ -1,7 +1,5 @@
 #include "gateway/request_reader.h"
 
-#include <Poco/NumberParser.h>
-
 #include <algorithm>
 #include <atomic>
 #include <random>
@@ -9,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include "base/decimal_text.h"
 #include "config/class_matcher.h"
 #include "config/ip_address.h"
 #include "front/header_names.h"
@@ -52,16 +51,14 @@
                                 const request_class& rules) {
   if (!request.has(kHeaderDeadline))
     return rules.deadline;
-  Poco::UInt64 requested = 0;
-  if (!Poco::NumberParser::tryParseUnsigned64(request.get(kHeaderDeadline),
-                                              requested) ||
-      requested == 0) {
+  const auto requested = ParseDecimal(request.get(kHeaderDeadline));
+  if (!requested || *requested == 0) {
     return MakeError(result_code::kBadDeadline,
                      "deadline is not a positive number of milliseconds");
   }
-  const auto longest = static_cast<Poco::UInt64>(
+  const auto longest = static_cast<std::uint64_t>(
       std::max(rules.max_deadline, rules.deadline).count());
-  return milliseconds(std::min(requested, longest));
+  return milliseconds(std::min(*requested, longest));
 }
 
 // Returns the idempotency key, which is mandatory and validated only if
--- a/src/libsamphire/gateway/status_reader.cc
+++ b/src/libsamphire/gateway/status_reader.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/NumberParser.h>
 
+#include "base/decimal_text.h"
 #include "front/header_names.h"
 
 namespace samphire {
@@ -10,8 +11,6 @@
     const Poco::Net::HTTPResponse& head) {
   const auto result_text = head.get(kHeaderResult, "");
   int number = 0;
-  Poco::UInt64 version = 0;
-  Poco::UInt64 retry_after = 0;
   const auto code = Poco::NumberParser::tryParse(
                         result_text.substr(0, result_text.find(' ')), number)
                         ? ResultCodeOf(number)
@@ -19,9 +18,9 @@
   const auto run = ValueOf(kRunStateNames, head.get(kHeaderRun, ""));
   if (!code || !run)
     return std::nullopt;
-  Poco::NumberParser::tryParseUnsigned64(head.get(kHeaderConfig, "0"), version);
-  Poco::NumberParser::tryParseUnsigned64(head.get(kHeaderRetryAfterMs, "0"),
-                                         retry_after);
+  const auto version = ParseDecimal(head.get(kHeaderConfig, "")).value_or(0);
+  const auto retry_after =
+      ParseDecimal(head.get(kHeaderRetryAfterMs, "")).value_or(0);
   return response_status{.code = *code,
                          .run = *run,
                          .config_version = version,
--- a/src/libsamphire/gateway/target_request.cc
+++ b/src/libsamphire/gateway/target_request.cc
@@ -17,7 +17,7 @@
   out.head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
   CopyEndToEndHeaders(request.headers, out.head);
   out.head.set("Host", address);
-  out.head.set(kHeaderRequestId, request.id);
+  SetOnly(out.head, kHeaderRequestId, request.id);
   const auto left =
       std::max(milliseconds{1},
                std::chrono::floor<milliseconds>(request.deadline - now));
--- a/src/libsamphire/traffic/target_request_head.cc
+++ b/src/libsamphire/traffic/target_request_head.cc
@@ -45,9 +45,9 @@
   head.set("Host", request.headers.get("Host", target.address));
   const auto left =
       std::chrono::floor<milliseconds>(request.deadline - context.clock.now());
-  head.set(context.headers.deadline,
-           std::to_string(std::max<std::int64_t>(1, left.count())));
-  head.set(context.headers.expected_target, target.id);
+  SetOnly(head, context.headers.deadline,
+          std::to_string(std::max<std::int64_t>(1, left.count())));
+  SetOnly(head, context.headers.expected_target, target.id);
   if (!request.from_peer)
     SetTeamHeader(context, request, head);
   SetBodyFraming(request, head);
