--- a/src/libsamphire/traffic/entry_list.h
+++ b/src/libsamphire/traffic/following/entry_list.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_ENTRY_LIST_H_
-#define TRAFFIC_ENTRY_LIST_H_
+#ifndef TRAFFIC_FOLLOWING_ENTRY_LIST_H_
+#define TRAFFIC_FOLLOWING_ENTRY_LIST_H_
 
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <map>
@@ -8,7 +8,7 @@
 
 #include "base/clock_source.h"
 #include "routing/retry_share.h"
-#include "traffic/listed_entry.h"
+#include "traffic/following/listed_entry.h"
 
 namespace samphire {
 
@@ -61,4 +61,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_ENTRY_LIST_H_
+#endif  // TRAFFIC_FOLLOWING_ENTRY_LIST_H_
--- a/src/libsamphire/traffic/entry_list_builder.cc
+++ b/src/libsamphire/traffic/following/entry_list_builder.cc
@@ -1,4 +1,4 @@
-#include "traffic/entry_list_builder.h"
+#include "traffic/following/entry_list_builder.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsamphire/traffic/entry_list_builder.h
+++ b/src/libsamphire/traffic/following/entry_list_builder.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_ENTRY_LIST_BUILDER_H_
-#define TRAFFIC_ENTRY_LIST_BUILDER_H_
+#ifndef TRAFFIC_FOLLOWING_ENTRY_LIST_BUILDER_H_
+#define TRAFFIC_FOLLOWING_ENTRY_LIST_BUILDER_H_
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <cstddef>
@@ -10,7 +10,7 @@
 #include "membership/member.h"
 #include "membership/region_view.h"
 #include "routing/recent_peak.h"
-#include "traffic/entry_list.h"
+#include "traffic/following/entry_list.h"
 
 namespace samphire {
 
@@ -59,4 +59,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_ENTRY_LIST_BUILDER_H_
+#endif  // TRAFFIC_FOLLOWING_ENTRY_LIST_BUILDER_H_
--- a/src/libsamphire/traffic/listed_entry.h
+++ b/src/libsamphire/traffic/following/listed_entry.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_LISTED_ENTRY_H_
-#define TRAFFIC_LISTED_ENTRY_H_
+#ifndef TRAFFIC_FOLLOWING_LISTED_ENTRY_H_
+#define TRAFFIC_FOLLOWING_LISTED_ENTRY_H_
 
 #include <cstdint>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_LISTED_ENTRY_H_
+#endif  // TRAFFIC_FOLLOWING_LISTED_ENTRY_H_
--- a/src/libsamphire/traffic/listing_report.h
+++ b/src/libsamphire/traffic/following/listing_report.h
@@ -1,12 +1,12 @@
-#ifndef TRAFFIC_LISTING_REPORT_H_
-#define TRAFFIC_LISTING_REPORT_H_
+#ifndef TRAFFIC_FOLLOWING_LISTING_REPORT_H_
+#define TRAFFIC_FOLLOWING_LISTING_REPORT_H_
 
 #include <vector>
 
 #include "base/clock_source.h"
 #include "membership/member.h"
 #include "metrics/metrics.h"
-#include "traffic/listed_entry.h"
+#include "traffic/following/listed_entry.h"
 
 namespace samphire {
 
@@ -30,4 +30,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_LISTING_REPORT_H_
+#endif  // TRAFFIC_FOLLOWING_LISTING_REPORT_H_
--- a/src/libsamphire/traffic/mirror_handler.cc
+++ b/src/libsamphire/traffic/following/mirror_handler.cc
@@ -1,11 +1,11 @@
-#include "traffic/mirror_handler.h"
+#include "traffic/following/mirror_handler.h"
 
 #include <algorithm>
 #include <chrono>
 
 #include "front/response_writer.h"
 #include "gateway/peer_read.h"
-#include "traffic/mirror_messages.h"
+#include "traffic/following/mirror_messages.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/mirror_handler.h
+++ b/src/libsamphire/traffic/following/mirror_handler.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_MIRROR_HANDLER_H_
-#define TRAFFIC_MIRROR_HANDLER_H_
+#ifndef TRAFFIC_FOLLOWING_MIRROR_HANDLER_H_
+#define TRAFFIC_FOLLOWING_MIRROR_HANDLER_H_
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -45,4 +45,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_MIRROR_HANDLER_H_
+#endif  // TRAFFIC_FOLLOWING_MIRROR_HANDLER_H_
--- a/src/libsamphire/traffic/mirror_messages.cc
+++ b/src/libsamphire/traffic/following/mirror_messages.cc
@@ -1,4 +1,4 @@
-#include "traffic/mirror_messages.h"
+#include "traffic/following/mirror_messages.h"
 
 #include "base/deflate.h"
 
--- a/src/libsamphire/traffic/mirror_messages.h
+++ b/src/libsamphire/traffic/following/mirror_messages.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_MIRROR_MESSAGES_H_
-#define TRAFFIC_MIRROR_MESSAGES_H_
+#ifndef TRAFFIC_FOLLOWING_MIRROR_MESSAGES_H_
+#define TRAFFIC_FOLLOWING_MIRROR_MESSAGES_H_
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -93,4 +93,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_MIRROR_MESSAGES_H_
+#endif  // TRAFFIC_FOLLOWING_MIRROR_MESSAGES_H_
--- a/src/libsamphire/traffic/news_peers_of.cc
+++ b/src/libsamphire/traffic/following/news_peers_of.cc
@@ -1,4 +1,4 @@
-#include "traffic/news_peers_of.h"
+#include "traffic/following/news_peers_of.h"
 
 #include <cstddef>
 
--- a/src/libsamphire/traffic/news_peers_of.h
+++ b/src/libsamphire/traffic/following/news_peers_of.h
@@ -1,10 +1,10 @@
-#ifndef TRAFFIC_NEWS_PEERS_OF_H_
-#define TRAFFIC_NEWS_PEERS_OF_H_
+#ifndef TRAFFIC_FOLLOWING_NEWS_PEERS_OF_H_
+#define TRAFFIC_FOLLOWING_NEWS_PEERS_OF_H_
 
 #include <string>
 
 #include "peer/news_peers.h"
-#include "traffic/entry_list.h"
+#include "traffic/following/entry_list.h"
 
 namespace samphire {
 
@@ -13,4 +13,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_NEWS_PEERS_OF_H_
+#endif  // TRAFFIC_FOLLOWING_NEWS_PEERS_OF_H_
--- a/src/libsamphire/traffic/object_announcer.cc
+++ b/src/libsamphire/traffic/following/object_announcer.cc
@@ -1,9 +1,9 @@
-#include "traffic/object_announcer.h"
+#include "traffic/following/object_announcer.h"
 
 #include <utility>
 
 #include "base/log.h"
-#include "traffic/mirror_messages.h"
+#include "traffic/following/mirror_messages.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/object_announcer.h
+++ b/src/libsamphire/traffic/following/object_announcer.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_OBJECT_ANNOUNCER_H_
-#define TRAFFIC_OBJECT_ANNOUNCER_H_
+#ifndef TRAFFIC_FOLLOWING_OBJECT_ANNOUNCER_H_
+#define TRAFFIC_FOLLOWING_OBJECT_ANNOUNCER_H_
 
 #include <functional>
 #include <map>
@@ -11,8 +11,8 @@
 #include "peer/news_channel.h"
 #include "store/object_relay.h"
 #include "store/watch_batch.h"
-#include "traffic/object_news.h"
-#include "traffic/urgent_objects.h"
+#include "traffic/following/object_news.h"
+#include "traffic/following/urgent_objects.h"
 
 namespace samphire {
 
@@ -73,4 +73,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_OBJECT_ANNOUNCER_H_
+#endif  // TRAFFIC_FOLLOWING_OBJECT_ANNOUNCER_H_
--- a/src/libsamphire/traffic/object_news.h
+++ b/src/libsamphire/traffic/following/object_news.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_OBJECT_NEWS_H_
-#define TRAFFIC_OBJECT_NEWS_H_
+#ifndef TRAFFIC_FOLLOWING_OBJECT_NEWS_H_
+#define TRAFFIC_FOLLOWING_OBJECT_NEWS_H_
 
 #include <cstdint>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_OBJECT_NEWS_H_
+#endif  // TRAFFIC_FOLLOWING_OBJECT_NEWS_H_
--- a/src/libsamphire/traffic/platform_fallback.h
+++ b/src/libsamphire/traffic/following/platform_fallback.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PLATFORM_FALLBACK_H_
-#define TRAFFIC_PLATFORM_FALLBACK_H_
+#ifndef TRAFFIC_FOLLOWING_PLATFORM_FALLBACK_H_
+#define TRAFFIC_FOLLOWING_PLATFORM_FALLBACK_H_
 
 #include <cstddef>
 #include <optional>
@@ -38,4 +38,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PLATFORM_FALLBACK_H_
+#endif  // TRAFFIC_FOLLOWING_PLATFORM_FALLBACK_H_
--- a/src/libsamphire/traffic/position_record.h
+++ b/src/libsamphire/traffic/following/position_record.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_POSITION_RECORD_H_
-#define TRAFFIC_POSITION_RECORD_H_
+#ifndef TRAFFIC_FOLLOWING_POSITION_RECORD_H_
+#define TRAFFIC_FOLLOWING_POSITION_RECORD_H_
 
 #include <cstdint>
 #include <mutex>
@@ -45,4 +45,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_POSITION_RECORD_H_
+#endif  // TRAFFIC_FOLLOWING_POSITION_RECORD_H_
--- a/src/libsamphire/traffic/shared_store.cc
+++ b/src/libsamphire/traffic/following/shared_store.cc
@@ -1,4 +1,4 @@
-#include "traffic/shared_store.h"
+#include "traffic/following/shared_store.h"
 
 #include <algorithm>
 #include <thread>
@@ -6,7 +6,7 @@
 
 #include "base/log.h"
 #include "gateway/peer_post.h"
-#include "traffic/source_log.h"
+#include "traffic/following/source_log.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/shared_store.h
+++ b/src/libsamphire/traffic/following/shared_store.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_SHARED_STORE_H_
-#define TRAFFIC_SHARED_STORE_H_
+#ifndef TRAFFIC_FOLLOWING_SHARED_STORE_H_
+#define TRAFFIC_FOLLOWING_SHARED_STORE_H_
 
 #include <functional>
 #include <map>
@@ -14,10 +14,10 @@
 #include "proxy/connection_pool.h"
 #include "store/object_relay.h"
 #include "store/object_watcher.h"
-#include "traffic/mirror_messages.h"
-#include "traffic/platform_fallback.h"
-#include "traffic/source_plan.h"
-#include "traffic/urgent_objects.h"
+#include "traffic/following/mirror_messages.h"
+#include "traffic/following/platform_fallback.h"
+#include "traffic/following/source_plan.h"
+#include "traffic/following/urgent_objects.h"
 
 namespace samphire {
 
@@ -137,4 +137,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SHARED_STORE_H_
+#endif  // TRAFFIC_FOLLOWING_SHARED_STORE_H_
--- a/src/libsamphire/traffic/source_log.cc
+++ b/src/libsamphire/traffic/following/source_log.cc
@@ -1,4 +1,4 @@
-#include "traffic/source_log.h"
+#include "traffic/following/source_log.h"
 
 #include <cstddef>
 
--- a/src/libsamphire/traffic/source_log.h
+++ b/src/libsamphire/traffic/following/source_log.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_SOURCE_LOG_H_
-#define TRAFFIC_SOURCE_LOG_H_
+#ifndef TRAFFIC_FOLLOWING_SOURCE_LOG_H_
+#define TRAFFIC_FOLLOWING_SOURCE_LOG_H_
 
 #include <string>
 
@@ -19,4 +19,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SOURCE_LOG_H_
+#endif  // TRAFFIC_FOLLOWING_SOURCE_LOG_H_
--- a/src/libsamphire/traffic/source_plan.cc
+++ b/src/libsamphire/traffic/following/source_plan.cc
@@ -1,4 +1,4 @@
-#include "traffic/source_plan.h"
+#include "traffic/following/source_plan.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/libsamphire/traffic/source_plan.h
+++ b/src/libsamphire/traffic/following/source_plan.h
@@ -1,13 +1,13 @@
-#ifndef TRAFFIC_SOURCE_PLAN_H_
-#define TRAFFIC_SOURCE_PLAN_H_
+#ifndef TRAFFIC_FOLLOWING_SOURCE_PLAN_H_
+#define TRAFFIC_FOLLOWING_SOURCE_PLAN_H_
 
 #include <cstddef>
 #include <string>
 #include <vector>
 
 #include "routing/entry_location.h"
-#include "traffic/entry_list.h"
-#include "traffic/source_role.h"
+#include "traffic/following/entry_list.h"
+#include "traffic/following/source_role.h"
 
 namespace samphire {
 
@@ -36,4 +36,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SOURCE_PLAN_H_
+#endif  // TRAFFIC_FOLLOWING_SOURCE_PLAN_H_
--- a/src/libsamphire/traffic/source_role.h
+++ b/src/libsamphire/traffic/following/source_role.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_SOURCE_ROLE_H_
-#define TRAFFIC_SOURCE_ROLE_H_
+#ifndef TRAFFIC_FOLLOWING_SOURCE_ROLE_H_
+#define TRAFFIC_FOLLOWING_SOURCE_ROLE_H_
 
 namespace samphire {
 
@@ -16,4 +16,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SOURCE_ROLE_H_
+#endif  // TRAFFIC_FOLLOWING_SOURCE_ROLE_H_
--- a/src/libsamphire/traffic/urgent_objects.h
+++ b/src/libsamphire/traffic/following/urgent_objects.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_URGENT_OBJECTS_H_
-#define TRAFFIC_URGENT_OBJECTS_H_
+#ifndef TRAFFIC_FOLLOWING_URGENT_OBJECTS_H_
+#define TRAFFIC_FOLLOWING_URGENT_OBJECTS_H_
 
 #include <string>
 
@@ -21,4 +21,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_URGENT_OBJECTS_H_
+#endif  // TRAFFIC_FOLLOWING_URGENT_OBJECTS_H_
--- a/src/libsamphire/traffic/permit_messages.h
+++ b/src/libsamphire/traffic/limits/permit_messages.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PERMIT_MESSAGES_H_
-#define TRAFFIC_PERMIT_MESSAGES_H_
+#ifndef TRAFFIC_LIMITS_PERMIT_MESSAGES_H_
+#define TRAFFIC_LIMITS_PERMIT_MESSAGES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -96,4 +96,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PERMIT_MESSAGES_H_
+#endif  // TRAFFIC_LIMITS_PERMIT_MESSAGES_H_
--- a/src/libsamphire/traffic/target_limiter.cc
+++ b/src/libsamphire/traffic/limits/target_limiter.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_limiter.h"
+#include "traffic/limits/target_limiter.h"
 
 #include <fmt/format.h>
 
--- a/src/libsamphire/traffic/target_limiter.h
+++ b/src/libsamphire/traffic/limits/target_limiter.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_LIMITER_H_
-#define TRAFFIC_TARGET_LIMITER_H_
+#ifndef TRAFFIC_LIMITS_TARGET_LIMITER_H_
+#define TRAFFIC_LIMITS_TARGET_LIMITER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -18,9 +18,9 @@
 #include "routing/limit_permits.h"
 #include "routing/live_target.h"
 #include "routing/target_notice.h"
-#include "traffic/peer_query.h"
-#include "traffic/target_messages.h"
-#include "traffic/target_news_channel.h"
+#include "traffic/limits/target_messages.h"
+#include "traffic/limits/target_news_channel.h"
+#include "traffic/placing/peer_query.h"
 #include "traffic/traffic_settings.h"
 #include "traffic/traffic_state.h"
 
@@ -136,4 +136,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_LIMITER_H_
+#endif  // TRAFFIC_LIMITS_TARGET_LIMITER_H_
--- a/src/libsamphire/traffic/target_messages.h
+++ b/src/libsamphire/traffic/limits/target_messages.h
@@ -1,12 +1,12 @@
-#ifndef TRAFFIC_TARGET_MESSAGES_H_
-#define TRAFFIC_TARGET_MESSAGES_H_
+#ifndef TRAFFIC_LIMITS_TARGET_MESSAGES_H_
+#define TRAFFIC_LIMITS_TARGET_MESSAGES_H_
 
 #include <cstdint>
 #include <string>
 
 #include "base/bounded_codec.h"
-#include "traffic/permit_messages.h"
-#include "traffic/placement_messages.h"
+#include "traffic/limits/permit_messages.h"
+#include "traffic/placing/placement_messages.h"
 
 namespace samphire {
 
@@ -98,4 +98,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_MESSAGES_H_
+#endif  // TRAFFIC_LIMITS_TARGET_MESSAGES_H_
--- a/src/libsamphire/traffic/target_news_channel.h
+++ b/src/libsamphire/traffic/limits/target_news_channel.h
@@ -1,8 +1,8 @@
-#ifndef TRAFFIC_TARGET_NEWS_CHANNEL_H_
-#define TRAFFIC_TARGET_NEWS_CHANNEL_H_
+#ifndef TRAFFIC_LIMITS_TARGET_NEWS_CHANNEL_H_
+#define TRAFFIC_LIMITS_TARGET_NEWS_CHANNEL_H_
 
 #include "peer/news_channel.h"
-#include "traffic/target_messages.h"
+#include "traffic/limits/target_messages.h"
 
 namespace samphire {
 
@@ -11,4 +11,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_NEWS_CHANNEL_H_
+#endif  // TRAFFIC_LIMITS_TARGET_NEWS_CHANNEL_H_
--- a/src/libsamphire/traffic/target_notices.cc
+++ b/src/libsamphire/traffic/limits/target_notices.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_notices.h"
+#include "traffic/limits/target_notices.h"
 
 #include "base/log.h"
 
--- a/src/libsamphire/traffic/target_notices.h
+++ b/src/libsamphire/traffic/limits/target_notices.h
@@ -1,12 +1,12 @@
-#ifndef TRAFFIC_TARGET_NOTICES_H_
-#define TRAFFIC_TARGET_NOTICES_H_
+#ifndef TRAFFIC_LIMITS_TARGET_NOTICES_H_
+#define TRAFFIC_LIMITS_TARGET_NOTICES_H_
 
 #include "base/clock_source.h"
 #include "routing/live_target.h"
 #include "routing/target_notice.h"
-#include "traffic/service_shards.h"
-#include "traffic/target_limiter.h"
-#include "traffic/target_news_channel.h"
+#include "traffic/limits/target_limiter.h"
+#include "traffic/limits/target_news_channel.h"
+#include "traffic/placing/service_shards.h"
 
 namespace samphire {
 
@@ -41,4 +41,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_NOTICES_H_
+#endif  // TRAFFIC_LIMITS_TARGET_NOTICES_H_
--- a/src/libsamphire/traffic/team_limiter.cc
+++ b/src/libsamphire/traffic/limits/team_limiter.cc
@@ -1,4 +1,4 @@
-#include "traffic/team_limiter.h"
+#include "traffic/limits/team_limiter.h"
 
 #include <fmt/format.h>
 
--- a/src/libsamphire/traffic/team_limiter.h
+++ b/src/libsamphire/traffic/limits/team_limiter.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TEAM_LIMITER_H_
-#define TRAFFIC_TEAM_LIMITER_H_
+#ifndef TRAFFIC_LIMITS_TEAM_LIMITER_H_
+#define TRAFFIC_LIMITS_TEAM_LIMITER_H_
 
 #include <cstdint>
 #include <map>
@@ -15,9 +15,9 @@
 #include "routing/limit_permits.h"
 #include "routing/permit_grantors.h"
 #include "routing/startup_allowance.h"
-#include "traffic/peer_query.h"
-#include "traffic/permit_messages.h"
-#include "traffic/team_permit.h"
+#include "traffic/limits/permit_messages.h"
+#include "traffic/limits/team_permit.h"
+#include "traffic/placing/peer_query.h"
 #include "traffic/traffic_settings.h"
 #include "traffic/traffic_state.h"
 
@@ -126,4 +126,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TEAM_LIMITER_H_
+#endif  // TRAFFIC_LIMITS_TEAM_LIMITER_H_
--- a/src/libsamphire/traffic/team_permit.h
+++ b/src/libsamphire/traffic/limits/team_permit.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TEAM_PERMIT_H_
-#define TRAFFIC_TEAM_PERMIT_H_
+#ifndef TRAFFIC_LIMITS_TEAM_PERMIT_H_
+#define TRAFFIC_LIMITS_TEAM_PERMIT_H_
 
 #include <string>
 
@@ -20,4 +20,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TEAM_PERMIT_H_
+#endif  // TRAFFIC_LIMITS_TEAM_PERMIT_H_
--- a/src/libsamphire/traffic/peer_query.h
+++ b/src/libsamphire/traffic/placing/peer_query.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PEER_QUERY_H_
-#define TRAFFIC_PEER_QUERY_H_
+#ifndef TRAFFIC_PLACING_PEER_QUERY_H_
+#define TRAFFIC_PLACING_PEER_QUERY_H_
 
 #include <atomic>
 #include <cstdint>
@@ -82,4 +82,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PEER_QUERY_H_
+#endif  // TRAFFIC_PLACING_PEER_QUERY_H_
--- a/src/libsamphire/traffic/placed_request.h
+++ b/src/libsamphire/traffic/placing/placed_request.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PLACED_REQUEST_H_
-#define TRAFFIC_PLACED_REQUEST_H_
+#ifndef TRAFFIC_PLACING_PLACED_REQUEST_H_
+#define TRAFFIC_PLACING_PLACED_REQUEST_H_
 
 #include <cstdint>
 #include <string>
@@ -24,4 +24,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PLACED_REQUEST_H_
+#endif  // TRAFFIC_PLACING_PLACED_REQUEST_H_
--- a/src/libsamphire/traffic/placement_client.cc
+++ b/src/libsamphire/traffic/placing/placement_client.cc
@@ -1,4 +1,4 @@
-#include "traffic/placement_client.h"
+#include "traffic/placing/placement_client.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsamphire/traffic/placement_client.h
+++ b/src/libsamphire/traffic/placing/placement_client.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PLACEMENT_CLIENT_H_
-#define TRAFFIC_PLACEMENT_CLIENT_H_
+#ifndef TRAFFIC_PLACING_PLACEMENT_CLIENT_H_
+#define TRAFFIC_PLACING_PLACEMENT_CLIENT_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,8 +10,8 @@
 #include "peer/peer_transport.h"
 #include "routing/attempt_end.h"
 #include "routing/placement_criteria.h"
-#include "traffic/peer_query.h"
-#include "traffic/placement_messages.h"
+#include "traffic/placing/peer_query.h"
+#include "traffic/placing/placement_messages.h"
 
 namespace samphire {
 
@@ -56,4 +56,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PLACEMENT_CLIENT_H_
+#endif  // TRAFFIC_PLACING_PLACEMENT_CLIENT_H_
--- a/src/libsamphire/traffic/placement_messages.h
+++ b/src/libsamphire/traffic/placing/placement_messages.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_PLACEMENT_MESSAGES_H_
-#define TRAFFIC_PLACEMENT_MESSAGES_H_
+#ifndef TRAFFIC_PLACING_PLACEMENT_MESSAGES_H_
+#define TRAFFIC_PLACING_PLACEMENT_MESSAGES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -137,4 +137,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PLACEMENT_MESSAGES_H_
+#endif  // TRAFFIC_PLACING_PLACEMENT_MESSAGES_H_
--- a/src/libsamphire/traffic/placement_server.cc
+++ b/src/libsamphire/traffic/placing/placement_server.cc
@@ -1,4 +1,4 @@
-#include "traffic/placement_server.h"
+#include "traffic/placing/placement_server.h"
 
 #include <string>
 #include <utility>
--- a/src/libsamphire/traffic/placement_server.h
+++ b/src/libsamphire/traffic/placing/placement_server.h
@@ -1,8 +1,8 @@
-#ifndef TRAFFIC_PLACEMENT_SERVER_H_
-#define TRAFFIC_PLACEMENT_SERVER_H_
+#ifndef TRAFFIC_PLACING_PLACEMENT_SERVER_H_
+#define TRAFFIC_PLACING_PLACEMENT_SERVER_H_
 
 #include "peer/peer_transport.h"
-#include "traffic/placement_messages.h"
+#include "traffic/placing/placement_messages.h"
 #include "traffic/traffic_context.h"
 
 namespace samphire {
@@ -30,4 +30,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_PLACEMENT_SERVER_H_
+#endif  // TRAFFIC_PLACING_PLACEMENT_SERVER_H_
--- a/src/libsamphire/traffic/request_placer.cc
+++ b/src/libsamphire/traffic/placing/request_placer.cc
@@ -1,4 +1,4 @@
-#include "traffic/request_placer.h"
+#include "traffic/placing/request_placer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsamphire/traffic/request_placer.h
+++ b/src/libsamphire/traffic/placing/request_placer.h
@@ -1,13 +1,13 @@
-#ifndef TRAFFIC_REQUEST_PLACER_H_
-#define TRAFFIC_REQUEST_PLACER_H_
+#ifndef TRAFFIC_PLACING_REQUEST_PLACER_H_
+#define TRAFFIC_PLACING_REQUEST_PLACER_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "routing/placement_criteria.h"
-#include "traffic/placed_request.h"
-#include "traffic/placement_client.h"
+#include "traffic/placing/placed_request.h"
+#include "traffic/placing/placement_client.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -74,4 +74,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_REQUEST_PLACER_H_
+#endif  // TRAFFIC_PLACING_REQUEST_PLACER_H_
--- a/src/libsamphire/traffic/service_shards.cc
+++ b/src/libsamphire/traffic/placing/service_shards.cc
@@ -1,4 +1,4 @@
-#include "traffic/service_shards.h"
+#include "traffic/placing/service_shards.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/service_shards.h
+++ b/src/libsamphire/traffic/placing/service_shards.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_SERVICE_SHARDS_H_
-#define TRAFFIC_SERVICE_SHARDS_H_
+#ifndef TRAFFIC_PLACING_SERVICE_SHARDS_H_
+#define TRAFFIC_PLACING_SERVICE_SHARDS_H_
 
 #include <cstdint>
 #include <functional>
@@ -88,4 +88,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SERVICE_SHARDS_H_
+#endif  // TRAFFIC_PLACING_SERVICE_SHARDS_H_
--- a/src/libsamphire/traffic/split_report.cc
+++ b/src/libsamphire/traffic/placing/split_report.cc
@@ -1,4 +1,4 @@
-#include "traffic/split_report.h"
+#include "traffic/placing/split_report.h"
 
 #include <fmt/format.h>
 
--- a/src/libsamphire/traffic/split_report.h
+++ b/src/libsamphire/traffic/placing/split_report.h
@@ -1,12 +1,12 @@
-#ifndef TRAFFIC_SPLIT_REPORT_H_
-#define TRAFFIC_SPLIT_REPORT_H_
+#ifndef TRAFFIC_PLACING_SPLIT_REPORT_H_
+#define TRAFFIC_PLACING_SPLIT_REPORT_H_
 
 #include <cstdint>
 #include <string>
 
 #include "metrics/metrics.h"
 #include "routing/weighted_split.h"
-#include "traffic/service_shards.h"
+#include "traffic/placing/service_shards.h"
 
 namespace samphire {
 
@@ -24,4 +24,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SPLIT_REPORT_H_
+#endif  // TRAFFIC_PLACING_SPLIT_REPORT_H_
--- a/src/libsamphire/traffic/body_state.h
+++ b/src/libsamphire/traffic/sending/body_state.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_BODY_STATE_H_
-#define TRAFFIC_BODY_STATE_H_
+#ifndef TRAFFIC_SENDING_BODY_STATE_H_
+#define TRAFFIC_SENDING_BODY_STATE_H_
 
 #include "base/enum_names.h"
 
@@ -26,4 +26,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_BODY_STATE_H_
+#endif  // TRAFFIC_SENDING_BODY_STATE_H_
--- a/src/libsamphire/traffic/dispatch_log.cc
+++ b/src/libsamphire/traffic/sending/dispatch_log.cc
@@ -1,9 +1,9 @@
-#include "traffic/dispatch_log.h"
+#include "traffic/sending/dispatch_log.h"
 
 #include <chrono>
 
 #include "base/log.h"
-#include "traffic/send_log.h"
+#include "traffic/sending/send_log.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/dispatch_log.h
+++ b/src/libsamphire/traffic/sending/dispatch_log.h
@@ -1,15 +1,15 @@
-#ifndef TRAFFIC_DISPATCH_LOG_H_
-#define TRAFFIC_DISPATCH_LOG_H_
+#ifndef TRAFFIC_SENDING_DISPATCH_LOG_H_
+#define TRAFFIC_SENDING_DISPATCH_LOG_H_
 
 #include <string>
 
 #include "base/result_code.h"
 #include "routing/placement_result.h"
-#include "traffic/dispatch_progress.h"
-#include "traffic/placed_request.h"
-#include "traffic/request_placer.h"
-#include "traffic/target_exchange_end.h"
-#include "traffic/team_permit.h"
+#include "traffic/limits/team_permit.h"
+#include "traffic/placing/placed_request.h"
+#include "traffic/placing/request_placer.h"
+#include "traffic/sending/dispatch_progress.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -43,4 +43,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_DISPATCH_LOG_H_
+#endif  // TRAFFIC_SENDING_DISPATCH_LOG_H_
--- a/src/libsamphire/traffic/dispatch_progress.h
+++ b/src/libsamphire/traffic/sending/dispatch_progress.h
@@ -1,11 +1,11 @@
-#ifndef TRAFFIC_DISPATCH_PROGRESS_H_
-#define TRAFFIC_DISPATCH_PROGRESS_H_
+#ifndef TRAFFIC_SENDING_DISPATCH_PROGRESS_H_
+#define TRAFFIC_SENDING_DISPATCH_PROGRESS_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "traffic/send_record.h"
+#include "traffic/sending/send_record.h"
 
 namespace samphire {
 
@@ -20,4 +20,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_DISPATCH_PROGRESS_H_
+#endif  // TRAFFIC_SENDING_DISPATCH_PROGRESS_H_
--- a/src/libsamphire/traffic/link_prober.cc
+++ b/src/libsamphire/traffic/sending/link_prober.cc
@@ -1,4 +1,4 @@
-#include "traffic/link_prober.h"
+#include "traffic/sending/link_prober.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/link_prober.h
+++ b/src/libsamphire/traffic/sending/link_prober.h
@@ -1,9 +1,9 @@
-#ifndef TRAFFIC_LINK_PROBER_H_
-#define TRAFFIC_LINK_PROBER_H_
+#ifndef TRAFFIC_SENDING_LINK_PROBER_H_
+#define TRAFFIC_SENDING_LINK_PROBER_H_
 
 #include "base/stoppable_thread.h"
 #include "proxy/connection_pool.h"
-#include "traffic/target_links.h"
+#include "traffic/sending/target_links.h"
 
 namespace samphire {
 
@@ -35,4 +35,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_LINK_PROBER_H_
+#endif  // TRAFFIC_SENDING_LINK_PROBER_H_
--- a/src/libsamphire/traffic/outgoing_body.h
+++ b/src/libsamphire/traffic/sending/outgoing_body.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_OUTGOING_BODY_H_
-#define TRAFFIC_OUTGOING_BODY_H_
+#ifndef TRAFFIC_SENDING_OUTGOING_BODY_H_
+#define TRAFFIC_SENDING_OUTGOING_BODY_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 
 #include "base/result.h"
 #include "proxy/body_source.h"
-#include "traffic/body_state.h"
+#include "traffic/sending/body_state.h"
 
 namespace samphire {
 
@@ -86,4 +86,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_OUTGOING_BODY_H_
+#endif  // TRAFFIC_SENDING_OUTGOING_BODY_H_
--- a/src/libsamphire/traffic/relay_choice.cc
+++ b/src/libsamphire/traffic/sending/relay_choice.cc
@@ -1,4 +1,4 @@
-#include "traffic/relay_choice.h"
+#include "traffic/sending/relay_choice.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/libsamphire/traffic/relay_choice.h
+++ b/src/libsamphire/traffic/sending/relay_choice.h
@@ -1,12 +1,12 @@
-#ifndef TRAFFIC_RELAY_CHOICE_H_
-#define TRAFFIC_RELAY_CHOICE_H_
+#ifndef TRAFFIC_SENDING_RELAY_CHOICE_H_
+#define TRAFFIC_SENDING_RELAY_CHOICE_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
 #include "routing/entry_location.h"
-#include "traffic/entry_list.h"
+#include "traffic/following/entry_list.h"
 
 namespace samphire {
 
@@ -21,4 +21,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_RELAY_CHOICE_H_
+#endif  // TRAFFIC_SENDING_RELAY_CHOICE_H_
--- a/src/libsamphire/traffic/relay_handler.cc
+++ b/src/libsamphire/traffic/sending/relay_handler.cc
@@ -1,4 +1,4 @@
-#include "traffic/relay_handler.h"
+#include "traffic/sending/relay_handler.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
@@ -15,8 +15,8 @@
 #include "gateway/caller_response.h"
 #include "gateway/response_relay.h"
 #include "peer/peer_token.h"
-#include "traffic/relayed_call.h"
-#include "traffic/target_exchange.h"
+#include "traffic/sending/relayed_call.h"
+#include "traffic/sending/target_exchange.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/relay_handler.h
+++ b/src/libsamphire/traffic/sending/relay_handler.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_RELAY_HANDLER_H_
-#define TRAFFIC_RELAY_HANDLER_H_
+#ifndef TRAFFIC_SENDING_RELAY_HANDLER_H_
+#define TRAFFIC_SENDING_RELAY_HANDLER_H_
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -9,7 +9,7 @@
 #include "front/front_request.h"
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
-#include "traffic/target_exchange_end.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -47,4 +47,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_RELAY_HANDLER_H_
+#endif  // TRAFFIC_SENDING_RELAY_HANDLER_H_
--- a/src/libsamphire/traffic/relayed_call.cc
+++ b/src/libsamphire/traffic/sending/relayed_call.cc
@@ -1,4 +1,4 @@
-#include "traffic/relayed_call.h"
+#include "traffic/sending/relayed_call.h"
 
 #include <fmt/format.h>
 
--- a/src/libsamphire/traffic/relayed_call.h
+++ b/src/libsamphire/traffic/sending/relayed_call.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_RELAYED_CALL_H_
-#define TRAFFIC_RELAYED_CALL_H_
+#ifndef TRAFFIC_SENDING_RELAYED_CALL_H_
+#define TRAFFIC_SENDING_RELAYED_CALL_H_
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -44,4 +44,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_RELAYED_CALL_H_
+#endif  // TRAFFIC_SENDING_RELAYED_CALL_H_
--- a/src/libsamphire/traffic/response_classification.cc
+++ b/src/libsamphire/traffic/sending/response_classification.cc
@@ -1,4 +1,4 @@
-#include "traffic/response_classification.h"
+#include "traffic/sending/response_classification.h"
 
 #include <optional>
 #include <sstream>
--- a/src/libsamphire/traffic/response_classification.h
+++ b/src/libsamphire/traffic/sending/response_classification.h
@@ -1,9 +1,9 @@
-#ifndef TRAFFIC_RESPONSE_CLASSIFICATION_H_
-#define TRAFFIC_RESPONSE_CLASSIFICATION_H_
+#ifndef TRAFFIC_SENDING_RESPONSE_CLASSIFICATION_H_
+#define TRAFFIC_SENDING_RESPONSE_CLASSIFICATION_H_
 
 #include <Poco/Net/HTTPResponse.h>
 
-#include "traffic/target_exchange_end.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 
 namespace samphire {
@@ -16,4 +16,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_RESPONSE_CLASSIFICATION_H_
+#endif  // TRAFFIC_SENDING_RESPONSE_CLASSIFICATION_H_
--- a/src/libsamphire/traffic/send_log.cc
+++ b/src/libsamphire/traffic/sending/send_log.cc
@@ -1,4 +1,4 @@
-#include "traffic/send_log.h"
+#include "traffic/sending/send_log.h"
 
 #include <fmt/format.h>
 
--- a/src/libsamphire/traffic/send_log.h
+++ b/src/libsamphire/traffic/sending/send_log.h
@@ -1,9 +1,9 @@
-#ifndef TRAFFIC_SEND_LOG_H_
-#define TRAFFIC_SEND_LOG_H_
+#ifndef TRAFFIC_SENDING_SEND_LOG_H_
+#define TRAFFIC_SENDING_SEND_LOG_H_
 
 #include "routing/live_target.h"
-#include "traffic/send_record.h"
-#include "traffic/target_exchange_end.h"
+#include "traffic/sending/send_record.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -23,4 +23,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SEND_LOG_H_
+#endif  // TRAFFIC_SENDING_SEND_LOG_H_
--- a/src/libsamphire/traffic/send_record.h
+++ b/src/libsamphire/traffic/sending/send_record.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_SEND_RECORD_H_
-#define TRAFFIC_SEND_RECORD_H_
+#ifndef TRAFFIC_SENDING_SEND_RECORD_H_
+#define TRAFFIC_SENDING_SEND_RECORD_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,7 +7,7 @@
 
 #include "base/enum_names.h"
 #include "store/store_cursor.h"
-#include "traffic/position_record.h"
+#include "traffic/following/position_record.h"
 
 namespace samphire {
 
@@ -45,4 +45,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_SEND_RECORD_H_
+#endif  // TRAFFIC_SENDING_SEND_RECORD_H_
--- a/src/libsamphire/traffic/target_exchange.cc
+++ b/src/libsamphire/traffic/sending/target_exchange.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_exchange.h"
+#include "traffic/sending/target_exchange.h"
 
 #include <algorithm>
 #include <array>
@@ -7,10 +7,10 @@
 
 #include "gateway/response_stream.h"
 #include "gateway/status_reader.h"
-#include "traffic/relayed_call.h"
-#include "traffic/response_classification.h"
-#include "traffic/send_log.h"
-#include "traffic/target_request_head.h"
+#include "traffic/sending/relayed_call.h"
+#include "traffic/sending/response_classification.h"
+#include "traffic/sending/send_log.h"
+#include "traffic/sending/target_request_head.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/target_exchange.h
+++ b/src/libsamphire/traffic/sending/target_exchange.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_EXCHANGE_H_
-#define TRAFFIC_TARGET_EXCHANGE_H_
+#ifndef TRAFFIC_SENDING_TARGET_EXCHANGE_H_
+#define TRAFFIC_SENDING_TARGET_EXCHANGE_H_
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -10,7 +10,7 @@
 #include "proxy/caller_watch.h"
 #include "proxy/connection_use.h"
 #include "proxy/http_exchange.h"
-#include "traffic/target_exchange_end.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -98,4 +98,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_EXCHANGE_H_
+#endif  // TRAFFIC_SENDING_TARGET_EXCHANGE_H_
--- a/src/libsamphire/traffic/target_exchange_end.h
+++ b/src/libsamphire/traffic/sending/target_exchange_end.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_EXCHANGE_END_H_
-#define TRAFFIC_TARGET_EXCHANGE_END_H_
+#ifndef TRAFFIC_SENDING_TARGET_EXCHANGE_END_H_
+#define TRAFFIC_SENDING_TARGET_EXCHANGE_END_H_
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -10,7 +10,7 @@
 #include "routing/attempt_end.h"
 #include "routing/sent_request.h"
 #include "routing/target_path.h"
-#include "traffic/send_record.h"
+#include "traffic/sending/send_record.h"
 
 namespace samphire {
 
@@ -40,4 +40,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_EXCHANGE_END_H_
+#endif  // TRAFFIC_SENDING_TARGET_EXCHANGE_END_H_
--- a/src/libsamphire/traffic/target_links.h
+++ b/src/libsamphire/traffic/sending/target_links.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_LINKS_H_
-#define TRAFFIC_TARGET_LINKS_H_
+#ifndef TRAFFIC_SENDING_TARGET_LINKS_H_
+#define TRAFFIC_SENDING_TARGET_LINKS_H_
 
 #include <functional>
 #include <map>
@@ -62,4 +62,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_LINKS_H_
+#endif  // TRAFFIC_SENDING_TARGET_LINKS_H_
--- a/src/libsamphire/traffic/target_request_head.cc
+++ b/src/libsamphire/traffic/sending/target_request_head.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_request_head.h"
+#include "traffic/sending/target_request_head.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/libsamphire/traffic/target_request_head.h
+++ b/src/libsamphire/traffic/sending/target_request_head.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TARGET_REQUEST_HEAD_H_
-#define TRAFFIC_TARGET_REQUEST_HEAD_H_
+#ifndef TRAFFIC_SENDING_TARGET_REQUEST_HEAD_H_
+#define TRAFFIC_SENDING_TARGET_REQUEST_HEAD_H_
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -18,4 +18,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_REQUEST_HEAD_H_
+#endif  // TRAFFIC_SENDING_TARGET_REQUEST_HEAD_H_
--- a/src/libsamphire/traffic/target_sender.cc
+++ b/src/libsamphire/traffic/sending/target_sender.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_sender.h"
+#include "traffic/sending/target_sender.h"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <utility>
 
-#include "traffic/relay_choice.h"
+#include "traffic/sending/relay_choice.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/target_sender.h
+++ b/src/libsamphire/traffic/sending/target_sender.h
@@ -1,13 +1,13 @@
-#ifndef TRAFFIC_TARGET_SENDER_H_
-#define TRAFFIC_TARGET_SENDER_H_
+#ifndef TRAFFIC_SENDING_TARGET_SENDER_H_
+#define TRAFFIC_SENDING_TARGET_SENDER_H_
 
 #include <string>
 #include <vector>
 
 #include "gateway/response_sink.h"
 #include "proxy/caller_watch.h"
-#include "traffic/target_exchange.h"
-#include "traffic/target_exchange_end.h"
+#include "traffic/sending/target_exchange.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -51,4 +51,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TARGET_SENDER_H_
+#endif  // TRAFFIC_SENDING_TARGET_SENDER_H_
--- a/src/libsamphire/traffic/traffic_dispatcher.cc
+++ b/src/libsamphire/traffic/sending/traffic_dispatcher.cc
@@ -1,4 +1,4 @@
-#include "traffic/traffic_dispatcher.h"
+#include "traffic/sending/traffic_dispatcher.h"
 
 #include <fmt/format.h>
 
@@ -10,8 +10,8 @@
 #include "front/front_limits.h"
 #include "gateway/response_relay.h"
 #include "routing/arrival_cause.h"
-#include "traffic/split_report.h"
-#include "traffic/target_sender.h"
+#include "traffic/placing/split_report.h"
+#include "traffic/sending/target_sender.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/traffic_dispatcher.h
+++ b/src/libsamphire/traffic/sending/traffic_dispatcher.h
@@ -1,5 +1,5 @@
-#ifndef TRAFFIC_TRAFFIC_DISPATCHER_H_
-#define TRAFFIC_TRAFFIC_DISPATCHER_H_
+#ifndef TRAFFIC_SENDING_TRAFFIC_DISPATCHER_H_
+#define TRAFFIC_SENDING_TRAFFIC_DISPATCHER_H_
 
 #include <optional>
 #include <string>
@@ -8,12 +8,12 @@
 #include "proxy/caller_watch.h"
 #include "proxy/connection_use.h"
 #include "routing/arrival_account.h"
-#include "traffic/dispatch_log.h"
-#include "traffic/dispatch_progress.h"
-#include "traffic/placed_request.h"
-#include "traffic/request_placer.h"
-#include "traffic/target_exchange_end.h"
-#include "traffic/team_permit.h"
+#include "traffic/limits/team_permit.h"
+#include "traffic/placing/placed_request.h"
+#include "traffic/placing/request_placer.h"
+#include "traffic/sending/dispatch_log.h"
+#include "traffic/sending/dispatch_progress.h"
+#include "traffic/sending/target_exchange_end.h"
 #include "traffic/traffic_context.h"
 #include "traffic/traffic_request.h"
 
@@ -90,4 +90,4 @@
 
 }  // namespace samphire
 
-#endif  // TRAFFIC_TRAFFIC_DISPATCHER_H_
+#endif  // TRAFFIC_SENDING_TRAFFIC_DISPATCHER_H_
--- a/src/libsamphire/traffic/traffic_handler.cc
+++ b/src/libsamphire/traffic/traffic_handler.cc
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "front/front_request.h"
 #include "gateway/caller_response.h"
-#include "traffic/traffic_dispatcher.h"
+#include "traffic/sending/traffic_dispatcher.h"
 #include "traffic/traffic_request_reader.h"
 
 namespace samphire {
--- a/src/libsamphire/traffic/traffic_request.h
+++ b/src/libsamphire/traffic/traffic_request.h
@@ -11,7 +11,7 @@
 #include "base/clock_source.h"
 #include "decision/request_fingerprint.h"
 #include "routing/traffic_manifest.h"
-#include "traffic/outgoing_body.h"
+#include "traffic/sending/outgoing_body.h"
 
 namespace samphire {
 
--- a/src/libsamphire/traffic/traffic_state.h
+++ b/src/libsamphire/traffic/traffic_state.h
@@ -10,9 +10,9 @@
 #include "routing/target_set.h"
 #include "routing/traffic_manifest.h"
 #include "steering/shared_snapshot.h"
-#include "traffic/entry_list.h"
 #include "traffic/entry_stop.h"
-#include "traffic/position_record.h"
+#include "traffic/following/entry_list.h"
+#include "traffic/following/position_record.h"
 #include "traffic/traffic_bounds.h"
 
 namespace samphire {
--- a/tests/platform_adapter/broken_upload_test.cc
+++ b/tests/platform_adapter/broken_upload_test.cc
@@ -19,7 +19,7 @@
 #include "gateway/peer_signer.h"
 #include "peer/peer_token.h"
 #include "platform_adapter/upload_fleet.h"
-#include "traffic/relayed_call.h"
+#include "traffic/sending/relayed_call.h"
 
 using namespace samphire;
 using namespace samphire::platform;
--- a/tests/platform_adapter/odd_entries_test.cc
+++ b/tests/platform_adapter/odd_entries_test.cc
@@ -15,7 +15,7 @@
 #include "store/http_object_store.h"
 #include "store/object_mirror.h"
 #include "target_cache.h"
-#include "traffic/mirror_messages.h"
+#include "traffic/following/mirror_messages.h"
 
 using namespace samphire;
 using namespace samphire::platform;
--- a/tests/routing/retry_bound_model_test.cc
+++ b/tests/routing/retry_bound_model_test.cc
@@ -7,7 +7,7 @@
 
 #include "routing/arrival_account.h"
 #include "support/sliding_count.h"
-#include "traffic/entry_list_builder.h"
+#include "traffic/following/entry_list_builder.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
--- a/tests/routing/source_plan_test.cc
+++ b/tests/routing/source_plan_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/source_plan.h"
+#include "traffic/following/source_plan.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/tests/support/lookup_simulation.h
+++ b/tests/support/lookup_simulation.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "support/membership_simulation.h"
-#include "traffic/entry_list_builder.h"
+#include "traffic/following/entry_list_builder.h"
 
 namespace samphire {
 
--- a/tests/support/simulated_entry_list.h
+++ b/tests/support/simulated_entry_list.h
@@ -2,7 +2,7 @@
 #define SUPPORT_SIMULATED_ENTRY_LIST_H_
 
 #include "membership/membership_core.h"
-#include "traffic/entry_list_builder.h"
+#include "traffic/following/entry_list_builder.h"
 
 namespace samphire {
 
--- a/tests/traffic/followed_region.cc
+++ b/tests/traffic/followed_region.cc
@@ -7,8 +7,8 @@
 #include <thread>
 
 #include "support/free_address.h"
+#include "traffic/following/mirror_handler.h"
 #include "traffic/handler_factory.h"
-#include "traffic/mirror_handler.h"
 
 namespace samphire {
 
--- a/tests/traffic/followed_region.h
+++ b/tests/traffic/followed_region.h
@@ -18,10 +18,10 @@
 #include "store/object_follower.h"
 #include "store/object_relay.h"
 #include "support/relay.h"
-#include "traffic/object_announcer.h"
+#include "traffic/following/object_announcer.h"
+#include "traffic/following/shared_store.h"
 #include "traffic/region_store.h"
 #include "traffic/routed_transport.h"
-#include "traffic/shared_store.h"
 
 namespace samphire {
 
--- a/tests/traffic/listing_report_test.cc
+++ b/tests/traffic/listing_report_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/listing_report.h"
+#include "traffic/following/listing_report.h"
 
 #include <catch2/catch.hpp>
 #include <chrono>
--- a/tests/traffic/outgoing_body_test.cc
+++ b/tests/traffic/outgoing_body_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/outgoing_body.h"
+#include "traffic/sending/outgoing_body.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/traffic/placement_test.cc
+++ b/tests/traffic/placement_test.cc
@@ -4,8 +4,8 @@
 
 #include "support/manual_clock.h"
 #include "traffic/direct_transport.h"
-#include "traffic/placement_client.h"
-#include "traffic/placement_server.h"
+#include "traffic/placing/placement_client.h"
+#include "traffic/placing/placement_server.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
--- a/tests/traffic/platform_fallback_test.cc
+++ b/tests/traffic/platform_fallback_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/platform_fallback.h"
+#include "traffic/following/platform_fallback.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/traffic/position_record_test.cc
+++ b/tests/traffic/position_record_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/position_record.h"
+#include "traffic/following/position_record.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/traffic/shared_store_test.cc
+++ b/tests/traffic/shared_store_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/shared_store.h"
+#include "traffic/following/shared_store.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -8,8 +8,8 @@
 #include "front/response_writer.h"
 #include "gateway/peer_post.h"
 #include "support/free_address.h"
+#include "traffic/following/mirror_handler.h"
 #include "traffic/handler_factory.h"
-#include "traffic/mirror_handler.h"
 #include "traffic/watching_entry.h"
 
 using namespace samphire;
--- a/tests/traffic/target_limiter_model_test.cc
+++ b/tests/traffic/target_limiter_model_test.cc
@@ -7,9 +7,9 @@
 #include "support/membership_simulation.h"
 #include "support/simulated_entry_list.h"
 #include "support/sliding_count.h"
-#include "traffic/news_peers_of.h"
+#include "traffic/following/news_peers_of.h"
+#include "traffic/limits/target_limiter.h"
 #include "traffic/routed_transport.h"
-#include "traffic/target_limiter.h"
 
 using namespace samphire;
 using namespace std::chrono_literals;
--- a/tests/traffic/target_links_test.cc
+++ b/tests/traffic/target_links_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/target_links.h"
+#include "traffic/sending/target_links.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/tests/traffic/team_limiter_test.cc
+++ b/tests/traffic/team_limiter_test.cc
@@ -1,4 +1,4 @@
-#include "traffic/team_limiter.h"
+#include "traffic/limits/team_limiter.h"
 
 #include <catch2/catch.hpp>
 #include <string>
--- a/tests/traffic/watching_entry.h
+++ b/tests/traffic/watching_entry.h
@@ -8,8 +8,8 @@
 #include "gateway/peer_signer.h"
 #include "proxy/connection_pool.h"
 #include "store/object_relay.h"
-#include "traffic/shared_store.h"
-#include "traffic/source_plan.h"
+#include "traffic/following/shared_store.h"
+#include "traffic/following/source_plan.h"
 
 namespace samphire {
 
