Take a status that is none for no answer in the load tool

What users of the load tool saw: an answer with a status of 000, 099, 600 or 999 counted as a refusal, since the library takes any number for a status.

Before and after: "the load tool takes a status that is none for no answer" fails on the code before (11 checks) and passes.

--- a/src/load/exchange.cc
+++ b/src/load/exchange.cc
@@ -56,6 +56,12 @@
   }
 }
 
+// Whether a number is a status of HTTP. The library takes any for one, so that
+// bytes that are no answer would count as a refusal, or as a success.
+bool IsStatus(int number) {
+  return number >= 100 && number <= 599;
+}
+
 struct body_read {
   body_check check;
   std::int64_t bytes = 0;
@@ -125,6 +131,8 @@
     session.sendRequest(exchange.request);
     HTTPResponse response;
     auto& stream = session.receiveResponse(response);
+    if (!IsStatus(response.getStatus()))
+      return answer;
     ReadHeaders(response, answer);
     answer.body = answer_body::kTruncated;
     const auto read = ReadBody(stream);
