Bound what answers of the store hold in memory, all together

What callers saw: nothing so far. A store that sends a body without end let an entry hold 464 to 502 MB (instances have 160 to 260), so that the process would have ended with the requests of its callers.

Cause: 64 MiB were allowed for each call, and three kinds of objects are followed at a time; a body grew in one string, which is held twice while it moves, and the threads' heaps keep the holes.

Where the changes since a position don't fit, everything is listed, in pages.

The store's answers are tested with statuses that are none (000, 099, 600 and others), which count as no answer.

--- a/src/libsamphire/gateway/peer_post.cc
+++ b/src/libsamphire/gateway/peer_post.cc
@@ -31,7 +31,8 @@
     return MakeError(result_code::kPeerDeclined, response->getReason());
   peer_response complete{.content_type = response->getContentType(),
                          .body = {}};
-  auto body = ReadWholeBody(exchange, post.max_response_bytes);
+  byte_budget budget(post.max_response_bytes);
+  auto body = ReadWholeBody(exchange, budget);
   if (!body && body.error().code != result_code::kPeerMalformed)
     return MakeError(result_code::kPeerTimeout,
                      "response body ended before it was complete");
--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -17,9 +17,10 @@
 // unnoticed, every change would be delayed until the watch times out.
 constexpr milliseconds kUnacknowledgedTimeout{1500};
 
-// Upper bound on the body of a response, in bytes. A page of a listing has
-// about 1 MB.
-constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20U;
+// Upper bound on the bodies of responses that are being read, together, in
+// bytes. A page of a listing has about 1 MB; several kinds of objects are
+// followed at a time.
+constexpr std::size_t kMaxHeldBytes = std::size_t{24} << 20U;
 
 Poco::Net::HTTPRequest HeadOf(const store_http_call& call) {
   Poco::Net::HTTPRequest head(call.method, call.uri,
@@ -71,7 +72,8 @@
     : options_(std::move(options)),
       clock_(clock),
       opener_(kUnacknowledgedTimeout),
-      pool_(opener_, options_.max_idle_time) {}
+      pool_(opener_, options_.max_idle_time),
+      body_budget_(kMaxHeldBytes) {}
 
 // Tries the next address only while the call certainly had no effect, which is
 // always the case for a read.
@@ -106,6 +108,9 @@
     return MakeError(result_code::kStoreUnreachable,
                      address + ": " + connected.error().detail);
   auto reply = Exchange(exchange, call);
+  if (!reply && reply.error().code == result_code::kPeerMalformed &&
+      !call.writes)
+    return MakeError(result_code::kStoreValueTooLarge, reply.error().detail);
   if (!reply)
     return IncompleteResponseError(
         call, fmt::format("{}: {} {}", address, NameOf(reply.error().code),
@@ -113,9 +118,8 @@
   return reply;
 }
 
-result<store_http_reply> http_caller::Exchange(
-    http_exchange& exchange,
-    const store_http_call& call) const {
+result<store_http_reply> http_caller::Exchange(http_exchange& exchange,
+                                               const store_http_call& call) {
   exchange.SetDeadline(clock_.now() + call.timeout);
   BOOST_OUTCOME_TRYV(exchange.Send(HeadOf(call), call.body));
   BOOST_OUTCOME_TRY(head, exchange.ReadHead());
@@ -124,7 +128,7 @@
   reply.etag = head->get("Etag", "");
   if (!options_.era_header.empty())
     reply.era = head->get(options_.era_header, "");
-  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, kMaxBodyBytes));
+  BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, body_budget_));
   reply.body = std::move(body);
   return reply;
 }
--- a/src/libsamphire/store/http_caller.h
+++ b/src/libsamphire/store/http_caller.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 
+#include "base/byte_budget.h"
 #include "base/clock_source.h"
 #include "base/result.h"
 #include "proxy/connection_pool.h"
@@ -37,12 +38,13 @@
                                        const store_http_call& call);
   // Sends the request and reads the response on the connection of `exchange`.
   result<store_http_reply> Exchange(http_exchange& exchange,
-                                    const store_http_call& call) const;
+                                    const store_http_call& call);
 
   const http_store_options options_;
   const clock_source& clock_;
   const tcp_connection_opener opener_;
   connection_pool pool_;
+  byte_budget body_budget_;
   // Index of the address that responded last.
   std::atomic<std::size_t> preferred_index_{0};
 };
--- a/tests/platform_adapter/cut_store_answer_test.cc
+++ b/tests/platform_adapter/cut_store_answer_test.cc
@@ -6,6 +6,7 @@
 
 #include "base/system_clock_source.h"
 #include "platform_adapter/raw_store.h"
+#include "platform_adapter/wire_text.h"
 #include "platform_store.h"
 #include "store/http_object_store.h"
 
@@ -66,6 +67,11 @@
       spoilt[whole.find("chunked")] = 'k';
     store.SetAnswer(spoilt);
     CHECK(one.call() == expected);
+    for (const auto* status : {"000", "099", "600", "999", "20", "2000"}) {
+      INFO(status);
+      store.SetAnswer(Replaced(whole, "200", status));
+      CHECK(one.call() == expected);
+    }
   }
 }
 
@@ -121,3 +127,25 @@
   for (const auto& one : cases)
     CheckCuts(peer, one);
 }
+
+// Guards against a follower that asks for the same changes again and again,
+// since there are too many of them for one answer.
+TEST_CASE("changes that are too large for one answer are listed instead") {
+  raw_store store;
+  const system_clock_source clock;
+  metrics counters;
+  http_store_options options;
+  options.addresses = {store.address()};
+  options.era_header = "Store-Era";
+  platform_store client(options, clock, counters);
+  store.SetAnswer(AnswerInLength(
+      R"({"items":[{"metadata":{"name":"a","rev":9}}],"hasMore":false,)"
+      R"("asOf":12})"));
+  store.SetAnswerToWatches(
+      AnswerInLength(std::string(std::size_t{25} << 20U, ' ')));
+  const auto batch = client.Watch("things/", {5, 7}, 100ms);
+  REQUIRE(batch);
+  CHECK(batch.value().reset);
+  REQUIRE(batch.value().events.size() == 1);
+  CHECK(batch.value().events.front().key == "things/a");
+}
--- a/tests/platform_adapter/raw_store.h
+++ b/tests/platform_adapter/raw_store.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_ADAPTER_RAW_STORE_H_
 
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <mutex>
 #include <string>
@@ -18,13 +19,17 @@
   // IP:PORT at which the store can be reached.
   std::string address() const { return listener_.address().toString(); }
   void SetAnswer(std::string answer);
+  // The same for watches alone; empty for the answer of all calls.
+  void SetAnswerToWatches(std::string answer);
 
  private:
   void ServeAll(const std::stop_token& stop);
+  void Serve(Poco::Net::StreamSocket& socket);
 
   Poco::Net::ServerSocket listener_;
   std::mutex lock_;
   std::string answer_;
+  std::string answer_to_watches_;
   std::jthread thread_;
 };
 
--- a/tests/platform_adapter/upload_call.cc
+++ b/tests/platform_adapter/upload_call.cc
@@ -81,8 +81,9 @@
     Send(socket,
          fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n"
                      "Request-Id: {}\r\nAffinity-Key: {}\r\n"
-                     "Request-Deadline: {}\r\n{}\r\n\r\n",
+                     "Request-Deadline: {}\r\n{}{}\r\n\r\n",
                      call.path, call.id, call.affinity_key, call.deadline_ms,
+                     call.lines,
                      call.framing == upload_framing::kChunks
                          ? "Transfer-Encoding: chunked"
                          : fmt::format("Content-Length: {}", call.bytes)));
--- a/tests/platform_adapter/upload_call.h
+++ b/tests/platform_adapter/upload_call.h
@@ -20,6 +20,8 @@
   // negative for never.
   std::int64_t leaves_after = -1;
   std::string path = "/write/upload";
+  // Further header lines, with their line ends.
+  std::string lines;
   // Bytes that the caller sends after `leaves_after` bytes of the body in place
   // of the rest, whatever its framing.
   std::string breaks_off_with;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -22,6 +22,8 @@
   CHECK(findings.empty());
   CHECK(world.served() > 0);
   CHECK(world.served_uploads() > 0);
+  CHECK(world.odd_heads() > 0);
+  CHECK(world.malformed_heads() > 0);
 }
 
 }  // namespace
@@ -32,9 +34,9 @@
 // reset; targets fail and drain; the store refuses calls, loses its history and
 // comes back from copies. Guards against a claim that runs twice, a response to
 // another request, a request that ran although its caller was told that it did
-// not, look-ups that name entries long gone, an upload that runs with
-// another body than its caller sent, a target that is used after it has left,
-// and an entry that does not recover.
+// not, or though its head can be read in two ways, look-ups that name entries
+// long gone, an upload that runs with another body than its caller sent, a
+// target that is used after it has left, and an entry that does not recover.
 TEST_CASE("guarantees hold while faults of all kinds are injected at random") {
   const auto first = EnvironmentNumber("SAMPHIRE_SOAK_SEED", 1);
   const auto count = EnvironmentNumber("SAMPHIRE_SOAK_COUNT", 3);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -52,6 +52,9 @@
   int judged_lookups() const { return lookups_.judged(); }
   // Number of uploads that succeeded while faults were injected.
   int served_uploads() const { return uploads_.served(); }
+  // Number of uploads with odd but valid heads, and with malformed ones.
+  int odd_heads() const { return uploads_.odd_heads(); }
+  int malformed_heads() const { return uploads_.malformed_heads(); }
 
  private:
   // An entry process and its relay to the store.
--- a/tests/soak/upload_load.h
+++ b/tests/soak/upload_load.h
@@ -15,8 +15,9 @@
 
 namespace samphire {
 
-// Targets of a service of uploads, the uploads that were sent, and what
-// became of them. SendOne() may be called from one thread beside the others.
+// Targets of a service of uploads, the uploads that were sent, some with odd
+// heads, and what became of them. SendOne() may be called from one thread
+// beside the others.
 class upload_load {
  public:
   explicit upload_load(std::uint64_t seed);
@@ -32,10 +33,13 @@
 
   // Sends an upload of random size and framing; some callers leave within it.
   void SendOne(const std::string& entry_address);
-  // Returns descriptions of uploads that ran changed or twice, or whose caller
-  // was not told the truth.
+  // Returns descriptions of uploads that ran changed, twice or though nobody
+  // sent them, or whose caller was not told the truth.
   std::vector<std::string> Violations() const;
   int served() const;
+  // Number of uploads whose heads were odd but valid, and malformed.
+  int odd_heads() const;
+  int malformed_heads() const;
 
  private:
   struct target {
@@ -44,12 +48,18 @@
   };
   struct sent_upload {
     platform::upload_call call;
+    // Whether no reader should take the head.
+    bool is_malformed = false;
     // HTTP status; 0 without a response.
     int status = 0;
   };
 
+  // Gives every few uploads an odd head.
+  void SpoilHead(sent_upload& upload);
+
   std::mt19937_64 random_;
   std::mt19937_64 fault_random_;
+  std::mt19937_64 odd_random_;
   std::vector<target> targets_;
   mutable std::mutex lock_;
   std::map<std::string, sent_upload> sent_;
