Name in a refusal what is wrong with the request's head

What callers saw: 400 with the number 2001 and nothing else, whichever header was wrong. The detail that the check knows was dropped where the connection is refused.

Change: RefuseConnection() takes the error with its detail, which the body of a refusal has room for. A relayed request without Host ends in a refusal, not in a connection that closes.

--- a/src/libsamphire/front/connection_limiter.cc
+++ b/src/libsamphire/front/connection_limiter.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "base/result.h"
 #include "front/refuse_connection.h"
 
 namespace samphire {
@@ -56,7 +57,8 @@
                                 result_code reason,
                                 milliseconds retry_after) {
   metrics_.CountRefusal(reason);
-  RefuseConnection(socket, reason, retry_after, shared_state_.closer);
+  RefuseConnection(socket, MakeError(reason), retry_after,
+                   shared_state_.closer);
   shared_state_.accepted.Take(socket);
 }
 
--- a/src/libsamphire/front/front_connection.cc
+++ b/src/libsamphire/front/front_connection.cc
@@ -82,7 +82,7 @@
   const auto head = ReceiveRequestHead(session, shared_state_);
   if (!head) {
     if (head.error().code != result_code::kCallerGone)
-      Refuse(session, head.error().code);
+      Refuse(session, head.error());
     return false;
   }
   arrived_ = has_waited ? accepted_ : std::chrono::steady_clock::now();
@@ -102,13 +102,13 @@
     const head_text& head) {
   const active_request_guard guard(shared_state_.active_requests);
   if (shared_state_.refusing.is_cancelled()) {
-    Refuse(session, result_code::kEntryLeaving);
+    Refuse(session, MakeError(result_code::kEntryLeaving));
     return connection_disposition::kCloseNow;
   }
   front_response response(session, shared_state_, metrics_);
   front_request request(response, session, *params_, head, arrived_);
   if (const auto checked = request.Check(); !checked) {
-    Refuse(session, checked.error().code);
+    Refuse(session, checked.error());
     return connection_disposition::kCloseNow;
   }
   response.setDate(Poco::Timestamp());
@@ -126,11 +126,11 @@
              : connection_disposition::kClose;
 }
 
-void front_connection::Refuse(front_session& session, result_code code) {
-  metrics_.CountRefusal(code);
-  if (code == result_code::kEntryLeaving)
+void front_connection::Refuse(front_session& session, const error& reason) {
+  metrics_.CountRefusal(reason.code);
+  if (reason.code == result_code::kEntryLeaving)
     ++shared_state_.refused_while_leaving;
-  RefuseConnection(session.detachSocket(), code, kLeavingRetryAfter,
+  RefuseConnection(session.detachSocket(), reason, kLeavingRetryAfter,
                    shared_state_.closer);
 }
 
--- a/src/libsamphire/front/front_connection.h
+++ b/src/libsamphire/front/front_connection.h
@@ -5,7 +5,7 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/TCPServerConnection.h>
 
-#include "base/result_code.h"
+#include "base/result.h"
 #include "front/front_session.h"
 #include "front/front_shared_state.h"
 #include "metrics/metrics.h"
@@ -44,7 +44,7 @@
   // or if its headers contradict each other.
   connection_disposition Handle(front_session& session, const head_text& head);
   // Sends a refusal and leaves the connection to the closer.
-  void Refuse(front_session& session, result_code code);
+  void Refuse(front_session& session, const error& reason);
 
   Poco::Net::HTTPServerParams::Ptr params_;
   Poco::Net::HTTPRequestHandlerFactory::Ptr factory_;
--- a/src/libsamphire/front/front_server.cc
+++ b/src/libsamphire/front/front_server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/result.h"
 #include "front/connection_limiter.h"
 #include "front/front_connection.h"
 #include "front/refuse_connection.h"
@@ -151,7 +152,8 @@
     while (std::chrono::steady_clock::now() < deadline &&
            socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
       ++shared_state_.refused_while_leaving;
-      RefuseConnection(socket_.acceptConnection(), result_code::kEntryLeaving,
+      RefuseConnection(socket_.acceptConnection(),
+                       MakeError(result_code::kEntryLeaving),
                        kLeavingRetryAfter, shared_state_.closer);
     }
   } catch (const Poco::Exception& e) {
--- a/src/libsamphire/front/refuse_connection.cc
+++ b/src/libsamphire/front/refuse_connection.cc
@@ -15,13 +15,15 @@
 }  // namespace
 
 void RefuseConnection(Poco::Net::StreamSocket caller,
-                      result_code reason,
+                      const error& reason,
                       milliseconds retry_after,
                       lingering_closer& closer) {
   try {
     caller.setSendTimeout(Poco::Timespan(kSendTimeoutUs));
-    const auto response_bytes = RenderRefusal(
-        response_status{.code = reason, .retry_after = retry_after});
+    const auto response_bytes =
+        RenderRefusal(response_status{.code = reason.code,
+                                      .retry_after = retry_after,
+                                      .detail = reason.detail});
     caller.sendBytes(response_bytes.data(),
                      static_cast<int>(response_bytes.size()));
   } catch (const Poco::Exception&) {
--- a/src/libsamphire/front/refuse_connection.h
+++ b/src/libsamphire/front/refuse_connection.h
@@ -4,17 +4,17 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include "base/clock_source.h"
-#include "base/result_code.h"
+#include "base/error.h"
 #include "front/lingering_closer.h"
 
 namespace samphire {
 
 // Refuses the next request of a connection, whether or not it has arrived:
-// sends `reason` with the retry time, and leaves the connection to `closer`.
-// Blocks for 100 ms at most, and only while the caller doesn't read; errors of
-// the connection are ignored.
+// sends `reason` and its detail with the retry time, and leaves the connection
+// to `closer`. Blocks for 100 ms at most, and only while the caller doesn't
+// read; errors of the connection are ignored.
 void RefuseConnection(Poco::Net::StreamSocket caller,
-                      result_code reason,
+                      const error& reason,
                       milliseconds retry_after,
                       lingering_closer& closer);
 
--- a/src/libsamphire/front/request_head_receiver.cc
+++ b/src/libsamphire/front/request_head_receiver.cc
@@ -87,7 +87,8 @@
     if (head.progress() == head_progress::kComplete)
       return head;
     if (head.progress() != head_progress::kIncomplete)
-      return MakeError(CodeOf(head.progress()));
+      return MakeError(CodeOf(head.progress()),
+                       "a line is no line of a head, or the head is too long");
     const auto more =
         Receive(session, shared_state, deadline, result_code::kRequestTooSlow);
     if (more != result_code::kOk)
--- a/src/libsamphire/traffic/sending/relayed_call.cc
+++ b/src/libsamphire/traffic/sending/relayed_call.cc
@@ -12,7 +12,7 @@
                            const std::string& body) {
   return fmt::format("{}\n{}\n{}\n{}\n{}", head.get(kHeaderRelayService, ""),
                      head.get(kHeaderRelayTarget, ""),
-                     head.get(kHeaderRelayIdempotent, ""), head.getHost(),
+                     head.get(kHeaderRelayIdempotent, ""), head.get("Host", ""),
                      DigestOfBody(body));
 }
 
--- a/tests/front/front_server_test.cc
+++ b/tests/front/front_server_test.cc
@@ -157,6 +157,14 @@
                                  "reason=\"malformed-request\"") == 3);
 }
 
+TEST_CASE("a refusal of a malformed request names what is wrong") {
+  running_server running{front_limits{}};
+  const auto text = SendAndReadToClose(
+      running.Connect(),
+      "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: +5\r\n\r\n");
+  CHECK(Contains(text, R"("detail":"invalid or repeated Content-Length")"));
+}
+
 // Guards against bounds of a library below those that the settings declare:
 // sound requests with a long value, or with more than a hundred headers, were
 // refused.
