--- a/src/libsamphire/front/request_check.cc
+++ b/src/libsamphire/front/request_check.cc
@@ -75,11 +75,11 @@
 // values, or of one that Connection takes away on the way, the target could
 // read another than the entry.
 result<void> CheckReadByBoth(const HTTPRequest& request) {
-  static const std::array kNames{HTTPRequest::HOST, HTTPMessage::CONTENT_LENGTH,
-                                 kHeaderRequestId, kHeaderIdempotencyKey,
-                                 kHeaderDeadline};
+  static const std::array names{HTTPRequest::HOST, HTTPMessage::CONTENT_LENGTH,
+                                kHeaderRequestId, kHeaderIdempotencyKey,
+                                kHeaderDeadline};
   const auto options = ConnectionOptions(request);
-  for (const auto& name : kNames) {
+  for (const auto& name : names) {
     const bool is_listed =
         std::ranges::find(options, Poco::toLower(name)) != options.end();
     if (is_listed || ValuesOf(request, name).size() > 1)
--- a/src/libsamphire/proxy/head_text.cc
+++ b/src/libsamphire/proxy/head_text.cc
@@ -1,5 +1,7 @@
 #include "proxy/head_text.h"
 
+#include <algorithm>
+
 #include "proxy/head_syntax.h"
 
 namespace samphire {
@@ -44,12 +46,12 @@
 // A line that ends without a carriage return is refused: others take it for a
 // part of the next one.
 void head_text::EndLine() {
-  const auto line = std::string_view(text_).substr(line_begin_);
-  if (!line.ends_with("\r\n")) {
-    progress_ = head_progress::kMalformed;
-  } else if (line.size() == 2) {
+  auto line = std::string_view(text_).substr(line_begin_);
+  const bool has_end = line.ends_with("\r\n");
+  line.remove_suffix(std::min(line.size(), std::size_t{2}));
+  if (has_end && line.empty()) {
     EndEmptyLine();
-  } else if (!IsSoundLine(line.substr(0, line.size() - 2))) {
+  } else if (!has_end || !IsSoundLine(line)) {
     progress_ = head_progress::kMalformed;
   } else if (fields_ > kMaxFields) {
     progress_ = head_progress::kTooLong;
--- a/tests/base/byte_budget_test.cc
+++ b/tests/base/byte_budget_test.cc
@@ -22,8 +22,10 @@
 TEST_CASE("a budget loses nothing to readers beside each other") {
   byte_budget budget(1000);
   {
+    constexpr int kReaders = 4;
     std::vector<std::jthread> readers;
-    for (int i = 0; i < 4; ++i) {
+    readers.reserve(kReaders);
+    for (int i = 0; i < kReaders; ++i) {
       readers.emplace_back([&budget] {
         for (int k = 0; k < 10'000; ++k) {
           budget_share share(budget);
--- a/tests/platform_adapter/framed_answer_test.cc
+++ b/tests/platform_adapter/framed_answer_test.cc
@@ -425,11 +425,9 @@
 // Guards against a status that is none and reaches a caller as an answer.
 TEST_CASE("callers get no answer with a status that is none") {
   AllWays([](caller& by) {
-    for (const auto* status : {"000", "001", "099", "600", "999", "20", "2000",
-                               "0200", "+200", "2 0", "", "2e2",
-                               "\xb2"
-                               "00",
-                               "-20"}) {
+    for (const auto* status :
+         {"000", "001", "099", "600", "999", "20", "2000", "0200", "+200",
+          "2 0", "", "2e2", "\262\060\060", "-20"}) {
       INFO(status);
       const auto view =
           by.Get({fmt::format("HTTP/1.1 {}{}Content-Length: 9\r\n\r\nthe level",
