Refuse a repeated API key with 401, and let a repeated team pass

What callers saw: a request with two API keys was refused with 400 (2001) in place of 401 (2011), and one with two team headers with 400 in place of being served as the team of its key.

Neither reaches a target: both are taken off, and the team is set by the entry.

Change: the two headers are no longer held against each other's copies. A new case holds that Connection can't take the team off.

--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -44,13 +44,12 @@
 
 // Headers by which the entry acts, and which targets read as well. Of two
 // values, or of one that Connection takes away on the way, the target could
-// read another than the entry.
+// read another than the entry. The caller's API key and team reach no target.
 result<void> CheckReadByBoth(const front_request& request,
                              const traffic_headers& headers) {
   const auto options = ConnectionOptions(request);
-  for (const auto* name :
-       {&headers.request_id, &headers.deadline, &headers.affinity_key,
-        &headers.expected_target, &headers.api_key, &headers.team}) {
+  for (const auto* name : {&headers.request_id, &headers.deadline,
+                           &headers.affinity_key, &headers.expected_target}) {
     const bool is_listed =
         std::ranges::find(options, Poco::toLower(*name)) != options.end();
     if (is_listed || ValuesOf(request, *name).size() > 1)
--- a/tests/platform_adapter/platform_entry_test.cc
+++ b/tests/platform_adapter/platform_entry_test.cc
@@ -314,6 +314,22 @@
   CHECK(headers.count("Credential") == 0);
 }
 
+// A caller could otherwise have the entry take the team off as a header that
+// belongs to the connection, and be served without one.
+TEST_CASE("a caller cannot take its team off by naming it in Connection") {
+  test_setup r;
+  r.stand_in.Write("config/main", TeamManifestObject("00000004"));
+  r.StartReady();
+  const auto got =
+      r.Request({.headers = {{"Connection", "Tenant-Id, Credential"},
+                             {"Credential", "key-1"},
+                             {"Tenant-Id", "team-2"}}});
+  REQUIRE(got.status == 200);
+  auto headers = r.TargetWithStamp(got.stamp).last_headers();
+  CHECK(headers["Tenant-Id"] == "team-1");
+  CHECK(headers.count("Credential") == 0);
+}
+
 // Guards against running a request whose team is unknown or ambiguous.
 TEST_CASE("a request without exactly one known API key is refused") {
   test_setup r;
