Take an era of the store for a number only if it is one

What callers saw: nothing yet. An answer of the store with the era 7,1 or +71 would have counted as a restore of the store to era 71, which voids leases and mirrors; of two eras the first was believed, and one over 64 bits wrapped around.

Cause: the era was read by the library's parser, which takes signs and separators, and from the first of repeated headers.

Evidence: 5 of the 9 eras of the new test were taken on.

Before: 5 of 9 red. After: the test passes; the 13 cases about the store of test_platform_adapter and the 44 of test_store pass, one run each.

--- a/src/libsamphire/store/http_caller.cc
+++ b/src/libsamphire/store/http_caller.cc
@@ -1,11 +1,13 @@
 #include "store/http_caller.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <fmt/format.h>
 
 #include <utility>
 
 #include "proxy/caller_watch.h"
+#include "proxy/message_head.h"
 #include "proxy/whole_body.h"
 
 namespace samphire {
@@ -34,6 +36,12 @@
   return head;
 }
 
+// Joins the values of a header that is repeated, so that it is no number.
+std::string AllValues(const Poco::Net::HTTPResponse& head,
+                      const std::string& name) {
+  return fmt::format("{}", fmt::join(ValuesOf(head, name), ", "));
+}
+
 }  // namespace
 
 // Once a byte of a write may have been sent, only a complete response tells its
@@ -125,9 +133,9 @@
   BOOST_OUTCOME_TRY(head, exchange.ReadHead());
   store_http_reply reply;
   reply.status = head->getStatus();
-  reply.etag = head->get("Etag", "");
+  reply.etag = AllValues(*head, "Etag");
   if (!options_.era_header.empty())
-    reply.era = head->get(options_.era_header, "");
+    reply.era = AllValues(*head, options_.era_header);
   BOOST_OUTCOME_TRY(body, ReadWholeBody(exchange, body_budget_));
   reply.body = std::move(body);
   return reply;
--- a/tests/platform_adapter/cut_store_answer_test.cc
+++ b/tests/platform_adapter/cut_store_answer_test.cc
@@ -107,7 +107,30 @@
     CheckCuts(peer, one);
 }
 
-// Guards against the same on the product's own path.
+// Guards against an era or version that is read in another way than the store
+// wrote it: a newer era would void every lease and mirror of the one before.
+TEST_CASE("an era of the platform's store that is no number fails the call") {
+  raw_store peer;
+  const system_clock_source clock;
+  metrics counters;
+  platform_store store(
+      {.addresses = {peer.address()}, .era_header = "Store-Era"}, clock,
+      counters);
+  const auto whole =
+      AnswerInLength(R"({"items":[],"hasMore":false,"asOf":412})");
+  for (const auto* era :
+       {"7,1", "+71", "0x7", "7 1", "-1", "18446744073709551616", "7;1",
+        "7\r\nStore-Era: 71", "7\r\nStore-Era: 7"}) {
+    INFO(era);
+    peer.SetAnswer(
+        Replaced(whole, "Store-Era: 7", std::string("Store-Era: ") + era));
+    CHECK(CodeOf(store.List("k/")) == result_code::kStoreCorrupt);
+  }
+  peer.SetAnswer(whole);
+  CHECK(CodeOf(store.List("k/")) == result_code::kOk);
+}
+
+// Guards against answers that are cut on the product's own path.
 TEST_CASE("answers of the own path's store that are cut count as none") {
   raw_store peer;
   const system_clock_source clock;
