Fill the pieces in which a body of the store is collected

What callers saw: nothing so far. A store whose body comes in chunks of one byte let an entry hold 1,183 MB within three seconds, beside a budget of 24 MiB.

Cause: ReadWholeBody() kept a string for each read. A string has 32 bytes, and the list of strings twice that while it grows; the budget counted the bytes alone.

Change: pieces of 32 KiB are filled one after the other.

--- a/src/libsamphire/proxy/whole_body.cc
+++ b/src/libsamphire/proxy/whole_body.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,26 +15,41 @@
 
 // Bounds what is read from the connection at once.
 constexpr std::size_t kReadBufferBytes = 16384;
+// At least what is read at once, and small beside the bodies that need bounds.
+constexpr std::size_t kPieceBytes = 2 * kReadBufferBytes;
 
-std::string Joined(std::vector<std::string> pieces, std::size_t bytes) {
-  std::string whole;
-  whole.reserve(bytes);
-  for (auto& piece : pieces)
-    whole.append(std::exchange(piece, {}));
-  return whole;
-}
+// Collects a body of unknown length. One string that grows would hold the body
+// twice each time it moves, and leave holes in the heap; a string for each read
+// would cost many times its bytes where they come one by one.
+class body_pieces {
+ public:
+  void Append(std::string_view bytes) {
+    if (pieces_.empty() || pieces_.back().size() + bytes.size() > kPieceBytes)
+      pieces_.emplace_back().reserve(kPieceBytes);
+    pieces_.back().append(bytes);
+    size_ += bytes.size();
+  }
 
-}  // namespace
+  // Returns the body and frees each piece once it is copied.
+  std::string Join() {
+    std::string whole;
+    whole.reserve(size_);
+    for (auto& piece : pieces_)
+      whole.append(std::exchange(piece, {}));
+    return whole;
+  }
+
+ private:
+  std::vector<std::string> pieces_;
+  std::size_t size_ = 0;
+};
 
-// One string that grows would hold a body twice each time it moves, and leave
-// holes in the heap, so that a body without end would cost several times its
-// bound.
+}  // namespace
 
 result<std::string> ReadWholeBody(http_exchange& exchange,
                                   byte_budget& budget) {
   budget_share held(budget);
-  std::vector<std::string> pieces;
-  std::size_t bytes = 0;
+  body_pieces pieces;
   std::array<char, kReadBufferBytes> buffer;
   const auto deadline = std::chrono::steady_clock::now() + kMaxBodyTime;
   while (true) {
@@ -41,12 +57,11 @@
         std::min(deadline, std::chrono::steady_clock::now() + kMaxBodyPause));
     BOOST_OUTCOME_TRY(got, exchange.ReadBody(buffer));
     if (got == 0)
-      return Joined(std::move(pieces), bytes);
+      return pieces.Join();
     if (!held.Add(got))
       return MakeError(result_code::kPeerMalformed,
                        "response body exceeds the size limit");
-    pieces.emplace_back(buffer.data(), got);
-    bytes += got;
+    pieces.Append({buffer.data(), got});
   }
 }
 
--- a/tests/platform_adapter/endless_target_test.cc
+++ b/tests/platform_adapter/endless_target_test.cc
@@ -289,6 +289,8 @@
   for (const auto& kind : std::vector<endless_kind>{
            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
             "1000\r\n" + std::string(0x1000, ' ') + "\r\n"},
+           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "1\r\n \r\n"},
            {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "x"},
            {"HTTP/1.1 200 OK\r\n", "A: b\r\n"}}) {
     const endless_target store(kind.begin, kind.filler, 0ms);
