--- a/tests/platform_adapter/endless_target_test.cc
+++ b/tests/platform_adapter/endless_target_test.cc
@@ -291,6 +291,9 @@
             "1000\r\n" + std::string(0x1000, ' ') + "\r\n"},
            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
             "1\r\n \r\n"},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 6000000\r\n\r\n"
+            "{\"items\":[",
+            "0,"},
            {"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n", "x"},
            {"HTTP/1.1 200 OK\r\n", "A: b\r\n"}}) {
     const endless_target store(kind.begin, kind.filler, 0ms);
