Check headers that are read by both sides in one place

Cause: the front and the reader of traffic each had the same loop over headers that are repeated or listed by Connection, with other names.

Change: CheckReadByBoth() takes the names; both call it. The front's refusal names the header in its detail now, as the other did ("a header is repeated ..." before); code, status and what is refused are the same.

--- a/src/libsamphire/front/request_check.cc
+++ b/src/libsamphire/front/request_check.cc
@@ -4,7 +4,6 @@
 #include <Poco/String.h>
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <string_view>
 
@@ -71,29 +70,29 @@
   return body_framing(fixed_length_body{*length});
 }
 
-// Headers by which the entry acts, and which targets read as well. Of two
-// values, or of one that Connection takes away on the way, the target could
-// read another than the entry.
-result<void> CheckReadByBoth(const HTTPRequest& request) {
-  static const std::array names{HTTPRequest::HOST, HTTPMessage::CONTENT_LENGTH,
-                                kHeaderRequestId, kHeaderIdempotencyKey,
-                                kHeaderDeadline};
-  const auto options = ConnectionOptions(request);
-  for (const auto& name : names) {
-    const bool is_listed =
-        std::ranges::find(options, Poco::toLower(name)) != options.end();
-    if (is_listed || ValuesOf(request, name).size() > 1)
-      return Malformed("a header is repeated or listed by Connection");
-  }
-  return Success();
-}
-
 }  // namespace
 
 result<body_framing> CheckRequest(const HTTPRequest& request) {
   BOOST_OUTCOME_TRYV(CheckHost(request));
-  BOOST_OUTCOME_TRYV(CheckReadByBoth(request));
+  BOOST_OUTCOME_TRYV(CheckReadByBoth(
+      request, {&HTTPRequest::HOST, &HTTPMessage::CONTENT_LENGTH,
+                &kHeaderRequestId, &kHeaderIdempotencyKey, &kHeaderDeadline}));
   return ParseFraming(request);
 }
 
+// Of two values, or of one that Connection takes away on the way, the target
+// could read another than the entry.
+result<void> CheckReadByBoth(const HTTPRequest& request,
+                             std::initializer_list<const std::string*> names) {
+  const auto options = ConnectionOptions(request);
+  for (const auto* name : names) {
+    const bool is_listed =
+        std::ranges::find(options, Poco::toLower(*name)) != options.end();
+    if (is_listed || ValuesOf(request, *name).size() > 1)
+      return MakeError(result_code::kMalformedRequest,
+                       *name + " is repeated or listed by Connection");
+  }
+  return Success();
+}
+
 }  // namespace samphire
--- a/src/libsamphire/front/request_check.h
+++ b/src/libsamphire/front/request_check.h
@@ -3,6 +3,9 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
+#include <initializer_list>
+#include <string>
+
 #include "base/result.h"
 #include "proxy/body_framing.h"
 
@@ -20,6 +23,12 @@
 // thread.
 result<body_framing> CheckRequest(const Poco::Net::HTTPRequest& request);
 
+// Checks headers by which the entry acts, and which targets read as well. Fails
+// with kMalformedRequest, and the name in the detail, if one of `names` is
+// repeated, or listed by Connection. May be called from any thread.
+result<void> CheckReadByBoth(const Poco::Net::HTTPRequest& request,
+                             std::initializer_list<const std::string*> names);
+
 }  // namespace samphire
 
 #endif  // FRONT_REQUEST_CHECK_H_
--- a/src/libsamphire/traffic/traffic_request_reader.cc
+++ b/src/libsamphire/traffic/traffic_request_reader.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/decimal_text.h"
+#include "front/request_check.h"
 #include "proxy/message_head.h"
 #include "routing/target_rank.h"
 
@@ -42,23 +43,6 @@
   return values.size() == 1 ? values.front() : std::string();
 }
 
-// Headers by which the entry acts, and which targets read as well. Of two
-// values, or of one that Connection takes away on the way, the target could
-// read another than the entry. The caller's API key and team reach no target.
-result<void> CheckReadByBoth(const front_request& request,
-                             const traffic_headers& headers) {
-  const auto options = ConnectionOptions(request);
-  for (const auto* name : {&headers.request_id, &headers.deadline,
-                           &headers.affinity_key, &headers.expected_target}) {
-    const bool is_listed =
-        std::ranges::find(options, Poco::toLower(*name)) != options.end();
-    if (is_listed || ValuesOf(request, *name).size() > 1)
-      return MakeError(result_code::kMalformedRequest,
-                       *name + " is repeated or listed by Connection");
-  }
-  return Success();
-}
-
 result<void> AuthenticateTeam(const front_request& request,
                               const traffic_context& context,
                               traffic_request& read) {
@@ -129,7 +113,11 @@
   read.manifest = context.state.manifest();
   if (!read.manifest || !context.state.targets())
     return MakeError(result_code::kNoConfiguration);
-  BOOST_OUTCOME_TRYV(CheckReadByBoth(request, context.headers));
+  // The caller's API key and team reach no target.
+  const auto& names = context.headers;
+  BOOST_OUTCOME_TRYV(
+      CheckReadByBoth(request, {&names.request_id, &names.deadline,
+                                &names.affinity_key, &names.expected_target}));
   read.path = request.getURI();
   const auto host = HostOf(request);
   read.route = read.manifest->FindRoute(host, read.path);
