Serve the connections of two test targets by one piece of code

Cause: recording_target was written beside scripted_target with the same loops that accept connections and receive bytes.

Change: byte_server accepts, receives and hands the bytes to its owner; the targets keep what they do with them. Tests and their checks are as they were.

--- a/tests/platform_adapter/recording_target.h
+++ b/tests/platform_adapter/recording_target.h
@@ -1,16 +1,14 @@
 #ifndef TESTS_PLATFORM_ADAPTER_RECORDING_TARGET_H_
 #define TESTS_PLATFORM_ADAPTER_RECORDING_TARGET_H_
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include <list>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "platform_adapter/raw_request.h"
+#include "support/byte_server.h"
 
 namespace samphire::platform {
 
@@ -19,11 +17,10 @@
 class recording_target {
  public:
   explicit recording_target(std::string id);
-  ~recording_target();
 
   const std::string& id() const { return id_; }
   // IP:PORT at which the target can be reached.
-  std::string address() const { return address_; }
+  std::string address() const { return server_.address(); }
   // The stamp of its answers.
   std::string stamp() const { return "stamp." + id_; }
 
@@ -34,20 +31,16 @@
   std::vector<std::string> TakeSpoilt();
 
  private:
-  void AcceptAll(const std::stop_token& stop);
-  void Serve(Poco::Net::StreamSocket socket, const std::stop_token& stop);
   // Answers the requests in `bytes` and removes them. Returns false once
   // something is malformed.
   bool AnswerAll(Poco::Net::StreamSocket& socket, std::string& bytes);
 
   const std::string id_;
-  Poco::Net::ServerSocket listener_;
-  const std::string address_;
   std::mutex lock_;
   std::vector<raw_request> runs_;
   std::vector<std::string> spoilt_;
-  std::list<std::jthread> connections_;
-  std::jthread acceptor_;
+  // Last, so that its threads end before what they use.
+  byte_server server_;
 };
 
 }  // namespace samphire::platform
--- a/tests/platform_adapter/scripted_target.h
+++ b/tests/platform_adapter/scripted_target.h
@@ -1,14 +1,13 @@
 #ifndef TESTS_PLATFORM_ADAPTER_SCRIPTED_TARGET_H_
 #define TESTS_PLATFORM_ADAPTER_SCRIPTED_TARGET_H_
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
-#include <list>
 #include <mutex>
 #include <string>
-#include <thread>
+
+#include "support/byte_server.h"
 
 namespace samphire::platform {
 
@@ -30,11 +29,10 @@
   static inline const std::string kRequestId = "{id-}";
 
   explicit scripted_target(std::string id);
-  ~scripted_target();
 
   const std::string& id() const { return id_; }
   // IP:PORT at which the target can be reached.
-  std::string address() const { return address_; }
+  std::string address() const { return server_.address(); }
   // The stamp of proper answers.
   std::string stamp() const { return "stamp." + id_; }
 
@@ -43,20 +41,16 @@
   int faulty_answers() const { return faulty_answers_; }
 
  private:
-  void AcceptAll(const std::stop_token& stop);
-  void Serve(Poco::Net::StreamSocket socket, const std::stop_token& stop);
   // Answers the request whose head is `head`. Returns whether the connection
   // stays open.
   bool Answer(Poco::Net::StreamSocket& socket, const std::string& head);
 
   const std::string id_;
-  Poco::Net::ServerSocket listener_;
-  const std::string address_;
   std::atomic<int> faulty_answers_ = 0;
   std::mutex lock_;
   scripted_answer answer_;
-  std::list<std::jthread> connections_;
-  std::jthread acceptor_;
+  // Last, so that its threads end before what they use.
+  byte_server server_;
 };
 
 }  // namespace samphire::platform
